Stand-ins of the database group and the platform KV, and the shared core

Cause: the repository was empty; the thin path needs the served systems first. Change: a workspace; dandelionpitch-core with the bundle shape, log positions and an etcd v3 JSON gateway client; dandelionpitch-standin (test support, not shipped) with a pgwire group of three servers (terms, log positions, lag, promotion) and a rocket KV (CAS, leases, streamed watches, fault switches).

--- /dev/null
+++ b/crates/core/src/bundle.rs
@@ -0,0 +1,174 @@
+//! The configuration bundle: database groups, which callers go to which group, and how stale
+//! each caller's reads may be.
+//!
+//! Operators write a bundle as TOML, sign it off and put it into the platform KV under
+//! [`crate::keys::BUNDLE`]. Versions only grow: the CLI refuses to put a version that is not
+//! higher than the one in force, and a proxy never applies a lower version than it runs
+//! (`docs/DESIGN.md`, "Configuration bundles").
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{hash::Map, Error};
+
+/// The most servers one group may list; a stand-in group has three.
+const MAX_SERVERS: usize = 16;
+
+/// A checked bundle, as proxies use it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bundle {
+    /// The version; higher versions replace lower ones and never the other way round.
+    pub version: u64,
+    /// Who signed this version off.
+    pub signed_off_by: Vec<String>,
+    /// Database groups by name.
+    pub groups: Map<String, Group>,
+    /// Callers by user name.
+    pub callers: Map<String, Caller>,
+}
+
+/// One replicated database group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// The group's name, as callers' database name.
+    pub name: String,
+    /// The servers of the group; which one is primary is learnt at run time.
+    pub servers: Vec<SocketAddr>,
+    /// Backend connections a proxy keeps per server at most.
+    pub pool_size: usize,
+}
+
+/// What one caller (a PostgreSQL user name) may do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// The user name the caller connects with.
+    pub user: String,
+    /// The group its statements go to.
+    pub group: String,
+    /// How far behind the primary a replica may be to serve this caller's reads; zero sends
+    /// every read to the primary.
+    pub max_staleness: Duration,
+}
+
+/// The TOML shape of a bundle, as operators write it.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wire {
+    pub version: u64,
+    #[serde(default)]
+    pub signed_off_by: Vec<String>,
+    #[serde(default, rename = "group")]
+    pub groups: Vec<WireGroup>,
+    #[serde(default, rename = "caller")]
+    pub callers: Vec<WireCaller>,
+}
+
+/// The TOML shape of one group.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireGroup {
+    pub name: String,
+    pub servers: Vec<SocketAddr>,
+    #[serde(default = "default_pool_size")]
+    pub pool_size: usize,
+}
+
+/// The TOML shape of one caller.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WireCaller {
+    pub user: String,
+    pub group: String,
+    #[serde(default, with = "humantime_serde")]
+    pub max_staleness: Duration,
+}
+
+fn default_pool_size() -> usize {
+    8
+}
+
+impl Bundle {
+    /// Parses and checks a bundle from TOML text.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let wire: Wire = toml::from_str(text)?;
+        Self::try_from(wire)
+    }
+
+    /// The caller entry for a user name, if the bundle knows it.
+    pub fn caller(&self, user: &str) -> Option<&Caller> {
+        self.callers.get(user)
+    }
+}
+
+impl TryFrom<Wire> for Bundle {
+    type Error = Error;
+
+    fn try_from(wire: Wire) -> Result<Self, Self::Error> {
+        if wire.version == 0 {
+            return Err(rule("version: must be 1 or higher"));
+        }
+        let mut groups = Map::default();
+        for group in wire.groups {
+            let group = Group::try_from(group)?;
+            if groups.contains_key(&group.name) {
+                return Err(rule(format!("group {:?}: named twice", group.name)));
+            }
+            groups.insert(group.name.clone(), group);
+        }
+        let mut callers = Map::default();
+        for caller in wire.callers {
+            let caller = Caller::from(caller);
+            if !groups.contains_key(&caller.group) {
+                let text = format!("caller {:?}: no group {:?}", caller.user, caller.group);
+                return Err(rule(text));
+            }
+            if callers.contains_key(&caller.user) {
+                return Err(rule(format!("caller {:?}: named twice", caller.user)));
+            }
+            callers.insert(caller.user.clone(), caller);
+        }
+        Ok(Self {
+            version: wire.version,
+            signed_off_by: wire.signed_off_by,
+            groups,
+            callers,
+        })
+    }
+}
+
+impl TryFrom<WireGroup> for Group {
+    type Error = Error;
+
+    fn try_from(wire: WireGroup) -> Result<Self, Self::Error> {
+        if wire.name.is_empty() {
+            return Err(rule("group.name: must not be empty"));
+        }
+        if wire.servers.is_empty() || wire.servers.len() > MAX_SERVERS {
+            let text = format!("group {:?}: servers: 1 to {MAX_SERVERS} needed", wire.name);
+            return Err(rule(text));
+        }
+        if wire.pool_size == 0 {
+            return Err(rule(format!("group {:?}: pool_size: must be 1 or more", wire.name)));
+        }
+        Ok(Self {
+            name: wire.name,
+            servers: wire.servers,
+            pool_size: wire.pool_size,
+        })
+    }
+}
+
+impl From<WireCaller> for Caller {
+    fn from(wire: WireCaller) -> Self {
+        Self {
+            user: wire.user,
+            group: wire.group,
+            max_staleness: wire.max_staleness,
+        }
+    }
+}
+
+fn rule(text: impl Into<String>) -> Error {
+    Error::BundleRule(text.into())
+}
--- /dev/null
+++ b/crates/core/src/kv.rs
@@ -0,0 +1,157 @@
+//! Client of the platform's key-value service, in the shape of the etcd v3 JSON gateway.
+//!
+//! The platform KV gives compare-and-swap, leases and watches; it is slow at times, has
+//! outages and may lose an answer after the action took effect. Every call here therefore has
+//! a timeout and returns a value the caller decides on; nothing retries behind its back.
+
+pub mod wire;
+
+use std::time::Duration;
+
+use futures::StreamExt;
+
+use crate::Error;
+
+pub use wire::{Event, EventType, KeyValue};
+
+/// How long one KV call may take before it counts as failed.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A handle on the platform KV at one endpoint (`http://host:port`).
+#[derive(Clone, Debug)]
+pub struct Client {
+    endpoint: String,
+    http: reqwest::Client,
+}
+
+/// The outcome of a compare-and-swap put.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Swap {
+    /// The key held the expected revision and now holds the new value.
+    Done {
+        /// The store revision of the write.
+        revision: u64,
+    },
+    /// The key had moved on; nothing was written.
+    Moved,
+}
+
+impl Client {
+    /// A client for the KV at `endpoint`, for example `http://127.0.0.1:2379`.
+    pub fn new(endpoint: &str) -> Self {
+        Self {
+            endpoint: endpoint.trim_end_matches('/').to_owned(),
+            http: reqwest::Client::new(),
+        }
+    }
+
+    async fn call<Q, A>(&self, path: &str, request: &Q) -> Result<A, Error>
+    where
+        Q: serde::Serialize + ?Sized,
+        A: serde::de::DeserializeOwned,
+    {
+        let url = format!("{}{path}", self.endpoint);
+        let answer = self
+            .http
+            .post(url)
+            .timeout(CALL_TIMEOUT)
+            .json(request)
+            .send()
+            .await?;
+        let answer = answer.error_for_status()?;
+        Ok(answer.json().await?)
+    }
+
+    /// Reads one key; `None` when it does not exist.
+    pub async fn get(&self, key: &str) -> Result<Option<KeyValue>, Error> {
+        let request = wire::RangeRequest::key(key);
+        let answer: wire::RangeResponse = self.call("/v3/kv/range", &request).await?;
+        let mut kvs = answer.into_values()?;
+        Ok(kvs.pop())
+    }
+
+    /// Reads every key that starts with `prefix`.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<KeyValue>, Error> {
+        let request = wire::RangeRequest::prefix(prefix);
+        let answer: wire::RangeResponse = self.call("/v3/kv/range", &request).await?;
+        answer.into_values()
+    }
+
+    /// Writes `value` under `key`, tied to `lease` when one is given.
+    pub async fn put(&self, key: &str, value: &[u8], lease: Option<i64>) -> Result<u64, Error> {
+        let request = wire::PutRequest::new(key, value, lease);
+        let answer: wire::PutResponse = self.call("/v3/kv/put", &request).await?;
+        Ok(answer.header.revision)
+    }
+
+    /// Writes `value` under `key` only if the key's last write was at `mod_revision`; zero
+    /// means the key must not exist yet.
+    pub async fn swap(&self, key: &str, value: &[u8], mod_revision: u64) -> Result<Swap, Error> {
+        let request = wire::TxnRequest::put_if(key, value, mod_revision);
+        let answer: wire::TxnResponse = self.call("/v3/kv/txn", &request).await?;
+        Ok(match answer.succeeded {
+            true => Swap::Done {
+                revision: answer.header.revision,
+            },
+            false => Swap::Moved,
+        })
+    }
+
+    /// Grants a lease of `ttl` seconds and returns its id.
+    pub async fn grant(&self, ttl: u64) -> Result<i64, Error> {
+        let request = wire::LeaseGrantRequest { ttl, id: 0 };
+        let answer: wire::LeaseGrantResponse = self.call("/v3/lease/grant", &request).await?;
+        Ok(answer.id)
+    }
+
+    /// Renews a lease; returns the seconds left, zero when the lease had already expired.
+    pub async fn keepalive(&self, lease: i64) -> Result<u64, Error> {
+        let request = wire::LeaseKeepAliveRequest { id: lease };
+        let answer: wire::LeaseKeepAliveResponse =
+            self.call("/v3/lease/keepalive", &request).await?;
+        Ok(answer.result.ttl)
+    }
+
+    /// Watches `key` for writes after `start_revision`; the stream ends when the KV closes it.
+    pub async fn watch(&self, key: &str, start_revision: u64) -> Result<Watch, Error> {
+        let request = wire::WatchRequest::new(key, start_revision);
+        let url = format!("{}/v3/watch", self.endpoint);
+        let answer = self.http.post(url).json(&request).send().await?;
+        let answer = answer.error_for_status()?;
+        Ok(Watch {
+            body: Box::pin(answer.bytes_stream()),
+            buffer: Vec::new(),
+        })
+    }
+}
+
+type Body = std::pin::Pin<
+    Box<dyn futures::Stream<Item = reqwest::Result<bytes::Bytes>> + Send + Sync + 'static>,
+>;
+
+/// An open watch: newline-separated JSON answers, as the etcd gateway streams them.
+pub struct Watch {
+    body: Body,
+    buffer: Vec<u8>,
+}
+
+impl Watch {
+    /// The next batch of events; `None` when the KV closed the watch.
+    pub async fn next(&mut self) -> Result<Option<Vec<Event>>, Error> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|&byte| byte == b'\n') {
+                let line: Vec<u8> = self.buffer.drain(..=end).collect();
+                if line.iter().all(u8::is_ascii_whitespace) {
+                    continue;
+                }
+                let answer: wire::WatchResponse = serde_json::from_slice(&line)
+                    .map_err(|error| Error::KvAnswer(error.to_string()))?;
+                return answer.result.into_events().map(Some);
+            }
+            match self.body.next().await {
+                Some(chunk) => self.buffer.extend_from_slice(&chunk?),
+                None => return Ok(None),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/kv/wire.rs
@@ -0,0 +1,392 @@
+//! Messages of the etcd v3 JSON gateway, as far as dandelionpitch uses them.
+//!
+//! Keys and values travel in base64 and 64-bit numbers as decimal strings, as the gateway
+//! sends them; [`number`] also reads plain JSON numbers. The stand-in KV serves these same
+//! types, so client and stand-in cannot drift apart.
+
+use base64::{engine::general_purpose::STANDARD, Engine};
+use serde::{Deserialize, Serialize};
+
+use crate::Error;
+
+/// Serde helpers for 64-bit numbers written as strings.
+pub mod number {
+    use serde::{de::Error, Deserialize, Deserializer, Serializer};
+
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Either {
+        Text(String),
+        Number(i128),
+    }
+
+    /// Writes the number as a decimal string.
+    pub fn serialize<T: ToString, S: Serializer>(value: &T, out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_str(&value.to_string())
+    }
+
+    /// Reads a decimal string or a plain number.
+    pub fn deserialize<'de, T, D>(input: D) -> Result<T, D::Error>
+    where
+        T: TryFrom<i128>,
+        D: Deserializer<'de>,
+    {
+        let wide = match Either::deserialize(input)? {
+            Either::Text(text) => text.parse::<i128>().map_err(D::Error::custom)?,
+            Either::Number(number) => number,
+        };
+        T::try_from(wide).map_err(|_| D::Error::custom("number out of range"))
+    }
+}
+
+fn encode(bytes: &[u8]) -> String {
+    STANDARD.encode(bytes)
+}
+
+fn decode(text: &str) -> Result<Vec<u8>, Error> {
+    STANDARD
+        .decode(text)
+        .map_err(|error| Error::KvAnswer(format!("bad base64: {error}")))
+}
+
+/// The end of the range of keys that start with `prefix`, as etcd defines it.
+pub fn prefix_end(prefix: &[u8]) -> Vec<u8> {
+    let mut end = prefix.to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
+
+/// The header every answer carries.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Header {
+    /// The store's revision when the answer was made.
+    #[serde(with = "number", default)]
+    pub revision: u64,
+}
+
+/// A key with its value, as stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyValue {
+    pub key: String,
+    pub value: Vec<u8>,
+    pub create_revision: u64,
+    pub mod_revision: u64,
+    pub version: u64,
+    pub lease: i64,
+}
+
+/// The JSON form of [`KeyValue`].
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct WireKeyValue {
+    pub key: String,
+    #[serde(default)]
+    pub value: String,
+    #[serde(with = "number", default)]
+    pub create_revision: u64,
+    #[serde(with = "number", default)]
+    pub mod_revision: u64,
+    #[serde(with = "number", default)]
+    pub version: u64,
+    #[serde(with = "number", default)]
+    pub lease: i64,
+}
+
+impl TryFrom<WireKeyValue> for KeyValue {
+    type Error = Error;
+
+    fn try_from(wire: WireKeyValue) -> Result<Self, Self::Error> {
+        let key = String::from_utf8(decode(&wire.key)?)
+            .map_err(|_| Error::KvAnswer("key is not UTF-8".to_owned()))?;
+        Ok(Self {
+            key,
+            value: decode(&wire.value)?,
+            create_revision: wire.create_revision,
+            mod_revision: wire.mod_revision,
+            version: wire.version,
+            lease: wire.lease,
+        })
+    }
+}
+
+impl From<&KeyValue> for WireKeyValue {
+    fn from(kv: &KeyValue) -> Self {
+        Self {
+            key: encode(kv.key.as_bytes()),
+            value: encode(&kv.value),
+            create_revision: kv.create_revision,
+            mod_revision: kv.mod_revision,
+            version: kv.version,
+            lease: kv.lease,
+        }
+    }
+}
+
+/// `POST /v3/kv/range`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct RangeRequest {
+    pub key: String,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub range_end: String,
+}
+
+impl RangeRequest {
+    /// A request for one key.
+    pub fn key(key: &str) -> Self {
+        Self {
+            key: encode(key.as_bytes()),
+            range_end: String::new(),
+        }
+    }
+
+    /// A request for every key under a prefix.
+    pub fn prefix(prefix: &str) -> Self {
+        Self {
+            key: encode(prefix.as_bytes()),
+            range_end: encode(&prefix_end(prefix.as_bytes())),
+        }
+    }
+
+    /// The decoded bounds: the first key and, for a range, the end (exclusive).
+    pub fn bounds(&self) -> Result<(Vec<u8>, Option<Vec<u8>>), Error> {
+        let end = match self.range_end.is_empty() {
+            true => None,
+            false => Some(decode(&self.range_end)?),
+        };
+        Ok((decode(&self.key)?, end))
+    }
+}
+
+/// The answer to a range request.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct RangeResponse {
+    #[serde(default)]
+    pub header: Header,
+    #[serde(default)]
+    pub kvs: Vec<WireKeyValue>,
+}
+
+impl RangeResponse {
+    /// The decoded key-values.
+    pub fn into_values(self) -> Result<Vec<KeyValue>, Error> {
+        self.kvs.into_iter().map(KeyValue::try_from).collect()
+    }
+}
+
+/// `POST /v3/kv/put`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct PutRequest {
+    pub key: String,
+    pub value: String,
+    #[serde(with = "number", default)]
+    pub lease: i64,
+}
+
+impl PutRequest {
+    /// A put of `value` under `key`, with a lease or none.
+    pub fn new(key: &str, value: &[u8], lease: Option<i64>) -> Self {
+        Self {
+            key: encode(key.as_bytes()),
+            value: encode(value),
+            lease: lease.unwrap_or_default(),
+        }
+    }
+
+    /// The decoded key and value.
+    pub fn decoded(&self) -> Result<(String, Vec<u8>), Error> {
+        let key = String::from_utf8(decode(&self.key)?)
+            .map_err(|_| Error::KvAnswer("key is not UTF-8".to_owned()))?;
+        Ok((key, decode(&self.value)?))
+    }
+}
+
+/// The answer to a put.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct PutResponse {
+    #[serde(default)]
+    pub header: Header,
+}
+
+/// One comparison of a transaction; only `MOD` `EQUAL` is used.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Compare {
+    pub key: String,
+    pub target: String,
+    pub result: String,
+    #[serde(with = "number", default)]
+    pub mod_revision: u64,
+}
+
+/// One operation of a transaction branch; only puts are used.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct RequestOp {
+    pub request_put: PutRequest,
+}
+
+/// `POST /v3/kv/txn`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct TxnRequest {
+    #[serde(default)]
+    pub compare: Vec<Compare>,
+    #[serde(default)]
+    pub success: Vec<RequestOp>,
+    #[serde(default)]
+    pub failure: Vec<RequestOp>,
+}
+
+impl TxnRequest {
+    /// A put that happens only if the key was last written at `mod_revision` (zero: absent).
+    pub fn put_if(key: &str, value: &[u8], mod_revision: u64) -> Self {
+        Self {
+            compare: vec![Compare {
+                key: encode(key.as_bytes()),
+                target: "MOD".to_owned(),
+                result: "EQUAL".to_owned(),
+                mod_revision,
+            }],
+            success: vec![RequestOp {
+                request_put: PutRequest::new(key, value, None),
+            }],
+            failure: Vec::new(),
+        }
+    }
+}
+
+/// The answer to a transaction.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct TxnResponse {
+    #[serde(default)]
+    pub header: Header,
+    #[serde(default)]
+    pub succeeded: bool,
+}
+
+/// `POST /v3/lease/grant`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LeaseGrantRequest {
+    #[serde(rename = "TTL", with = "number")]
+    pub ttl: u64,
+    #[serde(rename = "ID", with = "number", default)]
+    pub id: i64,
+}
+
+/// The answer to a lease grant.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LeaseGrantResponse {
+    #[serde(default)]
+    pub header: Header,
+    #[serde(rename = "ID", with = "number")]
+    pub id: i64,
+    #[serde(rename = "TTL", with = "number")]
+    pub ttl: u64,
+}
+
+/// `POST /v3/lease/keepalive`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LeaseKeepAliveRequest {
+    #[serde(rename = "ID", with = "number")]
+    pub id: i64,
+}
+
+/// The body of a keepalive answer; a TTL of zero means the lease had expired.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LeaseKeepAliveResult {
+    #[serde(rename = "ID", with = "number")]
+    pub id: i64,
+    #[serde(rename = "TTL", with = "number", default)]
+    pub ttl: u64,
+}
+
+/// The answer to a keepalive, wrapped as the gateway streams it.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LeaseKeepAliveResponse {
+    pub result: LeaseKeepAliveResult,
+}
+
+/// The inner part of a watch request.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct WatchCreateRequest {
+    pub key: String,
+    #[serde(with = "number", default)]
+    pub start_revision: u64,
+}
+
+/// `POST /v3/watch`.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct WatchRequest {
+    pub create_request: WatchCreateRequest,
+}
+
+impl WatchRequest {
+    /// A watch of one key from `start_revision` on.
+    pub fn new(key: &str, start_revision: u64) -> Self {
+        Self {
+            create_request: WatchCreateRequest {
+                key: encode(key.as_bytes()),
+                start_revision,
+            },
+        }
+    }
+
+    /// The decoded key.
+    pub fn key(&self) -> Result<Vec<u8>, Error> {
+        decode(&self.create_request.key)
+    }
+}
+
+/// Whether an event wrote or deleted its key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub enum EventType {
+    #[default]
+    #[serde(rename = "PUT")]
+    Put,
+    #[serde(rename = "DELETE")]
+    Delete,
+}
+
+/// A change of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    pub kind: EventType,
+    pub kv: KeyValue,
+}
+
+/// The JSON form of [`Event`].
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct WireEvent {
+    #[serde(rename = "type", default)]
+    pub kind: EventType,
+    pub kv: WireKeyValue,
+}
+
+/// One streamed watch answer.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct WatchResult {
+    #[serde(default)]
+    pub header: Header,
+    #[serde(default)]
+    pub events: Vec<WireEvent>,
+}
+
+impl WatchResult {
+    /// The decoded events.
+    pub fn into_events(self) -> Result<Vec<Event>, Error> {
+        let decode = |wire: WireEvent| {
+            Ok(Event {
+                kind: wire.kind,
+                kv: KeyValue::try_from(wire.kv)?,
+            })
+        };
+        self.events.into_iter().map(decode).collect()
+    }
+}
+
+/// The line the gateway streams for each watch answer.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct WatchResponse {
+    pub result: WatchResult,
+}
--- /dev/null
+++ b/crates/standin/src/group/sql.rs
@@ -0,0 +1,177 @@
+//! What the stand-in server understands of SQL: a small `ledger (id, body)` table, transactions,
+//! its status and a few control calls. Statements are parsed by `sqlparser`.
+
+use sqlparser::{
+    ast::{
+        Assignment, AssignmentTarget, BinaryOperator, Expr, FunctionArg, FunctionArgExpr,
+        FunctionArguments, Query, SelectItem, SetExpr, Statement, Value,
+    },
+    dialect::PostgreSqlDialect,
+    parser::Parser,
+};
+
+use super::state::Op;
+
+/// One statement, as the stand-in executes it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    Begin,
+    Commit,
+    Rollback,
+    /// A change of the ledger table.
+    Write(Op),
+    /// Rows of the ledger table, all or the one with this id.
+    Select(Option<String>),
+    /// A row of literal values, as `SELECT 1`.
+    Literal(Vec<String>),
+    /// `SHOW dandelionpitch.<name>`.
+    Show(String),
+    /// `SELECT dandelionpitch_promote(term)`: become primary at that term.
+    Promote(u64),
+    /// `SELECT dandelionpitch_lag(ms)`: apply the primary's log this much later.
+    Lag(u64),
+    /// `SELECT dandelionpitch_sleep(ms)`: wait that many milliseconds, to stand for a slow statement.
+    Sleep(u64),
+}
+
+/// Parses one query string into commands, or says why not.
+pub fn parse(text: &str) -> Result<Vec<Command>, String> {
+    let statements =
+        Parser::parse_sql(&PostgreSqlDialect {}, text).map_err(|error| error.to_string())?;
+    statements.iter().map(command).collect()
+}
+
+fn command(statement: &Statement) -> Result<Command, String> {
+    match statement {
+        Statement::StartTransaction { .. } => Ok(Command::Begin),
+        Statement::Commit { .. } => Ok(Command::Commit),
+        Statement::Rollback { .. } => Ok(Command::Rollback),
+        Statement::Insert(insert) => insert_op(insert.source.as_deref(), &insert.columns),
+        Statement::Update {
+            assignments,
+            selection,
+            ..
+        } => update_op(assignments, selection.as_ref()),
+        Statement::Delete(delete) => {
+            let id = key(delete.selection.as_ref()).ok_or("DELETE needs WHERE id = ...")?;
+            Ok(Command::Write(Op::Delete { id }))
+        }
+        Statement::Query(query) => select(query),
+        Statement::ShowVariable { variable } => {
+            let name: Vec<String> = variable.iter().map(|part| part.value.clone()).collect();
+            Ok(Command::Show(name.join(".")))
+        }
+        other => Err(format!("the stand-in does not run: {other}")),
+    }
+}
+
+fn literal(expr: &Expr) -> Option<String> {
+    match expr {
+        Expr::Value(value) => match &value.value {
+            Value::SingleQuotedString(text) => Some(text.clone()),
+            Value::Number(number, _) => Some(number.clone()),
+            Value::Boolean(flag) => Some(flag.to_string()),
+            _ => None,
+        },
+        Expr::UnaryOp { expr, .. } => literal(expr).map(|text| format!("-{text}")),
+        _ => None,
+    }
+}
+
+fn is_column(expr: &Expr, name: &str) -> bool {
+    match expr {
+        Expr::Identifier(ident) => ident.value == name,
+        Expr::CompoundIdentifier(parts) => parts.last().is_some_and(|part| part.value == name),
+        _ => false,
+    }
+}
+
+/// The id of a `WHERE id = <literal>` clause.
+fn key(selection: Option<&Expr>) -> Option<String> {
+    let Expr::BinaryOp {
+        left,
+        op: BinaryOperator::Eq,
+        right,
+    } = selection?
+    else {
+        return None;
+    };
+    match is_column(left, "id") {
+        true => literal(right),
+        false => is_column(right, "id").then(|| literal(left)).flatten(),
+    }
+}
+
+fn insert_op(source: Option<&Query>, columns: &[sqlparser::ast::Ident]) -> Result<Command, String> {
+    let SetExpr::Values(values) = source.ok_or("INSERT needs VALUES")?.body.as_ref() else {
+        return Err("INSERT needs VALUES".to_owned());
+    };
+    let row = values.rows.first().ok_or("INSERT needs one row")?;
+    let mut id = None;
+    let mut body = None;
+    for (index, expr) in row.iter().enumerate() {
+        let column = columns.get(index).map_or(["id", "body"][index.min(1)], |c| &c.value);
+        match column {
+            "id" => id = literal(expr),
+            "body" => body = literal(expr),
+            other => return Err(format!("no column {other}")),
+        }
+    }
+    Ok(Command::Write(Op::Insert {
+        id: id.ok_or("INSERT needs an id")?,
+        body: body.unwrap_or_default(),
+    }))
+}
+
+fn update_op(assignments: &[Assignment], selection: Option<&Expr>) -> Result<Command, String> {
+    let id = key(selection).ok_or("UPDATE needs WHERE id = ...")?;
+    let body = assignments
+        .iter()
+        .find(|a| matches!(&a.target, AssignmentTarget::ColumnName(name) if name.to_string() == "body"))
+        .and_then(|a| literal(&a.value))
+        .ok_or("UPDATE needs SET body = ...")?;
+    Ok(Command::Write(Op::Update { id, body }))
+}
+
+fn select(query: &Query) -> Result<Command, String> {
+    let SetExpr::Select(select) = query.body.as_ref() else {
+        return Err("only plain SELECT runs here".to_owned());
+    };
+    if !select.from.is_empty() {
+        return Ok(Command::Select(key(select.selection.as_ref())));
+    }
+    let mut values = Vec::new();
+    for item in &select.projection {
+        let SelectItem::UnnamedExpr(expr) = item else {
+            return Err("only plain values can be selected without FROM".to_owned());
+        };
+        if let Some(command) = call(expr)? {
+            return Ok(command);
+        }
+        values.push(literal(expr).ok_or("only plain values can be selected without FROM")?);
+    }
+    Ok(Command::Literal(values))
+}
+
+/// A control call such as `dandelionpitch_promote(2)`, or `None` for any other expression.
+fn call(expr: &Expr) -> Result<Option<Command>, String> {
+    let Expr::Function(function) = expr else {
+        return Ok(None);
+    };
+    let name = function.name.to_string();
+    let FunctionArguments::List(list) = &function.args else {
+        return Ok(None);
+    };
+    let argument = list.args.first().and_then(|arg| match arg {
+        FunctionArg::Unnamed(FunctionArgExpr::Expr(expr)) => literal(expr),
+        _ => None,
+    });
+    let number = || argument.clone().ok_or(format!("{name} needs a number"));
+    let bad = |_| format!("{name} needs a number");
+    Ok(match name.as_str() {
+        "dandelionpitch_promote" => Some(Command::Promote(number()?.parse().map_err(bad)?)),
+        "dandelionpitch_lag" => Some(Command::Lag(number()?.parse().map_err(bad)?)),
+        "dandelionpitch_sleep" => Some(Command::Sleep(number()?.parse().map_err(bad)?)),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/standin/src/kv/routes.rs
@@ -0,0 +1,203 @@
+//! The HTTP routes of the stand-in KV.
+
+use std::{sync::Arc, time::Duration};
+
+use dandelionpitch_core::kv::wire::{
+    Header, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest,
+    LeaseKeepAliveResponse, LeaseKeepAliveResult, PutRequest, PutResponse, RangeRequest,
+    RangeResponse, TxnRequest, TxnResponse, WatchRequest, WatchResponse, WatchResult,
+    WireEvent, WireKeyValue,
+};
+use rocket::{
+    http::Status,
+    post,
+    response::stream::TextStream,
+    routes,
+    serde::json::{serde_json, Json},
+    Route, State as Managed,
+};
+
+use super::{Fault, State};
+
+type Shared = Managed<Arc<State>>;
+type Answer<T> = Result<Json<T>, Status>;
+
+/// Every route of the stand-in.
+pub fn all() -> Vec<Route> {
+    routes![range, put, txn, grant, keepalive, watch, fault]
+}
+
+/// Applies the delay and the outage switch; returns the faults in force.
+async fn enter(state: &State) -> Result<Fault, Status> {
+    let fault = *state.fault.lock().unwrap();
+    if fault.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(fault.delay_ms)).await;
+    }
+    match fault.down {
+        true => Err(Status::ServiceUnavailable),
+        false => Ok(fault),
+    }
+}
+
+/// The answer of a write, unless the fault says the answer is lost.
+fn answer_write<T>(fault: Fault, answer: T) -> Answer<T> {
+    match fault.lose_answer {
+        true => Err(Status::InternalServerError),
+        false => Ok(Json(answer)),
+    }
+}
+
+fn header(revision: u64) -> Header {
+    Header { revision }
+}
+
+fn text(bytes: Vec<u8>) -> Result<String, Status> {
+    String::from_utf8(bytes).map_err(|_| Status::BadRequest)
+}
+
+#[post("/v3/kv/range", data = "<request>")]
+async fn range(state: &Shared, request: Json<RangeRequest>) -> Answer<RangeResponse> {
+    enter(state).await?;
+    let (start, end) = request.bounds().map_err(|_| Status::BadRequest)?;
+    let start = text(start)?;
+    let end = end.map(text).transpose()?;
+    let store = state.store.lock().unwrap();
+    let kvs = store.range(&start, end.as_deref());
+    Ok(Json(RangeResponse {
+        header: header(store.revision()),
+        kvs: kvs.iter().map(WireKeyValue::from).collect(),
+    }))
+}
+
+fn apply_put(state: &State, request: &PutRequest) -> Result<u64, Status> {
+    let (key, value) = request.decoded().map_err(|_| Status::BadRequest)?;
+    let mut store = state.store.lock().unwrap();
+    store
+        .put(key, value, request.lease)
+        .map_err(|_| Status::NotFound)
+}
+
+#[post("/v3/kv/put", data = "<request>")]
+async fn put(state: &Shared, request: Json<PutRequest>) -> Answer<PutResponse> {
+    let fault = enter(state).await?;
+    let revision = apply_put(state, &request)?;
+    answer_write(fault, PutResponse {
+        header: header(revision),
+    })
+}
+
+#[post("/v3/kv/txn", data = "<request>")]
+async fn txn(state: &Shared, request: Json<TxnRequest>) -> Answer<TxnResponse> {
+    let fault = enter(state).await?;
+    let mut store = state.store.lock().unwrap();
+    let mut succeeded = true;
+    for compare in &request.compare {
+        let key = RangeRequest {
+            key: compare.key.clone(),
+            range_end: String::new(),
+        };
+        let (key, _) = key.bounds().map_err(|_| Status::BadRequest)?;
+        let key = text(key)?;
+        if compare.target != "MOD" || compare.result != "EQUAL" {
+            return Err(Status::BadRequest);
+        }
+        succeeded &= store.mod_revision(&key) == compare.mod_revision;
+    }
+    let branch = match succeeded {
+        true => &request.success,
+        false => &request.failure,
+    };
+    for op in branch {
+        let (key, value) = op.request_put.decoded().map_err(|_| Status::BadRequest)?;
+        store
+            .put(key, value, op.request_put.lease)
+            .map_err(|_| Status::NotFound)?;
+    }
+    let revision = store.revision();
+    drop(store);
+    answer_write(fault, TxnResponse {
+        header: header(revision),
+        succeeded,
+    })
+}
+
+#[post("/v3/lease/grant", data = "<request>")]
+async fn grant(state: &Shared, request: Json<LeaseGrantRequest>) -> Answer<LeaseGrantResponse> {
+    let fault = enter(state).await?;
+    let mut store = state.store.lock().unwrap();
+    let id = store.grant(request.ttl);
+    let revision = store.revision();
+    drop(store);
+    answer_write(fault, LeaseGrantResponse {
+        header: header(revision),
+        id,
+        ttl: request.ttl,
+    })
+}
+
+#[post("/v3/lease/keepalive", data = "<request>")]
+async fn keepalive(
+    state: &Shared,
+    request: Json<LeaseKeepAliveRequest>,
+) -> Answer<LeaseKeepAliveResponse> {
+    let fault = enter(state).await?;
+    let ttl = state.store.lock().unwrap().keepalive(request.id);
+    answer_write(fault, LeaseKeepAliveResponse {
+        result: LeaseKeepAliveResult {
+            id: request.id,
+            ttl,
+        },
+    })
+}
+
+fn line(revision: u64, events: Vec<WireEvent>) -> String {
+    let answer = WatchResponse {
+        result: WatchResult {
+            header: header(revision),
+            events,
+        },
+    };
+    let mut text = serde_json::to_string(&answer).unwrap_or_default();
+    text.push('\n');
+    text
+}
+
+#[post("/v3/watch", data = "<request>")]
+async fn watch(state: &Shared, request: Json<WatchRequest>) -> Result<TextStream![String], Status> {
+    enter(state).await?;
+    let key = text(request.key().map_err(|_| Status::BadRequest)?)?;
+    let start = request.create_request.start_revision;
+    let (mut feed, current, revision) = {
+        let store = state.store.lock().unwrap();
+        (store.subscribe(), store.range(&key, None), store.revision())
+    };
+    let state = (*state).clone();
+    Ok(TextStream! {
+        yield line(revision, Vec::new());
+        let missed: Vec<WireEvent> = current
+            .iter()
+            .filter(|kv| kv.mod_revision >= start)
+            .map(|kv| WireEvent { kind: Default::default(), kv: kv.into() })
+            .collect();
+        if !missed.is_empty() {
+            yield line(revision, missed);
+        }
+        while let Ok(event) = feed.recv().await {
+            if state.fault.lock().unwrap().down {
+                break;
+            }
+            if event.kv.key != key {
+                continue;
+            }
+            let revision = event.kv.mod_revision;
+            let wire = WireEvent { kind: event.kind, kv: (&event.kv).into() };
+            yield line(revision, vec![wire]);
+        }
+    })
+}
+
+#[post("/fault", data = "<request>")]
+async fn fault(state: &Shared, request: Json<Fault>) -> Json<Fault> {
+    *state.fault.lock().unwrap() = *request;
+    Json(*request)
+}
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,67 @@
+//! `dp-standin`: stand-ins of the systems dandelionpitch serves, for tests and trials.
+//!
+//! Each sub-command runs one stand-in as its own process and prints, as its first line on
+//! standard output, where it listens.
+
+mod group;
+mod kv;
+
+use std::{io::Write, net::IpAddr, time::Duration};
+
+use clap::{Parser, Subcommand};
+
+/// Stand-ins of the database group and the platform KV. Test support; not shipped.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// A database group of servers on loopback ports chosen by the OS.
+    Group {
+        /// How many servers; the first is primary.
+        #[arg(long, default_value_t = 3)]
+        servers: usize,
+        /// Replication lag of each replica, in milliseconds.
+        #[arg(long, default_value_t = 20)]
+        lag_ms: u64,
+        /// The address to listen on.
+        #[arg(long, default_value = "127.0.0.1")]
+        host: IpAddr,
+    },
+    /// The platform KV, as the etcd v3 JSON gateway.
+    Kv {
+        /// The address to listen on; port 0 lets the OS choose.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: std::net::SocketAddr,
+    },
+}
+
+/// Prints where a stand-in listens, as the first line of standard output.
+fn announce(line: &str) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{line}");
+    let _ = out.flush();
+}
+
+#[rocket::main]
+async fn main() {
+    let cli = Cli::parse();
+    let outcome = match cli.command {
+        Command::Group {
+            servers,
+            lag_ms,
+            host,
+        } => group::serve(host, servers.max(1), Duration::from_millis(lag_ms))
+            .await
+            .map_err(|error| error.to_string()),
+        Command::Kv { listen } => kv::serve(listen).await.map_err(|error| error.to_string()),
+    };
+    if let Err(error) = outcome {
+        eprintln!("dp-standin: {error}");
+        std::process::exit(1);
+    }
+}
