Proxy daemon and operator CLI: the thin path end to end

Change: dandelionpitch (binary 1) reads TOML settings, follows the bundle in the platform KV by get + watch (never applies a lower version), polls each server's role/term/position every 50 ms on its control thread, pools backend connections per server (deadpool), routes reads to a replica that has the session's floor and is within the caller's max_staleness, writes and transactions to the primary, and keeps a session floor from a startup token, SET, writes, or a barrier on the primary when no token came. dpctl (binary 2): validate, put by CAS (lower or equal version refused), status from heartbeat records.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,1 +1,18 @@
-fn main() {}
+//! `dpctl`, the operator command line: parses, then hands off to one command.
+
+mod cli;
+mod command;
+
+use clap::Parser;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    let cli = cli::Cli::parse();
+    match command::run(cli.command).await {
+        Ok(text) => println!("{text}"),
+        Err(text) => {
+            eprintln!("dpctl: {text}");
+            std::process::exit(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/daemon.rs
@@ -0,0 +1,99 @@
+//! Start-up and stop of the proxy: listeners, the control thread, the traffic runtime.
+//!
+//! A planned stop (SIGTERM or SIGINT) closes the caller listener first and then waits for the
+//! open sessions to end, up to [`DRAIN_LIMIT`], so no request in progress is cut.
+
+use std::{
+    io::Write,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    time::{Duration, Instant},
+};
+
+use tokio::{net::TcpListener, signal::unix, sync::watch};
+
+use crate::{
+    config::Config,
+    control,
+    error::Error,
+    metrics::Metrics,
+    operator,
+    session::{Handlers, Session, Shared},
+    view::View,
+};
+
+/// How long a planned stop waits for open sessions.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+
+/// Runs the proxy until a planned stop.
+pub fn run(config: Config) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("traffic")
+        .build()
+        .map_err(Error::Listen)?;
+    runtime.block_on(serve(config))
+}
+
+async fn serve(config: Config) -> Result<(), Error> {
+    let listener = TcpListener::bind(config.listen).await.map_err(Error::Listen)?;
+    let listen = listener.local_addr().map_err(Error::Listen)?;
+    let (publish, view) = watch::channel(Arc::new(View::default()));
+    let metrics = Metrics::new();
+    let (bound, operator_address) = tokio::sync::oneshot::channel();
+    tokio::spawn(operator::serve(
+        config.operator_listen,
+        config.id.clone(),
+        config.dc.clone(),
+        view.clone(),
+        metrics.clone(),
+        bound,
+    ));
+    let operator_address = operator_address
+        .await
+        .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
+    control::spawn(config.clone(), listen, operator_address, publish);
+    announce(listen, operator_address);
+    log::info!(target: "daemon", "Listening for callers on {listen}, operators on {operator_address}.");
+    let shared = Arc::new(Shared { view, metrics });
+    let open = Arc::new(AtomicUsize::new(0));
+    let mut stop = unix::signal(unix::SignalKind::terminate()).map_err(Error::Listen)?;
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((socket, _)) = accepted else { continue };
+                let _ = socket.set_nodelay(true);
+                let handlers = Handlers(Session::new(shared.clone()));
+                let open = open.clone();
+                open.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(async move {
+                    let _ = pgwire::tokio::process_socket(socket, None, handlers).await;
+                    open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+            _ = stop.recv() => break,
+            _ = tokio::signal::ctrl_c() => break,
+        }
+    }
+    drop(listener);
+    drain(&open).await;
+    Ok(())
+}
+
+async fn drain(open: &AtomicUsize) {
+    log::info!(target: "daemon", "Stopping; {} sessions open.", open.load(Ordering::SeqCst));
+    let deadline = Instant::now() + DRAIN_LIMIT;
+    while open.load(Ordering::SeqCst) > 0 && Instant::now() < deadline {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    log::info!(target: "daemon", "Stopped; {} sessions left.", open.load(Ordering::SeqCst));
+}
+
+/// Prints the bound addresses as the first line of standard output, for scripts and tests.
+fn announce(listen: std::net::SocketAddr, operator: std::net::SocketAddr) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{{\"listen\":\"{listen}\",\"operator\":\"{operator}\"}}");
+    let _ = out.flush();
+}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,1 +1,35 @@
-fn main() {}
+//! `dandelionpitch`, the proxy daemon: parses the command line, reads the settings and hands
+//! off to [`daemon::run`].
+
+mod cli;
+mod config;
+mod control;
+mod daemon;
+mod error;
+mod metrics;
+mod operator;
+mod pool;
+mod route;
+mod session;
+mod view;
+
+use clap::Parser;
+
+fn main() {
+    let cli = cli::Cli::parse();
+    let config = match config::Config::load(cli.config.as_deref()) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("dandelionpitch: {error}");
+            std::process::exit(2);
+        }
+    };
+    if let Err(error) = dandelionpitch_core::logging::init(cli.log_level) {
+        eprintln!("dandelionpitch: {error}");
+        std::process::exit(2);
+    }
+    if let Err(error) = daemon::run(config) {
+        log::error!(target: "daemon", "Stopped: {error}.");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/operator.rs
@@ -0,0 +1,108 @@
+//! The operator HTTP endpoint on `rocket`: what this proxy runs, and its metrics.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use rocket::{get, routes, serde::json::Json, State};
+use serde::Serialize;
+use tokio::sync::{oneshot, watch};
+
+use crate::{metrics::{Figure, Metrics}, view::View};
+
+/// What `GET /status` answers.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    pub id: String,
+    pub dc: String,
+    pub bundle_version: u64,
+    pub groups: Vec<GroupReport>,
+}
+
+/// One group in the status report.
+#[derive(Debug, Serialize)]
+pub struct GroupReport {
+    pub name: String,
+    pub primary: Option<SocketAddr>,
+    pub servers: Vec<ServerReport>,
+}
+
+/// One server in the status report.
+#[derive(Debug, Serialize)]
+pub struct ServerReport {
+    pub address: SocketAddr,
+    pub role: Option<String>,
+    pub position: Option<String>,
+    pub lag_ms: Option<u128>,
+}
+
+struct Context {
+    id: String,
+    dc: String,
+    view: watch::Receiver<Arc<View>>,
+    metrics: Metrics,
+}
+
+#[get("/status")]
+fn status(context: &State<Context>) -> Json<Report> {
+    let view = context.view.borrow().clone();
+    let now = std::time::Instant::now();
+    let groups = view
+        .groups
+        .iter()
+        .map(|(name, group)| GroupReport {
+            name: name.clone(),
+            primary: group.primary(now).map(|index| group.servers[index].address),
+            servers: group
+                .servers
+                .iter()
+                .map(|server| ServerReport {
+                    address: server.address,
+                    role: server.status.map(|s| format!("{:?}", s.role).to_lowercase()),
+                    position: server.status.map(|s| s.position.to_string()),
+                    lag_ms: server.status.map(|s| s.lag.as_millis()),
+                })
+                .collect(),
+        })
+        .collect();
+    Json(Report {
+        id: context.id.clone(),
+        dc: context.dc.clone(),
+        bundle_version: view.bundle.as_ref().map_or(0, |bundle| bundle.version),
+        groups,
+    })
+}
+
+#[get("/metrics")]
+fn metrics(context: &State<Context>) -> Json<Vec<Figure>> {
+    Json(context.metrics.figures())
+}
+
+/// Serves the operator endpoint; sends the bound address once it listens.
+pub async fn serve(
+    address: SocketAddr,
+    id: String,
+    dc: String,
+    view: watch::Receiver<Arc<View>>,
+    metrics: Metrics,
+    bound: oneshot::Sender<SocketAddr>,
+) -> Result<(), rocket::Error> {
+    let figment = rocket::Config::figment()
+        .merge(("address", address.ip()))
+        .merge(("port", address.port()))
+        .merge(("log_level", "off"))
+        .merge(("shutdown.ctrlc", false));
+    let bound = std::sync::Mutex::new(Some(bound));
+    let _ = rocket::custom(figment)
+        .manage(Context { id, dc, view, metrics })
+        .mount("/", routes![status, metrics])
+        .attach(rocket::fairing::AdHoc::on_liftoff("bound", move |rocket| {
+            let config = rocket.config();
+            let address = SocketAddr::new(config.address, config.port);
+            if let Some(bound) = bound.lock().unwrap().take() {
+                let _ = bound.send(address);
+            }
+            Box::pin(async {})
+        }))
+        .launch()
+        .await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/proxy/src/route.rs
@@ -0,0 +1,148 @@
+//! Which kind of statement a query string is, and which server serves it.
+//!
+//! Statements are classified with `sqlparser`: plain queries are reads; `BEGIN` opens a
+//! transaction pinned to the primary; anything else, including text that does not parse, is a
+//! write and goes to the primary, which is always safe (`docs/DESIGN.md`, "Routing").
+
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
+
+use dandelionpitch_core::position::Position;
+use sqlparser::{
+    ast::{Expr, Set, Statement, Value},
+    dialect::PostgreSqlDialect,
+    parser::Parser,
+};
+
+use crate::view::{Group, Role};
+
+/// The setting that carries a session's position token.
+pub const POSITION_SETTING: &str = "dandelionpitch.position";
+
+/// What a query string asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Only reads, with no locking clause.
+    Read,
+    /// Anything that may change data, or that we cannot tell.
+    Write,
+    /// `BEGIN` or `START TRANSACTION`.
+    Begin,
+    /// `COMMIT`.
+    Commit,
+    /// `ROLLBACK`.
+    Rollback,
+    /// `SHOW dandelionpitch.position`, answered by the proxy.
+    ShowPosition,
+    /// `SET dandelionpitch.position = '...'`, kept by the proxy.
+    SetPosition(String),
+}
+
+/// The kind of a query string and the command tag of each statement in it.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub kind: Kind,
+    pub tags: Vec<&'static str>,
+}
+
+/// Classifies a query string.
+pub fn plan(query: &str) -> Plan {
+    let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, query) else {
+        return Plan {
+            kind: Kind::Write,
+            tags: Vec::new(),
+        };
+    };
+    let tags = statements.iter().map(tag).collect();
+    let kind = match statements.as_slice() {
+        [one] => single(one),
+        many if many.iter().all(is_read) => Kind::Read,
+        _ => Kind::Write,
+    };
+    Plan { kind, tags }
+}
+
+fn single(statement: &Statement) -> Kind {
+    match statement {
+        Statement::StartTransaction { .. } => Kind::Begin,
+        Statement::Commit { .. } => Kind::Commit,
+        Statement::Rollback { .. } => Kind::Rollback,
+        Statement::ShowVariable { variable } if name(variable) == POSITION_SETTING => {
+            Kind::ShowPosition
+        }
+        Statement::Set(Set::SingleAssignment {
+            variable, values, ..
+        }) if variable.to_string() == POSITION_SETTING => {
+            Kind::SetPosition(values.first().map(text).unwrap_or_default())
+        }
+        other if is_read(other) => Kind::Read,
+        _ => Kind::Write,
+    }
+}
+
+fn name(parts: &[sqlparser::ast::Ident]) -> String {
+    let parts: Vec<&str> = parts.iter().map(|part| part.value.as_str()).collect();
+    parts.join(".")
+}
+
+fn text(expr: &Expr) -> String {
+    match expr {
+        Expr::Value(value) => match &value.value {
+            Value::SingleQuotedString(text) => text.clone(),
+            other => other.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
+
+fn is_read(statement: &Statement) -> bool {
+    match statement {
+        Statement::Query(query) => query.locks.is_empty() && query.with.is_none(),
+        Statement::ShowVariable { .. } => true,
+        _ => false,
+    }
+}
+
+/// The command tag PostgreSQL sends for a statement; `tokio-postgres` reports only the count.
+fn tag(statement: &Statement) -> &'static str {
+    match statement {
+        Statement::Query(_) => "SELECT",
+        Statement::Insert(_) => "INSERT",
+        Statement::Update { .. } => "UPDATE",
+        Statement::Delete(_) => "DELETE",
+        Statement::StartTransaction { .. } => "BEGIN",
+        Statement::Commit { .. } => "COMMIT",
+        Statement::Rollback { .. } => "ROLLBACK",
+        Statement::Set(_) => "SET",
+        Statement::ShowVariable { .. } => "SHOW",
+        Statement::CreateTable(_) => "CREATE TABLE",
+        _ => "OK",
+    }
+}
+
+/// Spreads reads over the replicas that qualify.
+static TURN: AtomicUsize = AtomicUsize::new(0);
+
+/// A replica that may serve a read: fresh status, has applied `floor`, and is at most
+/// `max_staleness` behind. `None` sends the read to the primary.
+pub fn replica(group: &Group, floor: Position, max_staleness: Duration) -> Option<usize> {
+    if max_staleness.is_zero() {
+        return None;
+    }
+    let now = Instant::now();
+    let fit: Vec<usize> = (0..group.servers.len())
+        .filter(|&index| {
+            group.servers[index].fresh(now).is_some_and(|status| {
+                status.role == Role::Replica
+                    && status.position.covers(floor)
+                    && status.lag <= max_staleness
+            })
+        })
+        .collect();
+    match fit.len() {
+        0 => None,
+        count => Some(fit[TURN.fetch_add(1, Ordering::Relaxed) % count]),
+    }
+}
