--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -149,7 +149,10 @@
             return Err(rule(text));
         }
         if wire.pool_size == 0 {
-            return Err(rule(format!("group {:?}: pool_size: must be 1 or more", wire.name)));
+            return Err(rule(format!(
+                "group {:?}: pool_size: must be 1 or more",
+                wire.name
+            )));
         }
         Ok(Self {
             name: wire.name,
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -45,7 +45,10 @@
 /// happened.
 async fn put(file: &Path, kv: &kv::Client) -> Result<String, String> {
     let (text, bundle) = read(file)?;
-    let current = kv.get(keys::BUNDLE).await.map_err(|error| error.to_string())?;
+    let current = kv
+        .get(keys::BUNDLE)
+        .await
+        .map_err(|error| error.to_string())?;
     let (revision, in_force) = match &current {
         Some(current) => {
             let in_force = Bundle::parse(&String::from_utf8_lossy(&current.value))
@@ -62,12 +65,17 @@
     }
     match kv.swap(keys::BUNDLE, text.as_bytes(), revision).await {
         Ok(Swap::Done { .. }) => Ok(format!("version {} is in the KV", bundle.version)),
-        Ok(Swap::Moved) => Err("refused: another bundle was put meanwhile; check it and try again".to_owned()),
+        Ok(Swap::Moved) => {
+            Err("refused: another bundle was put meanwhile; check it and try again".to_owned())
+        }
         Err(error) => match kv.get(keys::BUNDLE).await {
-            Ok(Some(now)) if now.value == text.as_bytes() => {
-                Ok(format!("version {} is in the KV (its answer was lost)", bundle.version))
-            }
-            _ => Err(format!("outcome unknown: {error}; run status before trying again")),
+            Ok(Some(now)) if now.value == text.as_bytes() => Ok(format!(
+                "version {} is in the KV (its answer was lost)",
+                bundle.version
+            )),
+            _ => Err(format!(
+                "outcome unknown: {error}; run status before trying again"
+            )),
         },
     }
 }
@@ -81,8 +89,14 @@
 }
 
 async fn status(kv: &kv::Client) -> Result<String, String> {
-    let records = kv.list(keys::PROXY_PREFIX).await.map_err(|error| error.to_string())?;
-    let mut lines = vec![format!("{:<16} {:<8} {:<22} {}", "proxy", "dc", "listen", "version")];
+    let records = kv
+        .list(keys::PROXY_PREFIX)
+        .await
+        .map_err(|error| error.to_string())?;
+    let mut lines = vec![format!(
+        "{:<16} {:<8} {:<22} {}",
+        "proxy", "dc", "listen", "version"
+    )];
     for record in records {
         match serde_json::from_slice::<Heartbeat>(&record.value) {
             Ok(beat) => lines.push(format!(
--- /dev/null
+++ b/crates/e2e/tests/bad_input.rs
@@ -0,0 +1,83 @@
+//! Bad input gets a clear error and loses nothing.
+
+mod fixture;
+
+use std::{io::Write, time::Duration};
+
+use fixture::{connect, scalar, Site};
+
+/// A caller that sends garbage bytes is dropped; the proxy goes on serving others.
+#[tokio::test]
+async fn garbage_bytes_do_not_stop_the_proxy() {
+    let site = Site::start("garbage", 1, 20).await;
+    let mut socket = std::net::TcpStream::connect(&site.proxies[0].listen).unwrap();
+
+    let _ = socket.write_all(b"\x00\x00\x00\x08garbage!garbage!garbage!");
+    std::thread::sleep(Duration::from_millis(100));
+    let client = connect(&site.proxies[0], "member", "").await;
+
+    assert_eq!(scalar(&client, "SELECT 1").await.as_deref(), Some("1"));
+}
+
+/// A user name the bundle does not know is refused at start-up with SQLSTATE 28000.
+#[tokio::test]
+async fn unknown_caller_is_refused() {
+    let site = Site::start("unknown", 1, 20).await;
+    let (host, port) = site.proxies[0].listen.rsplit_once(':').unwrap();
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(host)
+        .port(port.parse().unwrap())
+        .user("stranger")
+        .dbname("ledger");
+
+    let error = config
+        .connect(tokio_postgres::NoTls)
+        .await
+        .err()
+        .expect("refused");
+
+    let code = error.as_db_error().map(|db| db.code().code().to_owned());
+    assert_eq!(code.as_deref(), Some("28000"), "{error}");
+}
+
+/// A settings file with a misspelt key stops the proxy at once with a message naming it.
+#[test]
+fn misspelt_setting_is_named() {
+    let dir = std::env::temp_dir().join(format!("dandelionpitch-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let path = dir.join("bad.toml");
+    std::fs::write(
+        &path,
+        "id = \"p\"\ndc = \"d\"\nlisten = \"127.0.0.1:0\"\n\
+        operator_listen = \"127.0.0.1:0\"\nkv = \"http://127.0.0.1:1\"\nlistne = 1\n",
+    )
+    .unwrap();
+
+    let output = std::process::Command::new(fixture::bin("dandelionpitch"))
+        .args(["--config", path.to_str().unwrap()])
+        .output()
+        .unwrap();
+
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text.contains("listne"), "{text}");
+}
+
+/// A malformed bundle is refused by the CLI with the field named, and nothing is put.
+#[test]
+fn malformed_bundle_is_refused() {
+    let dir = std::env::temp_dir().join(format!("dandelionpitch-bundle-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let path = dir.join("bad.toml");
+    std::fs::write(
+        &path,
+        "version = 3\n[[caller]]\nuser = \"x\"\ngroup = \"missing\"\n",
+    )
+    .unwrap();
+
+    let (ok, text) = fixture::dpctl(&["validate", path.to_str().unwrap()]);
+
+    assert!(!ok);
+    assert!(text.contains("no group \"missing\""), "{text}");
+}
--- /dev/null
+++ b/crates/e2e/tests/thin_path.rs
@@ -0,0 +1,93 @@
+//! The thin path end to end: KV, group, two proxies and the CLI, each its own process.
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::{connect, eventually, operator, scalar, Site};
+
+const WAIT: Duration = Duration::from_secs(10);
+
+/// A write through proxy 0; the session moves to proxy 1 with its token and reads the row at
+/// once. The replicas lag 300 ms, so a read that ignored the token would miss it.
+#[tokio::test]
+async fn read_your_writes_after_roaming() {
+    let site = Site::start("roam", 2, 300).await;
+    let first = connect(&site.proxies[0], "member", "").await;
+
+    first
+        .simple_query("INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')")
+        .await
+        .expect("the write is acknowledged");
+    let token = scalar(&first, "SHOW dandelionpitch.position")
+        .await
+        .expect("a token");
+    let option = format!("-c dandelionpitch.position={token}");
+    let second = connect(&site.proxies[1], "member", &option).await;
+    let seen = scalar(&second, "SELECT * FROM ledger WHERE id = 'order-1'").await;
+
+    assert_eq!(seen.as_deref(), Some("order-1"), "token {token}");
+}
+
+/// With no token, a new session still sees writes acknowledged before it connected: the
+/// proxy takes the primary's position as a barrier before the first read.
+#[tokio::test]
+async fn read_your_writes_without_token() {
+    let site = Site::start("barrier", 2, 300).await;
+    let first = connect(&site.proxies[0], "member", "").await;
+
+    first
+        .simple_query("INSERT INTO ledger (id, body) VALUES ('order-2', 'placed')")
+        .await
+        .expect("the write is acknowledged");
+    let second = connect(&site.proxies[1], "member", "").await;
+    let seen = scalar(&second, "SELECT * FROM ledger WHERE id = 'order-2'").await;
+
+    assert_eq!(seen.as_deref(), Some("order-2"));
+}
+
+/// A caller that allows 5 s of staleness is served by a replica, seen in the answer (which
+/// server ran it) and in the proxy's metrics.
+#[tokio::test]
+async fn stale_tolerant_read_goes_to_replica() {
+    let site = Site::start("replica", 1, 20).await;
+    let client = connect(&site.proxies[0], "lookup", "").await;
+
+    let served_by_replica = eventually(WAIT, || async {
+        scalar(&client, "SHOW dandelionpitch.server")
+            .await
+            .is_some_and(|s| s != "0")
+    })
+    .await;
+    let metrics = operator(&site.proxies[0], "/metrics").await;
+
+    assert!(served_by_replica);
+    let replica_reads = metrics
+        .as_array()
+        .unwrap()
+        .iter()
+        .any(|figure| figure["name"] == "reads" && figure["attributes"][0][1] == "replica");
+    assert!(replica_reads, "{metrics}");
+}
+
+/// A bundle put by the CLI is in force on both proxies; an older version is refused.
+#[tokio::test]
+async fn bundle_in_force_everywhere_and_never_reverts() {
+    let site = Site::start("bundle", 2, 20).await;
+
+    let (put, text) = site.put(2);
+    let everywhere = eventually(WAIT, || async {
+        let mut all = true;
+        for proxy in &site.proxies {
+            all &= operator(proxy, "/status").await["bundle_version"] == 2;
+        }
+        all
+    })
+    .await;
+    let (older, refusal) = site.put(1);
+
+    assert!(put, "{text}");
+    assert!(everywhere);
+    assert!(!older, "{refusal}");
+    assert!(refusal.contains("never revert"), "{refusal}");
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -45,7 +45,12 @@
 }
 
 /// Starts the control thread; it runs until the process ends.
-pub fn spawn(config: Config, listen: SocketAddr, operator: SocketAddr, view: watch::Sender<Arc<View>>) {
+pub fn spawn(
+    config: Config,
+    listen: SocketAddr,
+    operator: SocketAddr,
+    view: watch::Sender<Arc<View>>,
+) {
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
@@ -69,7 +74,12 @@
     lease: Option<i64>,
 }
 
-async fn run(config: Config, listen: SocketAddr, operator: SocketAddr, view: watch::Sender<Arc<View>>) {
+async fn run(
+    config: Config,
+    listen: SocketAddr,
+    operator: SocketAddr,
+    view: watch::Sender<Arc<View>>,
+) {
     let kv = kv::Client::new(&config.kv);
     let (bundles, mut incoming) = mpsc::channel(16);
     tokio::spawn(follow(kv.clone(), bundles));
@@ -112,7 +122,10 @@
     }
 }
 
-async fn follow_once(kv: &kv::Client, bundles: &mpsc::Sender<Bundle>) -> Result<(), dandelionpitch_core::Error> {
+async fn follow_once(
+    kv: &kv::Client,
+    bundles: &mpsc::Sender<Bundle>,
+) -> Result<(), dandelionpitch_core::Error> {
     let current = kv.get(keys::BUNDLE).await?;
     let start = current.as_ref().map_or(0, |kv| kv.mod_revision + 1);
     if let Some(current) = current {
@@ -194,7 +207,10 @@
                     _ => connect(*address, name, &user, limit).await,
                 };
                 let status = match &probe {
-                    Some(probe) => tokio::time::timeout(limit, status(probe)).await.ok().flatten(),
+                    Some(probe) => tokio::time::timeout(limit, status(probe))
+                        .await
+                        .ok()
+                        .flatten(),
                     None => None,
                 };
                 (*address, probe, status)
@@ -252,7 +268,12 @@
     }
 }
 
-async fn connect(address: SocketAddr, database: &str, user: &str, limit: Duration) -> Option<tokio_postgres::Client> {
+async fn connect(
+    address: SocketAddr,
+    database: &str,
+    user: &str,
+    limit: Duration,
+) -> Option<tokio_postgres::Client> {
     let mut config = tokio_postgres::Config::new();
     config
         .host(address.ip().to_string())
@@ -266,7 +287,10 @@
 }
 
 async fn status(probe: &tokio_postgres::Client) -> Option<Status> {
-    let messages = probe.simple_query("SHOW dandelionpitch.status").await.ok()?;
+    let messages = probe
+        .simple_query("SHOW dandelionpitch.status")
+        .await
+        .ok()?;
     let row = messages.iter().find_map(|message| match message {
         SimpleQueryMessage::Row(row) => Some(row),
         _ => None,
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -38,7 +38,9 @@
 }
 
 async fn serve(config: Config) -> Result<(), Error> {
-    let listener = TcpListener::bind(config.listen).await.map_err(Error::Listen)?;
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(Error::Listen)?;
     let listen = listener.local_addr().map_err(Error::Listen)?;
     let (publish, view) = watch::channel(Arc::new(View::default()));
     let metrics = Metrics::new();
@@ -94,6 +96,9 @@
 /// Prints the bound addresses as the first line of standard output, for scripts and tests.
 fn announce(listen: std::net::SocketAddr, operator: std::net::SocketAddr) {
     let mut out = std::io::stdout().lock();
-    let _ = writeln!(out, "{{\"listen\":\"{listen}\",\"operator\":\"{operator}\"}}");
+    let _ = writeln!(
+        out,
+        "{{\"listen\":\"{listen}\",\"operator\":\"{operator}\"}}"
+    );
     let _ = out.flush();
 }
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -6,7 +6,10 @@
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
 
-use crate::{metrics::{Figure, Metrics}, view::View};
+use crate::{
+    metrics::{Figure, Metrics},
+    view::View,
+};
 
 /// What `GET /status` answers.
 #[derive(Debug, Serialize)]
@@ -56,7 +59,9 @@
                 .iter()
                 .map(|server| ServerReport {
                     address: server.address,
-                    role: server.status.map(|s| format!("{:?}", s.role).to_lowercase()),
+                    role: server
+                        .status
+                        .map(|s| format!("{:?}", s.role).to_lowercase()),
                     position: server.status.map(|s| s.position.to_string()),
                     lag_ms: server.status.map(|s| s.lag.as_millis()),
                 })
@@ -92,7 +97,12 @@
         .merge(("shutdown.ctrlc", false));
     let bound = std::sync::Mutex::new(Some(bound));
     let _ = rocket::custom(figment)
-        .manage(Context { id, dc, view, metrics })
+        .manage(Context {
+            id,
+            dc,
+            view,
+            metrics,
+        })
         .mount("/", routes![status, metrics])
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", move |rocket| {
             let config = rocket.config();
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -124,7 +124,8 @@
         })
     }
 
-    fn pools(&self, caller: &Caller) -> Result<(Pool, Option<Vec<(usize, Pool)>>), Refusal> {
+    /// The pool of the group's current primary.
+    fn primary_pool(&self, caller: &Caller) -> Result<Pool, Refusal> {
         let view = self.shared.view.borrow().clone();
         let group = view
             .groups
@@ -133,13 +134,7 @@
         let primary = group
             .primary(Instant::now())
             .ok_or_else(|| Refusal::NotRun(format!("group {} has no primary", caller.group)))?;
-        let replicas = group
-            .servers
-            .iter()
-            .enumerate()
-            .map(|(index, server)| (index, server.pool.clone()))
-            .collect();
-        Ok((group.servers[primary].pool.clone(), Some(replicas)))
+        Ok(group.servers[primary].pool.clone())
     }
 
     async fn checkout(&self, pool: &Pool) -> Result<Object, Refusal> {
@@ -152,7 +147,7 @@
     }
 
     async fn primary(&self, caller: &Caller) -> Result<Object, Refusal> {
-        let (primary, _) = self.pools(caller)?;
+        let primary = self.primary_pool(caller)?;
         self.checkout(&primary).await
     }
 
@@ -310,7 +305,11 @@
                 let info = ErrorInfo::new("ERROR".to_owned(), code, db.message().to_owned());
                 return Ok(vec![Response::Error(Box::new(info))]);
             }
-            None => return Err(Refusal::Unknown(format!("backend connection failed: {error}"))),
+            None => {
+                return Err(Refusal::Unknown(format!(
+                    "backend connection failed: {error}"
+                )))
+            }
         },
     };
     let mut responses = Vec::new();
@@ -326,12 +325,19 @@
                 if names.is_none() {
                     names = Some(row.columns().iter().map(|c| c.name().to_owned()).collect());
                 }
-                let values = (0..row.len()).map(|i| row.get(i).map(str::to_owned)).collect();
+                let values = (0..row.len())
+                    .map(|i| row.get(i).map(str::to_owned))
+                    .collect();
                 rows.push(values);
             }
             SimpleQueryMessage::CommandComplete(count) => {
                 let tag = tags.next().copied().unwrap_or("OK");
-                responses.push(complete(tag, count, names.take(), std::mem::take(&mut rows)));
+                responses.push(complete(
+                    tag,
+                    count,
+                    names.take(),
+                    std::mem::take(&mut rows),
+                ));
             }
             _ => {}
         }
@@ -339,12 +345,19 @@
     Ok(responses)
 }
 
-fn complete(tag: &str, count: u64, names: Option<Vec<String>>, rows: Vec<Vec<Option<String>>>) -> Response {
+fn complete(
+    tag: &str,
+    count: u64,
+    names: Option<Vec<String>>,
+    rows: Vec<Vec<Option<String>>>,
+) -> Response {
     match (tag, names) {
         (_, Some(names)) => text_response(names, rows),
         ("BEGIN", None) => Response::TransactionStart(Tag::new(tag)),
         ("COMMIT" | "ROLLBACK", None) => Response::TransactionEnd(Tag::new(tag)),
-        ("INSERT", None) => Response::Execution(Tag::new(tag).with_oid(0).with_rows(count as usize)),
+        ("INSERT", None) => {
+            Response::Execution(Tag::new(tag).with_oid(0).with_rows(count as usize))
+        }
         ("UPDATE" | "DELETE", None) => Response::Execution(Tag::new(tag).with_rows(count as usize)),
         (tag, None) => Response::Execution(Tag::new(tag)),
     }
@@ -381,14 +394,21 @@
     {
         let user = client.metadata().get("user").cloned().unwrap_or_default();
         let view = self.shared.view.borrow().clone();
-        let caller = view.bundle.as_ref().and_then(|bundle| bundle.caller(&user).cloned());
+        let caller = view
+            .bundle
+            .as_ref()
+            .and_then(|bundle| bundle.caller(&user).cloned());
         let Some(caller) = caller else {
             log::info!(target: "session", "Refused unknown caller {user:?}.");
             let text = format!("unknown caller {user:?}: no such user in the bundle in force");
             let info = ErrorInfo::new("FATAL".to_owned(), UNKNOWN_CALLER.to_owned(), text);
             return Err(PgWireError::UserError(Box::new(info)));
         };
-        let options = client.metadata().get("options").cloned().unwrap_or_default();
+        let options = client
+            .metadata()
+            .get("options")
+            .cloned()
+            .unwrap_or_default();
         let mut state = self.state.lock().await;
         state.floor = startup_token(&options);
         state.caller = Some(caller);
@@ -409,7 +429,9 @@
         let floor = self.state.lock().await.floor;
         if let (Some(floor), Kind::Write | Kind::Commit) = (floor, &plan.kind) {
             let status = ParameterStatus::new(POSITION_SETTING.to_owned(), floor.to_string());
-            client.feed(PgWireBackendMessage::ParameterStatus(status)).await?;
+            client
+                .feed(PgWireBackendMessage::ParameterStatus(status))
+                .await?;
         }
         Ok(answer.unwrap_or_else(|refusal| vec![refuse(refusal, &self.shared.metrics)]))
     }
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -117,7 +117,11 @@
     }
 
     fn show(&self, name: &str) -> PgWireResult<Response> {
-        let status = self.group.lock().unwrap().status(self.index, Instant::now());
+        let status = self
+            .group
+            .lock()
+            .unwrap()
+            .status(self.index, Instant::now());
         match name {
             "dandelionpitch.status" => text_rows(
                 &["server", "role", "term", "lsn", "lag_ms"],
@@ -146,7 +150,15 @@
 fn text_rows(names: &[&str], rows: Vec<Vec<String>>) -> PgWireResult<Response> {
     let fields: Vec<FieldInfo> = names
         .iter()
-        .map(|name| FieldInfo::new((*name).to_owned(), None, None, Type::TEXT, FieldFormat::Text))
+        .map(|name| {
+            FieldInfo::new(
+                (*name).to_owned(),
+                None,
+                None,
+                Type::TEXT,
+                FieldFormat::Text,
+            )
+        })
         .collect();
     let schema = Arc::new(fields);
     let mut encoded = Vec::with_capacity(rows.len());
@@ -157,7 +169,10 @@
         }
         encoded.push(Ok(encoder.take_row()));
     }
-    Ok(Response::Query(QueryResponse::new(schema, stream::iter(encoded))))
+    Ok(Response::Query(QueryResponse::new(
+        schema,
+        stream::iter(encoded),
+    )))
 }
 
 #[async_trait]
--- a/crates/standin/src/group/sql.rs
+++ b/crates/standin/src/group/sql.rs
@@ -110,7 +110,9 @@
     let mut id = None;
     let mut body = None;
     for (index, expr) in row.iter().enumerate() {
-        let column = columns.get(index).map_or(["id", "body"][index.min(1)], |c| &c.value);
+        let column = columns
+            .get(index)
+            .map_or(["id", "body"][index.min(1)], |c| &c.value);
         match column {
             "id" => id = literal(expr),
             "body" => body = literal(expr),
--- a/crates/standin/src/kv/routes.rs
+++ b/crates/standin/src/kv/routes.rs
@@ -3,10 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use dandelionpitch_core::kv::wire::{
-    Header, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest,
-    LeaseKeepAliveResponse, LeaseKeepAliveResult, PutRequest, PutResponse, RangeRequest,
-    RangeResponse, TxnRequest, TxnResponse, WatchRequest, WatchResponse, WatchResult,
-    WireEvent, WireKeyValue,
+    Header, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest, LeaseKeepAliveResponse,
+    LeaseKeepAliveResult, PutRequest, PutResponse, RangeRequest, RangeResponse, TxnRequest,
+    TxnResponse, WatchRequest, WatchResponse, WatchResult, WireEvent, WireKeyValue,
 };
 use rocket::{
     http::Status,
@@ -81,9 +80,12 @@
 async fn put(state: &Shared, request: Json<PutRequest>) -> Answer<PutResponse> {
     let fault = enter(state).await?;
     let revision = apply_put(state, &request)?;
-    answer_write(fault, PutResponse {
-        header: header(revision),
-    })
+    answer_write(
+        fault,
+        PutResponse {
+            header: header(revision),
+        },
+    )
 }
 
 #[post("/v3/kv/txn", data = "<request>")]
@@ -115,10 +117,13 @@
     }
     let revision = store.revision();
     drop(store);
-    answer_write(fault, TxnResponse {
-        header: header(revision),
-        succeeded,
-    })
+    answer_write(
+        fault,
+        TxnResponse {
+            header: header(revision),
+            succeeded,
+        },
+    )
 }
 
 #[post("/v3/lease/grant", data = "<request>")]
@@ -128,11 +133,14 @@
     let id = store.grant(request.ttl);
     let revision = store.revision();
     drop(store);
-    answer_write(fault, LeaseGrantResponse {
-        header: header(revision),
-        id,
-        ttl: request.ttl,
-    })
+    answer_write(
+        fault,
+        LeaseGrantResponse {
+            header: header(revision),
+            id,
+            ttl: request.ttl,
+        },
+    )
 }
 
 #[post("/v3/lease/keepalive", data = "<request>")]
@@ -142,12 +150,15 @@
 ) -> Answer<LeaseKeepAliveResponse> {
     let fault = enter(state).await?;
     let ttl = state.store.lock().unwrap().keepalive(request.id);
-    answer_write(fault, LeaseKeepAliveResponse {
-        result: LeaseKeepAliveResult {
-            id: request.id,
-            ttl,
+    answer_write(
+        fault,
+        LeaseKeepAliveResponse {
+            result: LeaseKeepAliveResult {
+                id: request.id,
+                ttl,
+            },
         },
-    })
+    )
 }
 
 fn line(revision: u64, events: Vec<WireEvent>) -> String {
