Check a replica's own position before sending a barrier read to the primary

Logged routing showed the session's barrier floor (1/2, the primary's position at its first read) above every replica's polled position (1/1, read 29 ms earlier): the view lags the replicas by up to one status period, and at ~100 us a read that is hundreds of reads. Ruled out: status freshness (every status was fresh, lag 0) and the caller's allowance (5 s). Change: when no replica covers the floor by the view, check out a fresh replica within the allowance, read its position on that connection, and read there if it covers the floor; else the primary. Also: a status is trusted for 3 status periods (at least 1 s) instead of a fixed 1 s, and a newly applied bundle's servers are polled at once.

Conclusion: the barrier no longer pins new sessions to the primary.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -24,7 +24,7 @@
 use crate::{
     config::Config,
     pool,
-    view::{Group, Role, Server, Status, View},
+    view::{self, Group, Role, Server, Status, View},
 };
 
 /// Pause before the bundle watch is opened again after the KV failed.
@@ -99,6 +99,7 @@
         tokio::select! {
             Some(bundle) = incoming.recv() => {
                 if control.apply(bundle) {
+                    control.poll().await;
                     control.heartbeat(true).await;
                 }
             }
@@ -182,7 +183,8 @@
                     }
                 })
                 .collect();
-            groups.insert(name.clone(), Group { servers });
+            let fresh_for = view::fresh_for(self.config.backend.status_every);
+            groups.insert(name.clone(), Group { servers, fresh_for });
         }
         self.groups = groups;
         log::info!(target: "control", "Applied bundle version {} (was {current}).", bundle.version);
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -125,20 +125,33 @@
 /// Spreads reads over the replicas that qualify.
 static TURN: AtomicUsize = AtomicUsize::new(0);
 
-/// A replica that may serve a read: fresh status, has applied `floor`, and is at most
-/// `max_staleness` behind. `None` sends the read to the primary.
-pub fn replica(group: &Group, floor: Position, max_staleness: Duration) -> Option<usize> {
+/// What a replica must show, by its last polled status, to be chosen for a read.
+#[derive(Clone, Copy, Debug)]
+pub enum Need {
+    /// It has applied the session's floor.
+    Floor(Position),
+    /// Only fresh and within the staleness allowance; the floor is checked on the replica.
+    Check,
+}
+
+/// A replica that may serve a read: fresh status, within `max_staleness`, and as `need` says.
+/// `None` sends the read elsewhere.
+pub fn replica(group: &Group, need: Need, max_staleness: Duration) -> Option<usize> {
     if max_staleness.is_zero() {
         return None;
     }
     let now = Instant::now();
     let fit: Vec<usize> = (0..group.servers.len())
         .filter(|&index| {
-            group.servers[index].fresh(now).is_some_and(|status| {
-                status.role == Role::Replica
-                    && status.position.covers(floor)
-                    && status.lag <= max_staleness
-            })
+            group.servers[index]
+                .fresh(now, group.fresh_for)
+                .is_some_and(|status| {
+                    let covered = match need {
+                        Need::Floor(floor) => status.position.covers(floor),
+                        Need::Check => true,
+                    };
+                    status.role == Role::Replica && covered && status.lag <= max_staleness
+                })
         })
         .collect();
     match fit.len() {
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -27,8 +27,8 @@
 
 use crate::{
     metrics::{Metrics, Target},
-    route::{self, Kind, Plan, POSITION_SETTING},
-    view::View,
+    route::{self, Kind, Need, Plan, POSITION_SETTING},
+    view::{Group, View},
 };
 
 /// The SQLSTATE of a refusal for a request that was never sent to a backend.
@@ -165,18 +165,39 @@
             }
         };
         let view = self.shared.view.borrow().clone();
-        let group = view.groups.get(&caller.group);
-        let chosen = group.and_then(|group| route::replica(group, floor, caller.max_staleness));
-        match (group, chosen) {
-            (Some(group), Some(index)) => {
-                self.shared.metrics.read(Target::Replica);
-                self.checkout(&group.servers[index].pool).await
-            }
-            _ => {
-                self.shared.metrics.read(Target::Primary);
-                self.primary(caller).await
-            }
+        let Some(group) = view.groups.get(&caller.group) else {
+            return Err(Refusal::NotRun(format!(
+                "group {} is not ready",
+                caller.group
+            )));
+        };
+        if let Some(index) = route::replica(group, Need::Floor(floor), caller.max_staleness) {
+            self.shared.metrics.read(Target::Replica);
+            return self.checkout(&group.servers[index].pool).await;
+        }
+        if let Some(connection) = self.checked_replica(group, floor, caller).await {
+            self.shared.metrics.read(Target::Replica);
+            return Ok(connection);
         }
+        self.shared.metrics.read(Target::Primary);
+        self.primary(caller).await
+    }
+
+    /// A replica connection whose own position, read just now, covers `floor`.
+    ///
+    /// The polled status lags the replicas by up to one status period, so a floor taken from
+    /// the primary a moment ago is usually applied already though the view does not show it.
+    /// Asking the replica costs one round trip there instead of a read on the primary.
+    async fn checked_replica(
+        &self,
+        group: &Group,
+        floor: Position,
+        caller: &Caller,
+    ) -> Option<Object> {
+        let index = route::replica(group, Need::Check, caller.max_staleness)?;
+        let connection = self.checkout(&group.servers[index].pool).await.ok()?;
+        let applied = position(&connection).await?;
+        applied.covers(floor).then_some(connection)
     }
 
     /// The primary's current position: every write acknowledged before now is at or below it.
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -13,8 +13,16 @@
 use dandelionpitch_core::{bundle::Bundle, hash::Map, position::Position};
 use deadpool_postgres::Pool;
 
-/// A status older than this is not trusted for routing.
-pub const STATUS_FRESH: Duration = Duration::from_secs(1);
+/// A status is trusted for routing this many status periods, so one slow poll does not take
+/// a server out of rotation.
+const FRESH_PERIODS: u32 = 3;
+/// The least time a status is trusted, whatever the period.
+const FRESH_MIN: Duration = Duration::from_secs(1);
+
+/// How long a status read every `period` is trusted for routing.
+pub fn fresh_for(period: Duration) -> Duration {
+    (period * FRESH_PERIODS).max(FRESH_MIN)
+}
 
 /// Whether a server says it leads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,10 +52,10 @@
 }
 
 impl Server {
-    /// The status, if it was read recently enough to route by.
-    pub fn fresh(&self, now: Instant) -> Option<Status> {
+    /// The status, if it was read within `limit` before `now`.
+    pub fn fresh(&self, now: Instant, limit: Duration) -> Option<Status> {
         self.status
-            .filter(|status| now.duration_since(status.read_at) <= STATUS_FRESH)
+            .filter(|status| now.duration_since(status.read_at) <= limit)
     }
 }
 
@@ -55,13 +63,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Group {
     pub servers: Vec<Server>,
+    /// How long a server's status is trusted, from [`fresh_for`].
+    pub fresh_for: Duration,
 }
 
 impl Group {
     /// The server that leads at the highest term among those with a fresh status.
     pub fn primary(&self, now: Instant) -> Option<usize> {
         (0..self.servers.len())
-            .filter_map(|index| Some((index, self.servers[index].fresh(now)?)))
+            .filter_map(|index| Some((index, self.servers[index].fresh(now, self.fresh_for)?)))
             .filter(|(_, status)| status.role == Role::Primary)
             .max_by_key(|(_, status)| status.position.term)
             .map(|(index, _)| index)
