--- a/crates/e2e/benches/thin_path.rs
+++ b/crates/e2e/benches/thin_path.rs
@@ -3,8 +3,6 @@
 //!
 //! Run with `cargo bench -p dandelionpitch-e2e`.
 
-/// The bench shares the tests' fixture and uses only part of it.
-#[allow(dead_code)]
 #[path = "../tests/fixture/mod.rs"]
 mod fixture;
 
