--- a/crates/e2e/tests/bad_input.rs
+++ b/crates/e2e/tests/bad_input.rs
@@ -81,3 +81,28 @@
     assert!(!ok);
     assert!(text.contains("no group \"missing\""), "{text}");
 }
+
+/// The caller's statement is running on the backend when the whole group dies. The proxy's
+/// backend connection closes; the caller gets SQLSTATE 08007 "outcome unknown" at once, not a
+/// hang, because the statement had been sent and may have run.
+#[tokio::test]
+async fn backend_gone_mid_query_answers_outcome_unknown() {
+    let mut site = Site::start("gone", 1, 20).await;
+    let client = connect(&site.proxies[0], "member", "").await;
+    let running = tokio::spawn(async move {
+        let started = std::time::Instant::now();
+        let outcome = client
+            .simple_query("SELECT dandelionpitch_sleep(30000)")
+            .await;
+        (outcome, started.elapsed())
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    site.group.kill();
+    let (outcome, took) = running.await.unwrap();
+
+    let error = outcome.err().expect("an error, not rows");
+    let code = error.as_db_error().map(|db| db.code().code().to_owned());
+    assert_eq!(code.as_deref(), Some("08007"), "{error}");
+    assert!(took < Duration::from_secs(5), "answered after {took:?}");
+}
