Compare terms before numbers when a log position covers another

Cause: Position::covers compared log numbers alone. Ruled out: leaving numbers alone because they grow across terms; they do, but only on the log that was promoted, not on the one left behind. Change: the derived order (term, then number) decides.

--- a/crates/core/src/position.rs
+++ b/crates/core/src/position.rs
@@ -12,19 +12,26 @@
 /// A point in a database group's log: the primary's term and the log sequence number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Position {
-    /// The term of the primary that wrote the entry.
+    /// The term of the primary that wrote the entry; first, so that the derived order
+    /// compares terms before numbers.
     pub term: u64,
-    /// The log sequence number, growing across terms.
+    /// The log sequence number, counted on across terms.
     pub lsn: u64,
 }
 
 impl Position {
-    /// Whether a server that has applied `self` also holds everything up to `other`.
+    /// Whether a server that has applied `self` also holds every acknowledged write up to `other`.
     ///
-    /// Log sequence numbers grow across terms, as PostgreSQL's do across timelines, so the
-    /// comparison is on the number alone.
+    /// Terms are compared first. A server whose last entry is of a later term holds every
+    /// acknowledged entry of the earlier ones, because a primary is promoted only from the log
+    /// that has them all (`docs/DESIGN.md`, "Failover").
+    ///
+    /// Failure: a superseded primary that is cut off goes on writing entries nobody
+    /// acknowledged, its number passes that of a write its successor acknowledged, and a
+    /// session that roams to its side reads without its own write. Guard: its entries stay in
+    /// the earlier term, so no number of them covers the successor's position.
     pub fn covers(self, other: Self) -> bool {
-        self.lsn >= other.lsn
+        self >= other
     }
 }
 
