--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -37,6 +37,28 @@
     pub servers: Vec<SocketAddr>,
     /// Backend connections a proxy keeps per server at most.
     pub pool_size: usize,
+    /// How many replicas must receive a commit before the primary acknowledges it, as the
+    /// group itself is set up. A primary is replaced only when this is at least 1.
+    pub sync_replicas: usize,
+}
+
+impl Group {
+    /// How many servers must hold a new term before a primary of that term may be promoted.
+    ///
+    /// An acknowledged commit is on the primary and on `sync_replicas` others. Any set of
+    /// this many servers shares a member with that set, so the most advanced of them has the
+    /// commit; and those left over are too few for the old primary to have another one
+    /// acknowledged. `None` when nothing can be promised (`docs/DESIGN.md`, "Failover").
+    pub fn quorum(&self) -> Option<usize> {
+        match self.sync_replicas {
+            0 => None,
+            sync => self
+                .servers
+                .len()
+                .checked_sub(sync)
+                .filter(|quorum| *quorum > 0),
+        }
+    }
 }
 
 /// What one caller (a PostgreSQL user name) may do.
@@ -49,6 +71,8 @@
     /// How far behind the primary a replica may be to serve this caller's reads; zero sends
     /// every read to the primary.
     pub max_staleness: Duration,
+    /// How long one statement of this caller may take before the proxy gives it up.
+    pub timeout: Duration,
 }
 
 /// The TOML shape of a bundle, as operators write it.
@@ -72,6 +96,8 @@
     pub servers: Vec<SocketAddr>,
     #[serde(default = "default_pool_size")]
     pub pool_size: usize,
+    #[serde(default = "default_sync_replicas")]
+    pub sync_replicas: usize,
 }
 
 /// The TOML shape of one caller.
@@ -82,12 +108,22 @@
     pub group: String,
     #[serde(default, with = "humantime_serde")]
     pub max_staleness: Duration,
+    #[serde(default = "default_timeout", with = "humantime_serde")]
+    pub timeout: Duration,
 }
 
 fn default_pool_size() -> usize {
     8
 }
 
+fn default_sync_replicas() -> usize {
+    1
+}
+
+fn default_timeout() -> Duration {
+    Duration::from_secs(30)
+}
+
 impl Bundle {
     /// Parses and checks a bundle from TOML text.
     pub fn parse(text: &str) -> Result<Self, Error> {
@@ -118,7 +154,7 @@
         }
         let mut callers = Map::default();
         for caller in wire.callers {
-            let caller = Caller::from(caller);
+            let caller = Caller::try_from(caller)?;
             if !groups.contains_key(&caller.group) {
                 let text = format!("caller {:?}: no group {:?}", caller.user, caller.group);
                 return Err(rule(text));
@@ -154,21 +190,33 @@
                 wire.name
             )));
         }
+        if wire.sync_replicas >= wire.servers.len() && wire.servers.len() > 1 {
+            let text = "sync_replicas: must be below the number of servers";
+            return Err(rule(format!("group {:?}: {text}", wire.name)));
+        }
         Ok(Self {
             name: wire.name,
             servers: wire.servers,
             pool_size: wire.pool_size,
+            sync_replicas: wire.sync_replicas,
         })
     }
 }
 
-impl From<WireCaller> for Caller {
-    fn from(wire: WireCaller) -> Self {
-        Self {
+impl TryFrom<WireCaller> for Caller {
+    type Error = Error;
+
+    fn try_from(wire: WireCaller) -> Result<Self, Self::Error> {
+        if wire.timeout.is_zero() {
+            let text = format!("caller {:?}: timeout: must be above zero", wire.user);
+            return Err(rule(text));
+        }
+        Ok(Self {
             user: wire.user,
             group: wire.group,
             max_staleness: wire.max_staleness,
-        }
+            timeout: wire.timeout,
+        })
     }
 }
 
--- a/crates/core/src/kv.rs
+++ b/crates/core/src/kv.rs
@@ -17,6 +17,10 @@
 /// How long one KV call may take before it counts as failed.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a watch is trusted in silence before it is opened again. A connection may go
+/// silent for good without a reset; the reader would then miss every later change.
+pub const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A handle on the platform KV at one endpoint (`http://host:port`).
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -112,11 +116,25 @@
         Ok(answer.result.ttl)
     }
 
-    /// Watches `key` for writes after `start_revision`; the stream ends when the KV closes it.
+    /// Watches `key` for writes from `start_revision` on; the stream ends when the KV closes it.
     pub async fn watch(&self, key: &str, start_revision: u64) -> Result<Watch, Error> {
-        let request = wire::WatchRequest::new(key, start_revision);
+        self.watch_range(wire::RangeRequest::key(key), start_revision)
+            .await
+    }
+
+    /// As [`Client::watch`], for every key that starts with `prefix`.
+    pub async fn watch_prefix(&self, prefix: &str, start_revision: u64) -> Result<Watch, Error> {
+        self.watch_range(wire::RangeRequest::prefix(prefix), start_revision)
+            .await
+    }
+
+    async fn watch_range(&self, range: wire::RangeRequest, start: u64) -> Result<Watch, Error> {
+        let request = wire::WatchRequest::new(range, start);
         let url = format!("{}/v3/watch", self.endpoint);
-        let answer = self.http.post(url).json(&request).send().await?;
+        let open = self.http.post(url).json(&request).send();
+        let answer = tokio::time::timeout(CALL_TIMEOUT, open)
+            .await
+            .map_err(|_| Error::KvAnswer("no answer to a watch".to_owned()))??;
         let answer = answer.error_for_status()?;
         Ok(Watch {
             body: Box::pin(answer.bytes_stream()),
@@ -136,7 +154,8 @@
 }
 
 impl Watch {
-    /// The next batch of events; `None` when the KV closed the watch.
+    /// The next batch of events; `None` when the KV closed the watch or it was silent for
+    /// [`WATCH_TIMEOUT`].
     pub async fn next(&mut self) -> Result<Option<Vec<Event>>, Error> {
         loop {
             if let Some(end) = self.buffer.iter().position(|&byte| byte == b'\n') {
@@ -148,9 +167,9 @@
                     .map_err(|error| Error::KvAnswer(error.to_string()))?;
                 return answer.result.into_events().map(Some);
             }
-            match self.body.next().await {
-                Some(chunk) => self.buffer.extend_from_slice(&chunk?),
-                None => return Ok(None),
+            match tokio::time::timeout(WATCH_TIMEOUT, self.body.next()).await {
+                Ok(Some(chunk)) => self.buffer.extend_from_slice(&chunk?),
+                Ok(None) | Err(_) => return Ok(None),
             }
         }
     }
--- a/crates/core/src/kv/wire.rs
+++ b/crates/core/src/kv/wire.rs
@@ -311,6 +311,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct WatchCreateRequest {
     pub key: String,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub range_end: String,
     #[serde(with = "number", default)]
     pub start_revision: u64,
 }
@@ -322,19 +324,24 @@
 }
 
 impl WatchRequest {
-    /// A watch of one key from `start_revision` on.
-    pub fn new(key: &str, start_revision: u64) -> Self {
+    /// A watch of the keys of `range` from `start_revision` on.
+    pub fn new(range: RangeRequest, start_revision: u64) -> Self {
         Self {
             create_request: WatchCreateRequest {
-                key: encode(key.as_bytes()),
+                key: range.key,
+                range_end: range.range_end,
                 start_revision,
             },
         }
     }
 
-    /// The decoded key.
-    pub fn key(&self) -> Result<Vec<u8>, Error> {
-        decode(&self.create_request.key)
+    /// The decoded bounds, as [`RangeRequest::bounds`].
+    pub fn bounds(&self) -> Result<(Vec<u8>, Option<Vec<u8>>), Error> {
+        let range = RangeRequest {
+            key: self.create_request.key.clone(),
+            range_end: self.create_request.range_end.clone(),
+        };
+        range.bounds()
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod kv;
 pub mod logging;
 pub mod position;
+pub mod primary;
 
 pub use error::Error;
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,7 +5,8 @@
 use dandelionpitch_core::{
     bundle::Bundle,
     keys,
-    kv::{self, Swap},
+    kv::{self, KeyValue, Swap},
+    primary::Record,
 };
 use serde::Deserialize;
 
@@ -85,26 +86,84 @@
     id: String,
     dc: String,
     listen: String,
+    operator: String,
+}
+
+/// The part of a proxy's `GET /status` that is shown here.
+#[derive(Debug, Deserialize)]
+struct Report {
     bundle_version: u64,
 }
 
 async fn status(kv: &kv::Client) -> Result<String, String> {
-    let records = kv
-        .list(keys::PROXY_PREFIX)
-        .await
-        .map_err(|error| error.to_string())?;
-    let mut lines = vec![format!(
-        "{:<16} {:<8} {:<22} {}",
-        "proxy", "dc", "listen", "version"
-    )];
-    for record in records {
+    let mut lines = proxies(kv).await?;
+    lines.push(String::new());
+    lines.extend(primaries(kv).await?);
+    Ok(lines.join("\n"))
+}
+
+/// A line per proxy, with the bundle version that the proxy itself reports.
+async fn proxies(kv: &kv::Client) -> Result<Vec<String>, String> {
+    let records = list(kv, keys::PROXY_PREFIX).await?;
+    let lines = records.iter().map(|record| async {
         match serde_json::from_slice::<Heartbeat>(&record.value) {
-            Ok(beat) => lines.push(format!(
+            Ok(beat) => format!(
                 "{:<16} {:<8} {:<22} {}",
-                beat.id, beat.dc, beat.listen, beat.bundle_version
-            )),
-            Err(_) => lines.push(format!("{}: unreadable record", record.key)),
+                beat.id,
+                beat.dc,
+                beat.listen,
+                version(&beat.operator).await
+            ),
+            Err(_) => format!("{}: unreadable record", record.key),
         }
+    });
+    let mut table = vec![format!(
+        "{:<16} {:<8} {:<22} {}",
+        "proxy", "dc", "listen", "version"
+    )];
+    table.extend(futures::future::join_all(lines).await);
+    Ok(table)
+}
+
+/// The bundle version in force on the proxy with this operator address.
+async fn version(operator: &str) -> String {
+    let get = async {
+        let answer = reqwest::Client::new()
+            .get(format!("http://{operator}/status"))
+            .timeout(kv::CALL_TIMEOUT)
+            .send()
+            .await?;
+        answer.error_for_status()?.json::<Report>().await
+    };
+    match get.await {
+        Ok(report) => report.bundle_version.to_string(),
+        Err(_) => "no answer".to_owned(),
     }
-    Ok(lines.join("\n"))
+}
+
+/// A line per group whose primary was ever replaced.
+async fn primaries(kv: &kv::Client) -> Result<Vec<String>, String> {
+    let records = list(kv, keys::PRIMARY_PREFIX).await?;
+    let mut lines = vec![format!(
+        "{:<16} {:<6} {:<22} {}",
+        "group", "term", "primary", "claimed by"
+    )];
+    for kv in records {
+        let group = kv.key.trim_start_matches(keys::PRIMARY_PREFIX);
+        lines.push(match Record::parse(&kv.value) {
+            Ok(record) => {
+                let server = record
+                    .server
+                    .map_or("none yet".to_owned(), |s| s.to_string());
+                let Record { term, claimant, .. } = record;
+                format!("{group:<16} {term:<6} {server:<22} {claimant}")
+            }
+            Err(_) => format!("{group}: unreadable record"),
+        });
+    }
+    Ok(lines)
+}
+
+async fn list(kv: &kv::Client, prefix: &str) -> Result<Vec<KeyValue>, String> {
+    kv.list(prefix).await.map_err(|error| error.to_string())
 }
--- a/crates/e2e/tests/bad_input.rs
+++ b/crates/e2e/tests/bad_input.rs
@@ -101,7 +101,7 @@
     site.group.kill();
     let (outcome, took) = running.await.unwrap();
 
-    let error = outcome.err().expect("an error, not rows");
+    let error = outcome.expect_err("an error, not rows");
     let code = error.as_db_error().map(|db| db.code().code().to_owned());
     assert_eq!(code.as_deref(), Some("08007"), "{error}");
     assert!(took < Duration::from_secs(5), "answered after {took:?}");
--- /dev/null
+++ b/crates/e2e/tests/failover.rs
@@ -0,0 +1,426 @@
+//! The system replaces a failed primary by itself, and no promise to a caller is broken.
+
+mod fixture;
+
+use std::time::{Duration, Instant};
+
+use dandelionpitch_core::primary::Record;
+use fixture::{
+    connect, eventually,
+    history::{self, Attempt, Broken, Outcome, Writer},
+    operator, refusal, scalar, Layout, Site,
+};
+
+const WAIT: Duration = Duration::from_secs(20);
+/// Time in which writers write before and after a fault.
+const CALM: Duration = Duration::from_millis(300);
+/// Above the member's statement timeout in the bundle, so that a writer whose statement was
+/// under way when a cut began sends another one during the cut.
+const LONGER_THAN_TIMEOUT: Duration = Duration::from_millis(2500);
+const TWO_IN_ONE_DC: &[&str] = &["dc-1", "dc-1"];
+const TWO_DCS: &[&str] = &["dc-1", "dc-2"];
+
+/// The address and term of the primary as proxy `index` sees it.
+async fn primary(site: &Site, index: usize) -> Option<String> {
+    let report = operator(&site.proxies[index], "/status").await;
+    report["groups"][0]["primary"].as_str().map(str::to_owned)
+}
+
+/// The servers that believe they lead, with their terms.
+async fn leaders(site: &Site, servers: &[usize]) -> Vec<(usize, u64)> {
+    let mut leaders = Vec::new();
+    for &index in servers {
+        let server = site.server(index).await;
+        let messages = server
+            .simple_query("SHOW dandelionpitch.status")
+            .await
+            .expect("a status");
+        for message in messages {
+            if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
+                if row.get("role") == Some("primary") {
+                    leaders.push((index, row.get("term").unwrap().parse().unwrap()));
+                }
+            }
+        }
+    }
+    leaders
+}
+
+/// Waits until the KV's record names a primary at a term above `term`.
+async fn replaced(site: &Site, term: u64) -> Record {
+    let done = eventually(WAIT, || async {
+        let record = site.record().await;
+        record.is_some_and(|record| record.term > term && record.server.is_some())
+    })
+    .await;
+    assert!(done, "the primary was replaced");
+    site.record().await.expect("a record")
+}
+
+/// Waits until a write through proxy `index` is acknowledged.
+async fn writes_resume(site: &Site, index: usize, id: &str) {
+    let resumed = eventually(WAIT, || async {
+        let client = connect(&site.proxies[index], "member", "").await;
+        let query = format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'placed')");
+        client.simple_query(&query).await.is_ok()
+    })
+    .await;
+    assert!(resumed, "writes through proxy {index} resumed");
+}
+
+/// Stops the writers and checks all they were told against the log of the recorded primary.
+async fn settle(site: &Site, writers: Vec<Writer>, since: Instant) -> (Vec<Attempt>, Broken) {
+    let mut attempts = Vec::new();
+    for writer in writers {
+        attempts.extend(writer.stop().await);
+    }
+    let record = site.record().await.expect("a record");
+    let server = record.server.expect("a primary").to_string();
+    let index = site.servers().iter().position(|s| *s == server).unwrap();
+    let rows = history::read(&site.server(index).await).await;
+    let broken = history::check(&attempts, &rows, Some((record.term, since)));
+    (attempts, broken)
+}
+
+fn acked_after(attempts: &[Attempt], since: Instant) -> usize {
+    let acked = |a: &&Attempt| a.outcome == Outcome::Acked && a.sent > since;
+    attempts.iter().filter(acked).count()
+}
+
+/// Members write through two proxies when the primary dies. Both proxies miss it, one claims
+/// term 2 in the KV and promotes the replica that received the most; members wait through the
+/// gap. Each acknowledged write is on the new primary once, each "not run" one is not there.
+#[tokio::test]
+async fn primary_killed() {
+    let site = Site::build(&Layout::new("killed", TWO_IN_ONE_DC)).await;
+    let writers = vec![
+        Writer::start(&site.proxies[0], "a"),
+        Writer::start(&site.proxies[1], "b"),
+    ];
+    tokio::time::sleep(CALM).await;
+
+    site.fault(1, "kill", 0, "").await;
+    let record = replaced(&site, 1).await;
+    let exists = Instant::now();
+    tokio::time::sleep(CALM).await;
+    let (attempts, broken) = settle(&site, writers, exists).await;
+
+    assert_eq!(broken, Broken::default());
+    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+    assert_eq!(record.term, 2, "one promotion was enough");
+    assert_eq!(leaders(&site, &[1, 2]).await.len(), 1);
+}
+
+/// Replica 2 is cut off while members write, so only replica 1 received their orders. Then the
+/// primary dies, and replica 1 is the slower one to answer the claimant. The claimant must hear
+/// both before it promotes the one that has the orders; the other would lose them.
+#[tokio::test]
+async fn most_advanced_replica_is_promoted() {
+    let site = Site::build(&Layout::new("advanced", TWO_IN_ONE_DC)).await;
+    site.fault(1, "isolate", 2, "").await;
+    site.fault(1, "slow_fence", 1, "300").await;
+    let writers = vec![Writer::start(&site.proxies[0], "a")];
+    tokio::time::sleep(CALM).await;
+
+    site.fault(1, "kill", 0, "").await;
+    let record = replaced(&site, 1).await;
+    site.fault(1, "join", 2, "").await;
+    let exists = Instant::now();
+    tokio::time::sleep(CALM).await;
+    let (attempts, broken) = settle(&site, writers, exists).await;
+
+    assert_eq!(broken, Broken::default());
+    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+    assert_eq!(record.server.unwrap().to_string(), site.servers()[1]);
+}
+
+/// A member's order is acknowledged, then the primary dies. The same session, and another that
+/// brings its token to the other proxy, read the order at once after the failover, from
+/// servers that carried on in a later term.
+#[tokio::test]
+async fn read_your_writes_across_failover() {
+    let mut layout = Layout::new("ryw", TWO_IN_ONE_DC);
+    layout.lag_ms = 300;
+    let site = Site::build(&layout).await;
+    let member = connect(&site.proxies[0], "member", "").await;
+    member
+        .simple_query("INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')")
+        .await
+        .expect("the write is acknowledged");
+    let token = scalar(&member, "SHOW dandelionpitch.position").await;
+
+    site.fault(1, "kill", 0, "").await;
+    replaced(&site, 1).await;
+    let options = format!("-c dandelionpitch.position={}", token.expect("a token"));
+    let roamed = connect(&site.proxies[1], "member", &options).await;
+    let query = "SELECT * FROM ledger WHERE id = 'order-1'";
+
+    assert_eq!(scalar(&member, query).await.as_deref(), Some("order-1"));
+    assert_eq!(scalar(&roamed, query).await.as_deref(), Some("order-1"));
+}
+
+/// Data centre 1 is cut off with the primary and one proxy; it still believes it leads. The
+/// proxy in data centre 2 promotes a replica. Members on the cut side get "outcome unknown" or
+/// "not run" but no acknowledgement; when the cut ends, their proxy follows the new primary.
+#[tokio::test]
+async fn primary_cut_off_while_leading() {
+    let site = Site::build(&Layout::new("cut", TWO_DCS)).await;
+    let writers = vec![
+        Writer::start(&site.proxies[0], "cut"),
+        Writer::start(&site.proxies[1], "sound"),
+    ];
+    tokio::time::sleep(CALM).await;
+
+    site.cut_dc("dc-1", 0, true).await;
+    let cut = Instant::now();
+    let record = replaced(&site, 1).await;
+    let exists = Instant::now();
+    tokio::time::sleep(LONGER_THAN_TIMEOUT).await;
+    let both = leaders(&site, &[0, 1, 2]).await;
+    let healed = Instant::now();
+    site.cut_dc("dc-1", 0, false).await;
+    writes_resume(&site, 0, "after-heal").await;
+    tokio::time::sleep(CALM).await;
+    let (attempts, broken) = settle(&site, writers, exists).await;
+
+    assert_eq!(broken, Broken::default());
+    assert_eq!(record.term, 2);
+    assert!(
+        both.contains(&(0, 1)),
+        "the old primary still led: {both:?}"
+    );
+    let on_cut_side = |a: &&Attempt| a.id.starts_with("cut") && a.sent > cut && a.sent < healed;
+    let acked = |a: &Attempt| a.outcome == Outcome::Acked && a.answered < healed;
+    assert!(attempts.iter().filter(on_cut_side).count() > 0);
+    assert!(!attempts.iter().filter(on_cut_side).any(acked));
+}
+
+/// The same cut; a member writes through data centre 2 after the failover and roams to the cut
+/// side, once with its token and once without. The old primary there lacks the write, and must
+/// not serve the member's read: an error is right, an empty answer is not.
+#[tokio::test]
+async fn roaming_to_the_cut_side_reads_nothing_stale() {
+    let site = Site::build(&Layout::new("roam-cut", TWO_DCS)).await;
+    site.cut_dc("dc-1", 0, true).await;
+    replaced(&site, 1).await;
+    let member = connect(&site.proxies[1], "member", "").await;
+    member
+        .simple_query("INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')")
+        .await
+        .expect("the write is acknowledged");
+    let token = scalar(&member, "SHOW dandelionpitch.position").await;
+    let options = format!("-c dandelionpitch.position={}", token.expect("a token"));
+    let query = "SELECT * FROM ledger WHERE id = 'order-1'";
+
+    for (user, options) in [("member", options.as_str()), ("member", ""), ("strict", "")] {
+        let roamed = connect(&site.proxies[0], user, options).await;
+        let code = refusal(&roamed, query).await;
+
+        let refused = matches!(code.as_deref(), Some("57P03" | "08007"));
+        assert!(refused, "{user} with {options:?} got {code:?}");
+    }
+}
+
+/// The proxy that claimed term 2 is paused (SIGSTOP) before it promotes anyone. The other one
+/// waits out its claim and promotes at term 3. When the first goes on, unaware, the servers
+/// refuse its promotion: the term never goes back, and there is one primary.
+#[tokio::test]
+async fn claimant_paused_and_unaware() {
+    let site = Site::build(&Layout::new("paused", TWO_IN_ONE_DC)).await;
+    for server in [1, 2] {
+        site.fault(0, "slow_fence", server, "600").await;
+    }
+
+    site.fault(1, "kill", 0, "").await;
+    let claimed = eventually(WAIT, || async { site.record().await.is_some() }).await;
+    let claim = site.record().await.expect("a claim");
+    let paused = &site.proxies[claimant(&claim)];
+    paused.process.pause(true);
+    let record = replaced(&site, 2).await;
+    paused.process.pause(false);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    writes_resume(&site, 0, "through-0").await;
+    writes_resume(&site, 1, "through-1").await;
+
+    assert!(claimed);
+    assert_eq!((claim.term, claim.server), (2, None));
+    assert_eq!(record.term, 3);
+    assert_eq!(site.record().await, Some(record));
+    let leaders = leaders(&site, &[1, 2]).await;
+    assert!(matches!(leaders[..], [(_, 3)]), "{leaders:?}");
+}
+
+/// The proxy's index in the name it claims under.
+fn claimant(record: &Record) -> usize {
+    let (_, index) = record.claimant.rsplit_once('-').unwrap();
+    index.parse().unwrap()
+}
+
+/// The KV applies every write of the failover and loses each answer. The claimant reads the
+/// record back, finds its own claim, and goes on; nobody claims a second term.
+#[tokio::test]
+async fn kv_answers_lost_after_applying() {
+    let site = Site::build(&Layout::new("kv-lost", TWO_IN_ONE_DC)).await;
+    let writers = vec![Writer::start(&site.proxies[0], "a")];
+    tokio::time::sleep(CALM).await;
+    let lose = serde_json::json!({ "lose_answer": true });
+    site.kv_fault("dc-1", lose).await;
+
+    site.fault(1, "kill", 0, "").await;
+    let record = replaced(&site, 1).await;
+    let exists = Instant::now();
+    tokio::time::sleep(CALM).await;
+    let (attempts, broken) = settle(&site, writers, exists).await;
+
+    assert_eq!(broken, Broken::default());
+    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+    assert_eq!(record.term, 2);
+}
+
+/// The KV is down when the primary dies, so no term can be claimed and nobody is promoted;
+/// members are told "not run" after the wait they were promised. Once the KV is back, the
+/// failover goes through, at term 2.
+#[tokio::test]
+async fn kv_down_during_failover() {
+    let site = Site::build(&Layout::new("kv-down", TWO_IN_ONE_DC)).await;
+    let member = connect(&site.proxies[0], "member", "").await;
+    site.kv_fault("dc-1", serde_json::json!({ "down": true }))
+        .await;
+
+    site.fault(1, "kill", 0, "").await;
+    let query = "INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')";
+    let told = refusal(&member, query).await;
+    let while_down = leaders(&site, &[1, 2]).await;
+    site.kv_fault("dc-1", serde_json::json!({})).await;
+    let record = replaced(&site, 1).await;
+    writes_resume(&site, 0, "order-2").await;
+
+    assert_eq!(told.as_deref(), Some("57P03"));
+    assert_eq!(while_down, []);
+    assert_eq!(record.term, 2);
+    let rows = history::read(&site.server(1).await).await;
+    assert!(!rows.contains_key("order-1"), "it was not run");
+}
+
+/// The KV goes down between the claim and the promotion. The claim stands, so the promotion
+/// goes on and members write again while the KV is still down; when it is back, the record is
+/// completed at the same term.
+#[tokio::test]
+async fn kv_down_after_the_claim() {
+    let site = Site::build(&Layout::new("kv-late", TWO_IN_ONE_DC)).await;
+    for server in [1, 2] {
+        site.fault(0, "slow_fence", server, "600").await;
+    }
+
+    site.fault(1, "kill", 0, "").await;
+    eventually(WAIT, || async { site.record().await.is_some() }).await;
+    site.kv_fault("dc-1", serde_json::json!({ "down": true }))
+        .await;
+    writes_resume(&site, 0, "while-down").await;
+    let while_down = site.record().await.expect("the claim");
+    site.kv_fault("dc-1", serde_json::json!({})).await;
+    let record = replaced(&site, 1).await;
+
+    assert_eq!((while_down.term, while_down.server), (2, None));
+    assert_eq!(record.term, 2);
+    let leader = leaders(&site, &[1, 2]).await;
+    assert_eq!(leader.len(), 1);
+    assert_eq!(
+        record.server.unwrap().to_string(),
+        site.servers()[leader[0].0]
+    );
+}
+
+/// The primary freezes: connections stay open and nothing answers. It is replaced; when it
+/// thaws it still believes it leads, and the writes it held are not acknowledged by it.
+#[tokio::test]
+async fn primary_frozen_and_thawed() {
+    let site = Site::build(&Layout::new("frozen", TWO_IN_ONE_DC)).await;
+    let writers = vec![
+        Writer::start(&site.proxies[0], "a"),
+        Writer::start(&site.proxies[1], "b"),
+    ];
+    tokio::time::sleep(CALM).await;
+
+    site.fault(1, "freeze", 0, "").await;
+    replaced(&site, 1).await;
+    let exists = Instant::now();
+    tokio::time::sleep(CALM).await;
+    site.fault(1, "thaw", 0, "").await;
+    let stepped_down = eventually(WAIT, || async { leaders(&site, &[0]).await.is_empty() }).await;
+    let (attempts, broken) = settle(&site, writers, exists).await;
+
+    assert!(stepped_down);
+    assert_eq!(broken, Broken::default());
+    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+}
+
+/// The primary answers the proxies but reaches no replica, so it can commit nothing. The
+/// replicas miss it, and it is replaced though every proxy can talk to it.
+#[tokio::test]
+async fn primary_without_replicas() {
+    let site = Site::build(&Layout::new("alone", TWO_IN_ONE_DC)).await;
+
+    site.fault(0, "isolate", 0, "").await;
+    let record = replaced(&site, 1).await;
+    writes_resume(&site, 0, "order-1").await;
+
+    assert_ne!(record.server.unwrap().to_string(), site.servers()[0]);
+    let expected = record.server.map(|server| server.to_string());
+    let followed = eventually(WAIT, || async { primary(&site, 1).await == expected }).await;
+    assert!(followed, "the other proxy follows");
+}
+
+/// A claimant made one replica hold term 5 and died. That replica takes nothing from the
+/// primary any more; the proxies see it outranks the primary and finish the change, after
+/// which all three servers are of one term again.
+#[tokio::test]
+async fn failover_stopped_halfway_is_finished() {
+    let site = Site::build(&Layout::new("halfway", TWO_IN_ONE_DC)).await;
+
+    let server = site.server(2).await;
+    server
+        .simple_query("SELECT dandelionpitch_fence(5)")
+        .await
+        .expect("the replica holds term 5");
+    let record = replaced(&site, 5).await;
+    writes_resume(&site, 0, "order-1").await;
+    let followed = eventually(WAIT, || async {
+        scalar(&server, "SELECT * FROM ledger WHERE id = 'order-1'")
+            .await
+            .is_some()
+    })
+    .await;
+
+    assert_eq!(record.term, 6);
+    assert!(followed, "the fenced replica follows again");
+}
+
+/// A member's transaction is open when its primary dies. The member, who reads no errors, goes
+/// on and commits. Nothing of it may be kept: not the row before, and not the rows after, each
+/// of which would otherwise be a write of its own on the new primary.
+#[tokio::test]
+async fn open_transaction_dies_whole() {
+    let site = Site::build(&Layout::new("tx", TWO_IN_ONE_DC)).await;
+    let member = connect(&site.proxies[0], "member", "").await;
+    let insert = |id: &str| format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'x')");
+    member.simple_query("BEGIN").await.expect("begins");
+    member.simple_query(&insert("tx-1")).await.expect("runs");
+
+    site.fault(1, "kill", 0, "").await;
+    let first = refusal(&member, &insert("tx-2")).await;
+    let second = refusal(&member, &insert("tx-3")).await;
+    let commit = member.simple_query("COMMIT").await;
+    replaced(&site, 1).await;
+    member.simple_query(&insert("alone")).await.expect("runs");
+    let rows = history::read(&site.server(1).await).await;
+
+    assert_eq!(first.as_deref(), Some("57P03"));
+    assert_eq!(second.as_deref(), Some("25P02"));
+    assert!(
+        commit.is_ok(),
+        "the end of a failed transaction is accepted"
+    );
+    let ids: Vec<&String> = rows.keys().collect();
+    assert_eq!(ids, ["alone"]);
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -32,6 +32,9 @@
     pub operator_listen: SocketAddr,
     /// The platform KV endpoint, `http://host:port`.
     pub kv: String,
+    /// When a primary counts as failed.
+    #[serde(default)]
+    pub failover: Failover,
     /// How the proxy talks to backend servers.
     #[serde(default)]
     pub backend: Backend,
@@ -52,6 +55,43 @@
     /// How often each server's role, term and log position are read.
     #[serde(with = "humantime_serde")]
     pub status_every: Duration,
+    /// How long a server may take to answer a status read.
+    #[serde(with = "humantime_serde")]
+    pub status_timeout: Duration,
+    /// How long sent bytes may stay unacknowledged before a connection counts as lost.
+    #[serde(with = "humantime_serde")]
+    pub silent_after: Duration,
+}
+
+/// Settings of the failover role.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Failover {
+    /// How long this proxy and the replicas must have missed a primary before it is replaced.
+    #[serde(with = "humantime_serde")]
+    pub after: Duration,
+    /// Proxies wait a further part of this, each its own, so that one claims and the others
+    /// see it.
+    #[serde(with = "humantime_serde")]
+    pub spread: Duration,
+    /// How long a proxy that has claimed a term is given to promote a server before another
+    /// claims the next one; well above what a promotion takes.
+    #[serde(with = "humantime_serde")]
+    pub claim_limit: Duration,
+    /// How long a server may take to obey a fence or a promotion.
+    #[serde(with = "humantime_serde")]
+    pub step_timeout: Duration,
+}
+
+impl Default for Failover {
+    fn default() -> Self {
+        Self {
+            after: Duration::from_millis(300),
+            spread: Duration::from_millis(100),
+            claim_limit: Duration::from_secs(2),
+            step_timeout: Duration::from_secs(3),
+        }
+    }
 }
 
 impl Default for Backend {
@@ -61,6 +101,8 @@
             connect_timeout: Duration::from_secs(2),
             pool_wait: Duration::from_secs(2),
             status_every: Duration::from_millis(50),
+            status_timeout: Duration::from_millis(250),
+            silent_after: Duration::from_secs(5),
         }
     }
 }
@@ -80,6 +122,26 @@
 
     /// Parses settings from TOML text.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        Ok(toml::from_str(text)?)
+        let config: Self = toml::from_str(text)?;
+        config.check()?;
+        Ok(config)
+    }
+
+    /// A zero period would make a loop spin; the message names the key.
+    fn check(&self) -> Result<(), Error> {
+        let positive = [
+            ("backend.connect_timeout", self.backend.connect_timeout),
+            ("backend.pool_wait", self.backend.pool_wait),
+            ("backend.status_every", self.backend.status_every),
+            ("backend.status_timeout", self.backend.status_timeout),
+            ("backend.silent_after", self.backend.silent_after),
+            ("failover.after", self.failover.after),
+            ("failover.claim_limit", self.failover.claim_limit),
+            ("failover.step_timeout", self.failover.step_timeout),
+        ];
+        match positive.iter().find(|(_, value)| value.is_zero()) {
+            Some((key, _)) => Err(Error::Rule(format!("{key}: must be above zero"))),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -1,8 +1,17 @@
-//! The control part of the proxy: follows the bundle in the platform KV, reads each backend
-//! server's status, keeps this proxy's heartbeat record, and publishes a [`View`] to traffic.
+//! The control part of the proxy: follows the bundle and the primary records in the platform
+//! KV, reads each backend server's status, replaces failed primaries, and publishes a [`View`]
+//! to traffic.
 //!
 //! All control state lives on one thread with its own runtime; traffic threads only read the
-//! published views (`docs/DESIGN.md`, "Threads").
+//! published views (`docs/DESIGN.md`, "Threads"). Whatever waits for another machine runs as
+//! a task of its own on that thread and reports back by [`Message`].
+
+pub mod backoff;
+pub mod failover;
+mod follow;
+mod heartbeat;
+mod probe;
+pub mod verdict;
 
 use std::{
     net::SocketAddr,
@@ -10,46 +19,55 @@
     time::{Duration, Instant},
 };
 
-use dandelionpitch_core::{
-    bundle::Bundle,
-    hash::Map,
-    keys,
-    kv::{self, EventType},
-    position::Position,
-};
-use serde::Serialize;
+use dandelionpitch_core::{bundle::Bundle, hash::Map, kv};
 use tokio::sync::{mpsc, watch};
-use tokio_postgres::{NoTls, SimpleQueryMessage};
+use tokio_util::sync::CancellationToken;
 
+use self::{failover::Watch, probe::Probe};
 use crate::{
     config::Config,
+    metrics::Metrics,
     pool,
-    view::{self, Group, Role, Server, Status, View},
+    view::{self, Group, Held, Server, Status, View},
 };
 
-/// Pause before the bundle watch is opened again after the KV failed.
-const WATCH_RETRY: Duration = Duration::from_millis(250);
-/// The lease of the heartbeat record, in seconds.
-const HEARTBEAT_TTL: u64 = 10;
-/// How often the heartbeat lease is renewed.
-const HEARTBEAT_EVERY: Duration = Duration::from_secs(3);
+/// How often the groups are judged and gathered status changes are published.
+const TICK: Duration = Duration::from_millis(25);
+/// How many messages may wait for the control loop.
+const QUEUE: usize = 256;
 
-/// This proxy's heartbeat record in the KV, read by `dpctl status`.
-#[derive(Debug, Serialize)]
-pub struct Heartbeat<'a> {
-    pub id: &'a str,
-    pub dc: &'a str,
+/// What a control task reports to the control loop.
+#[derive(Debug)]
+pub enum Message {
+    /// A bundle from the KV; not necessarily a newer one.
+    Bundle(Bundle),
+    /// A group's primary record from the KV.
+    Record { group: String, held: Held },
+    /// A server's status, `None` when it could not be read.
+    Status {
+        address: SocketAddr,
+        status: Option<Status>,
+    },
+    /// A failover attempt on a group has ended.
+    Attempted {
+        group: String,
+        result: Result<failover::Outcome, failover::Error>,
+    },
+}
+
+/// Where this process listens, once it does.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
     pub listen: SocketAddr,
     pub operator: SocketAddr,
-    pub bundle_version: u64,
 }
 
 /// Starts the control thread; it runs until the process ends.
 pub fn spawn(
     config: Config,
-    listen: SocketAddr,
-    operator: SocketAddr,
-    view: watch::Sender<Arc<View>>,
+    addresses: Addresses,
+    metrics: Metrics,
+    publish: watch::Sender<Arc<View>>,
 ) {
     std::thread::Builder::new()
         .name("control".to_owned())
@@ -58,256 +76,300 @@
                 .enable_all()
                 .build()
                 .expect("the control runtime starts");
-            runtime.block_on(run(config, listen, operator, view));
+            runtime.block_on(run(config, addresses, metrics, publish));
         })
         .expect("the control thread starts");
 }
 
-struct Control {
-    config: Config,
-    listen: SocketAddr,
-    operator: SocketAddr,
-    kv: kv::Client,
-    bundle: Option<Arc<Bundle>>,
-    groups: Map<String, Group>,
-    probes: Map<SocketAddr, tokio_postgres::Client>,
-    lease: Option<i64>,
-}
-
 async fn run(
     config: Config,
-    listen: SocketAddr,
-    operator: SocketAddr,
-    view: watch::Sender<Arc<View>>,
+    addresses: Addresses,
+    metrics: Metrics,
+    publish: watch::Sender<Arc<View>>,
 ) {
     let kv = kv::Client::new(&config.kv);
-    let (bundles, mut incoming) = mpsc::channel(16);
-    tokio::spawn(follow(kv.clone(), bundles));
-    let mut status_tick = tokio::time::interval(config.backend.status_every);
-    let mut heartbeat_tick = tokio::time::interval(HEARTBEAT_EVERY);
+    let (out, mut messages) = mpsc::channel(QUEUE);
+    let salt = backoff::salt(&config.id);
+    tokio::spawn(follow::run(kv.clone(), salt, out.clone()));
+    let record = heartbeat::Record {
+        id: config.id.clone(),
+        dc: config.dc.clone(),
+        listen: addresses.listen,
+        operator: addresses.operator,
+    };
+    tokio::spawn(heartbeat::run(kv.clone(), record));
     let mut control = Control {
+        watch: Watch::new(config.clone(), kv),
         config,
-        listen,
-        operator,
-        kv,
+        metrics,
+        publish,
+        out,
         bundle: None,
         groups: Map::default(),
+        records: Map::default(),
         probes: Map::default(),
-        lease: None,
+        led_by: Map::default(),
+        attempts: Map::default(),
     };
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut dirty = false;
     loop {
         tokio::select! {
-            Some(bundle) = incoming.recv() => {
-                if control.apply(bundle) {
-                    control.poll().await;
-                    control.heartbeat(true).await;
+            Some(message) = messages.recv() => match control.take(message) {
+                Change::Nothing => {}
+                Change::Figures => dirty = true,
+                Change::Routing => control.publish(),
+            },
+            _ = tick.tick() => {
+                control.judge();
+                if std::mem::take(&mut dirty) {
+                    control.publish();
                 }
             }
-            _ = status_tick.tick() => control.poll().await,
-            _ = heartbeat_tick.tick() => control.heartbeat(false).await,
         }
-        let _ = view.send(Arc::new(View {
-            bundle: control.bundle.clone(),
-            groups: control.groups.clone(),
-        }));
     }
 }
 
-/// Reads the bundle key and then watches it; sends every bundle that parses.
-async fn follow(kv: kv::Client, bundles: mpsc::Sender<Bundle>) {
-    loop {
-        if let Err(error) = follow_once(&kv, &bundles).await {
-            log::warn!(target: "control", "Bundle watch failed: {error}.");
-        }
-        tokio::time::sleep(WATCH_RETRY).await;
-    }
+/// The last known primary of a group.
+#[derive(Clone, Copy, Debug)]
+pub struct Leader {
+    pub server: SocketAddr,
+    /// When this proxy first saw it lead.
+    pub since: Instant,
 }
 
-async fn follow_once(
-    kv: &kv::Client,
-    bundles: &mpsc::Sender<Bundle>,
-) -> Result<(), dandelionpitch_core::Error> {
-    let current = kv.get(keys::BUNDLE).await?;
-    let start = current.as_ref().map_or(0, |kv| kv.mod_revision + 1);
-    if let Some(current) = current {
-        offer(&current.value, bundles).await;
-    }
-    let mut watch = kv.watch(keys::BUNDLE, start).await?;
-    while let Some(events) = watch.next().await? {
-        for event in events.into_iter().filter(|e| e.kind == EventType::Put) {
-            offer(&event.kv.value, bundles).await;
-        }
-    }
-    Ok(())
+/// What a message changed, which decides how soon traffic must see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Change {
+    Nothing,
+    /// Positions and lags: published at the next tick.
+    Figures,
+    /// Who leads, who is there, or the bundle: published at once.
+    Routing,
 }
 
-async fn offer(value: &[u8], bundles: &mpsc::Sender<Bundle>) {
-    match Bundle::parse(&String::from_utf8_lossy(value)) {
-        Ok(bundle) => {
-            let _ = bundles.send(bundle).await;
-        }
-        Err(error) => log::error!(target: "control", "Ignored a bundle in the KV: {error}."),
-    }
+struct Control {
+    config: Config,
+    metrics: Metrics,
+    publish: watch::Sender<Arc<View>>,
+    out: mpsc::Sender<Message>,
+    bundle: Option<Arc<Bundle>>,
+    groups: Map<String, Group>,
+    /// The primary records by group; kept apart from the groups, which come with the bundle.
+    records: Map<String, Held>,
+    probes: Map<SocketAddr, Probe>,
+    /// The last known primary of each group.
+    led_by: Map<String, Leader>,
+    watch: Watch,
+    /// The groups with a failover attempt under way.
+    attempts: Map<String, ()>,
 }
 
 impl Control {
-    /// Puts `bundle` in force unless it is not newer; true when it was applied.
+    fn take(&mut self, message: Message) -> Change {
+        match message {
+            Message::Bundle(bundle) => self.apply(bundle),
+            Message::Record { group, held } => self.hold(group, held),
+            Message::Status { address, status } => self.note(address, status),
+            Message::Attempted { group, result } => self.attempted(&group, result),
+        }
+    }
+
+    /// Puts `bundle` in force unless it is not newer.
     ///
     /// Failure: a watch replay or a late answer offers an older bundle, and applying it would
     /// revert the configuration. Guard: only a strictly higher version is applied.
-    fn apply(&mut self, bundle: Bundle) -> bool {
+    fn apply(&mut self, bundle: Bundle) -> Change {
         let current = self.bundle.as_ref().map_or(0, |bundle| bundle.version);
         if bundle.version <= current {
-            log::info!(target: "control", "Kept version {current}; offered {}.", bundle.version);
-            return false;
+            if bundle.version < current {
+                log::info!(target: "control", "Kept version {current}; offered {}.", bundle.version);
+            }
+            return Change::Nothing;
         }
-        let mut groups = Map::default();
-        for (name, group) in &bundle.groups {
-            let kept = self.groups.remove(name);
-            let servers = group
-                .servers
-                .iter()
-                .map(|&address| {
-                    let old = kept
-                        .as_ref()
-                        .and_then(|g| g.servers.iter().find(|s| s.address == address));
-                    match old {
-                        Some(server) if server.pool.status().max_size == group.pool_size => {
-                            server.clone()
-                        }
-                        _ => Server {
-                            address,
-                            pool: pool::build(address, name, group.pool_size, &self.config.backend),
-                            status: None,
-                        },
-                    }
-                })
-                .collect();
-            let fresh_for = view::fresh_for(self.config.backend.status_every);
-            groups.insert(name.clone(), Group { servers, fresh_for });
+        let mut old = std::mem::take(&mut self.groups);
+        for group in bundle.groups.values() {
+            let kept = old.remove(&group.name);
+            let built = self.build(group, kept.as_ref());
+            self.groups.insert(group.name.clone(), built);
         }
-        self.groups = groups;
+        let kept: Vec<SocketAddr> = self.servers().map(|server| server.address).collect();
+        self.probes.retain(|address, _| kept.contains(address));
         log::info!(target: "control", "Applied bundle version {} (was {current}).", bundle.version);
         self.bundle = Some(Arc::new(bundle));
-        true
+        Change::Routing
     }
 
-    /// Reads the status of every server, all at once, each bounded by the status period.
-    async fn poll(&mut self) {
-        let addresses: Vec<(String, SocketAddr)> = self
-            .groups
+    /// The group's servers, with the pools and statuses of those it already had.
+    fn build(&mut self, group: &dandelionpitch_core::bundle::Group, kept: Option<&Group>) -> Group {
+        let servers = group
+            .servers
             .iter()
-            .flat_map(|(name, g)| g.servers.iter().map(move |s| (name.clone(), s.address)))
+            .map(|&address| self.server(address, group, kept))
             .collect();
-        let limit = self.config.backend.connect_timeout;
-        let reads = addresses.iter().map(|(name, address)| {
-            let probe = self.probes.remove(address);
-            let user = self.config.backend.user.clone();
-            async move {
-                let probe = match probe {
-                    Some(probe) if !probe.is_closed() => Some(probe),
-                    _ => connect(*address, name, &user, limit).await,
-                };
-                let status = match &probe {
-                    Some(probe) => tokio::time::timeout(limit, status(probe))
-                        .await
-                        .ok()
-                        .flatten(),
-                    None => None,
-                };
-                (*address, probe, status)
-            }
-        });
-        let results = futures::future::join_all(reads).await;
-        for (address, probe, status) in results {
-            if let Some(probe) = probe {
-                self.probes.insert(address, probe);
+        Group {
+            servers,
+            fresh_for: view::fresh_for(self.config.backend.status_every),
+            claim_limit: self.config.failover.claim_limit,
+            held: self.records.get(&group.name).cloned(),
+        }
+    }
+
+    fn server(
+        &mut self,
+        address: SocketAddr,
+        group: &dandelionpitch_core::bundle::Group,
+        kept: Option<&Group>,
+    ) -> Server {
+        let old = kept.and_then(|kept| kept.servers.iter().find(|s| s.address == address));
+        if let Some(old) = old.filter(|old| old.pool.status().max_size == group.pool_size) {
+            return old.clone();
+        }
+        self.probes
+            .entry(address)
+            .or_insert_with(|| Probe::start(address, &group.name, &self.config, self.out.clone()));
+        Server {
+            address,
+            pool: pool::build(address, &group.name, group.pool_size, &self.config),
+            status: old.and_then(|old| old.status),
+            superseded: CancellationToken::new(),
+        }
+    }
+
+    fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.groups.values().flat_map(|group| &group.servers)
+    }
+
+    /// Takes a primary record from the KV unless it is older than the one held, and looks at
+    /// the group's servers at once.
+    fn hold(&mut self, group: String, held: Held) -> Change {
+        let newest = self.records.get(&group).map_or(0, |held| held.revision);
+        if held.revision <= newest {
+            return Change::Nothing;
+        }
+        if let Some(group) = self.groups.get_mut(&group) {
+            group.held = Some(held.clone());
+        }
+        self.records.insert(group.clone(), held);
+        self.hurry(&group);
+        Change::Routing
+    }
+
+    fn hurry(&self, group: &str) {
+        let servers = self.groups.get(group).into_iter().flat_map(|g| &g.servers);
+        for server in servers {
+            if let Some(probe) = self.probes.get(&server.address) {
+                probe.hurry();
             }
-            for group in self.groups.values_mut() {
-                for server in group.servers.iter_mut().filter(|s| s.address == address) {
-                    server.status = status;
+        }
+    }
+
+    /// Notes a server's status in every group that lists it.
+    fn note(&mut self, address: SocketAddr, status: Option<Status>) -> Change {
+        let mut change = Change::Figures;
+        for group in self.groups.values_mut() {
+            for server in group.servers.iter_mut().filter(|s| s.address == address) {
+                let lead = |status: Option<Status>| status.map(|s| (s.role, s.term));
+                if lead(server.status) != lead(status) {
+                    change = Change::Routing;
                 }
+                server.status = status;
             }
         }
+        if change == Change::Routing {
+            self.supersede();
+        }
+        change
     }
 
-    /// Writes or renews this proxy's heartbeat record; `changed` rewrites it.
-    async fn heartbeat(&mut self, changed: bool) {
-        if let Some(lease) = self.lease {
-            match self.kv.keepalive(lease).await {
-                Ok(0) => self.lease = None,
-                Ok(_) if !changed => return,
-                Ok(_) => {}
-                Err(error) => {
-                    log::warn!(target: "control", "Heartbeat renewal failed: {error}.");
-                    return;
-                }
+    /// Where a group has a new primary, cancels what is under way on the old one.
+    ///
+    /// Failure: a statement sent to a primary that was cut off would wait for its answer until
+    /// the caller's timeout, though it is known that no commit there can be acknowledged any
+    /// more. Guard: it gets "outcome unknown" as soon as the successor is seen.
+    fn supersede(&mut self) {
+        let now = Instant::now();
+        for (name, group) in &mut self.groups {
+            let Some(index) = group.primary(now) else {
+                continue;
+            };
+            let leader = group.servers[index].address;
+            let known = self.led_by.get(name).map(|known| known.server);
+            if known == Some(leader) {
+                continue;
+            }
+            let since = Leader {
+                server: leader,
+                since: now,
+            };
+            self.led_by.insert(name.clone(), since);
+            let Some(old) = known else {
+                continue;
+            };
+            log::info!(target: "control", "Group {name} is led by {leader} (was {old}).");
+            for server in group.servers.iter_mut().filter(|s| s.address == old) {
+                server.superseded.cancel();
+                server.superseded = CancellationToken::new();
             }
         }
-        let lease = match self.lease {
-            Some(lease) => lease,
-            None => match self.kv.grant(HEARTBEAT_TTL).await {
-                Ok(lease) => lease,
-                Err(error) => {
-                    log::warn!(target: "control", "Heartbeat lease refused: {error}.");
-                    return;
-                }
-            },
-        };
-        let record = Heartbeat {
-            id: &self.config.id,
-            dc: &self.config.dc,
-            listen: self.listen,
-            operator: self.operator,
-            bundle_version: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
+    }
+
+    fn publish(&self) {
+        let _ = self.publish.send(Arc::new(View {
+            bundle: self.bundle.clone(),
+            groups: self.groups.clone(),
+        }));
+    }
+
+    /// Judges every group and starts the failover attempts that are due.
+    fn judge(&mut self) {
+        let Some(bundle) = self.bundle.clone() else {
+            return;
         };
-        let value = serde_json::to_vec(&record).unwrap_or_default();
-        let key = keys::proxy(&self.config.id);
-        match self.kv.put(&key, &value, Some(lease)).await {
-            Ok(_) => self.lease = Some(lease),
-            Err(error) => log::warn!(target: "control", "Heartbeat write failed: {error}."),
+        let now = Instant::now();
+        for (name, group) in &self.groups {
+            if self.attempts.contains_key(name) {
+                continue;
+            }
+            let Some(listed) = bundle.groups.get(name) else {
+                continue;
+            };
+            let led_by = self.led_by.get(name).copied();
+            if let Some(attempt) = self.watch.observe(listed, group, led_by, now) {
+                self.attempts.insert(name.clone(), ());
+                tokio::spawn(report(attempt, self.out.clone()));
+            }
         }
     }
-}
 
-async fn connect(
-    address: SocketAddr,
-    database: &str,
-    user: &str,
-    limit: Duration,
-) -> Option<tokio_postgres::Client> {
-    let mut config = tokio_postgres::Config::new();
-    config
-        .host(address.ip().to_string())
-        .port(address.port())
-        .user(user)
-        .dbname(database)
-        .connect_timeout(limit);
-    let (client, connection) = config.connect(NoTls).await.ok()?;
-    tokio::spawn(connection);
-    Some(client)
+    fn attempted(
+        &mut self,
+        group: &str,
+        result: Result<failover::Outcome, failover::Error>,
+    ) -> Change {
+        self.attempts.remove(group);
+        self.watch.attempted(group, result.is_ok(), Instant::now());
+        self.hurry(group);
+        match result {
+            Ok(outcome) if outcome.promoted => {
+                self.metrics.promotion();
+                let failover::Outcome { term, server, .. } = outcome;
+                log::info!(target: "failover", "Promoted {server} of group {group} at term {term}.");
+            }
+            Ok(outcome) => {
+                log::info!(target: "failover", "Recorded term {} of group {group}.", outcome.term)
+            }
+            Err(error) => {
+                log::warn!(target: "failover", "Group {group} keeps its primary: {error}.")
+            }
+        }
+        Change::Nothing
+    }
 }
 
-async fn status(probe: &tokio_postgres::Client) -> Option<Status> {
-    let messages = probe
-        .simple_query("SHOW dandelionpitch.status")
-        .await
-        .ok()?;
-    let row = messages.iter().find_map(|message| match message {
-        SimpleQueryMessage::Row(row) => Some(row),
-        _ => None,
-    })?;
-    let role = match row.get("role")? {
-        "primary" => Role::Primary,
-        _ => Role::Replica,
-    };
-    Some(Status {
-        role,
-        position: Position {
-            term: row.get("term")?.parse().ok()?,
-            lsn: row.get("lsn")?.parse().ok()?,
-        },
-        lag: Duration::from_millis(row.get("lag_ms")?.parse().ok()?),
-        read_at: Instant::now(),
-    })
+async fn report(attempt: failover::Attempt, out: mpsc::Sender<Message>) {
+    let group = attempt.group().to_owned();
+    let result = attempt.run().await;
+    let _ = out.send(Message::Attempted { group, result }).await;
 }
--- /dev/null
+++ b/crates/proxy/src/control/follow.rs
@@ -0,0 +1,103 @@
+//! Follows what the platform KV says to all proxies: the bundle, and the record of each group's
+//! primary. One watch carries both, because the KV counts every waiting watch.
+
+use std::time::{Duration, Instant};
+
+use dandelionpitch_core::{
+    bundle::Bundle,
+    keys,
+    kv::{self, EventType, KeyValue},
+    primary::Record,
+    Error,
+};
+use tokio::sync::mpsc;
+
+use super::{backoff::Backoff, Message};
+use crate::view::Held;
+
+/// The pause after the first failure, and the longest one. A fleet that all asked again at
+/// once would keep a recovering KV down.
+const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(4));
+
+/// Sends every bundle and record that is in the KV or comes into it, until nobody listens.
+///
+/// `salt` tells this proxy's retries apart from others'.
+pub async fn run(kv: kv::Client, salt: u64, out: mpsc::Sender<Message>) {
+    let mut backoff = Backoff::new(RETRY.0, RETRY.1, salt);
+    let mut next = None;
+    while !out.is_closed() {
+        match follow(&kv, &mut next, &out).await {
+            Ok(()) => backoff.reset(),
+            Err(error) => {
+                // What was missed meanwhile may be gone from the KV's history: read it all.
+                next = None;
+                if backoff.failures() == 0 {
+                    log::warn!(target: "control", "Lost the platform KV: {error}.");
+                }
+                tokio::time::sleep(backoff.pause()).await;
+            }
+        }
+    }
+}
+
+/// Reads what is there, unless `next` says from which revision to go on, then watches until
+/// the watch ends.
+///
+/// The watch starts after the newest revision read, so a change between the two calls is not
+/// missed.
+async fn follow(
+    kv: &kv::Client,
+    next: &mut Option<u64>,
+    out: &mpsc::Sender<Message>,
+) -> Result<(), Error> {
+    let start = match *next {
+        Some(revision) => revision,
+        None => {
+            let current = kv.list(keys::SITE_PREFIX).await?;
+            send(&current, out).await;
+            current
+                .iter()
+                .map(|kv| kv.mod_revision + 1)
+                .max()
+                .unwrap_or_default()
+        }
+    };
+    let mut watch = kv.watch_prefix(keys::SITE_PREFIX, start).await?;
+    *next = Some(start);
+    while let Some(events) = watch.next().await? {
+        let puts = events
+            .into_iter()
+            .filter(|event| event.kind == EventType::Put);
+        let puts: Vec<KeyValue> = puts.map(|event| event.kv).collect();
+        send(&puts, out).await;
+        let seen = puts.iter().map(|kv| kv.mod_revision + 1).max();
+        *next = (*next).max(seen);
+    }
+    Ok(())
+}
+
+async fn send(values: &[KeyValue], out: &mpsc::Sender<Message>) {
+    for message in values.iter().filter_map(message) {
+        let _ = out.send(message).await;
+    }
+}
+
+/// What a key says; a value that cannot be read is left out, and said so in the log.
+fn message(kv: &KeyValue) -> Option<Message> {
+    let read = match kv.key.strip_prefix(keys::PRIMARY_PREFIX) {
+        Some(group) => Record::parse(&kv.value).map(|record| Message::Record {
+            group: group.to_owned(),
+            held: Held {
+                record,
+                revision: kv.mod_revision,
+                seen_at: Instant::now(),
+            },
+        }),
+        None if kv.key == keys::BUNDLE => {
+            Bundle::parse(&String::from_utf8_lossy(&kv.value)).map(Message::Bundle)
+        }
+        None => return None,
+    };
+    let ignored = |error| log::error!(target: "control", "Ignored {} in the KV: {error}.", kv.key);
+    read.map_err(ignored).ok()
+}
--- /dev/null
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -0,0 +1,56 @@
+//! This proxy's heartbeat record in the platform KV, by which operators find it.
+//!
+//! The record says only where the proxy is; what it runs, `dpctl status` asks the proxy
+//! itself. So a new bundle makes no proxy write to the KV (`docs/CAPACITY.md`).
+
+use std::{net::SocketAddr, time::Duration};
+
+use dandelionpitch_core::{keys, kv, Error};
+use serde::Serialize;
+
+/// The lease of the heartbeat record, in seconds.
+const TTL: u64 = 60;
+/// How often the lease is renewed.
+const EVERY: Duration = Duration::from_secs(20);
+/// Pause before another try after the KV failed.
+const RETRY: Duration = Duration::from_secs(3);
+
+/// The record, read by `dpctl status`.
+#[derive(Debug, Serialize)]
+pub struct Record {
+    pub id: String,
+    pub dc: String,
+    pub listen: SocketAddr,
+    pub operator: SocketAddr,
+}
+
+/// Keeps the record in the KV for as long as the process runs.
+pub async fn run(kv: kv::Client, record: Record) {
+    let mut lease = None;
+    loop {
+        let pause = match renew(&kv, &record, &mut lease).await {
+            Ok(()) => EVERY,
+            Err(error) => {
+                log::warn!(target: "control", "Heartbeat failed: {error}.");
+                RETRY
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Renews the lease, or takes a new one and writes the record under it.
+async fn renew(kv: &kv::Client, record: &Record, lease: &mut Option<i64>) -> Result<(), Error> {
+    if let Some(held) = *lease {
+        if kv.keepalive(held).await? > 0 {
+            return Ok(());
+        }
+        *lease = None;
+    }
+    let granted = kv.grant(TTL).await?;
+    let value = serde_json::to_vec(record).unwrap_or_default();
+    kv.put(&keys::proxy(&record.id), &value, Some(granted))
+        .await?;
+    *lease = Some(granted);
+    Ok(())
+}
--- /dev/null
+++ b/crates/proxy/src/control/verdict.rs
@@ -0,0 +1,80 @@
+//! Whether a group's primary has to be replaced, judged from what this proxy sees.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::view::{Group, Role};
+
+/// What the statuses of a group's servers say about its primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// There is a primary, and it is not known to have failed.
+    Led,
+    /// There is no primary in sight, but too few replicas miss it, or another proxy is at it.
+    Unsure,
+    /// Enough replicas have missed their primary.
+    Failed,
+    /// A primary leads, but a server holds a later term and takes nothing from it: a failover
+    /// stopped halfway.
+    Outranked,
+    /// A primary leads, but the KV still says its term is only claimed, or an earlier one.
+    Unrecorded { term: u64, server: SocketAddr },
+}
+
+/// What a judgement goes by, besides the statuses.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// How many servers a new term needs.
+    pub quorum: usize,
+    /// How long those must have missed their primary.
+    pub after: Duration,
+    /// How long a new primary is given before anybody's silence counts against it.
+    pub grace: Duration,
+}
+
+/// Judges `group`, led by the same server since `led_since`.
+///
+/// Failure: a proxy that is itself cut off from a sound primary would replace it. Guard: a
+/// primary counts as failed only when a quorum of servers say they have not heard from it
+/// for `after`; they would then also fence it off, so replacing it takes nothing away.
+/// A primary that answers us but reaches no replica has failed too: it can commit nothing.
+///
+/// Failure: right after a promotion the last statuses still tell of the old primary's silence,
+/// and the new one would be replaced in turn. Guard: for `grace` after it was recorded or
+/// first seen, silence is not held against it.
+pub fn judge(group: &Group, led_since: Option<Instant>, terms: Terms, now: Instant) -> Verdict {
+    if group.claimed(now) {
+        return Verdict::Unsure;
+    }
+    let recorded_at = group.held.as_ref().map(|held| held.seen_at);
+    let newest = recorded_at.max(led_since);
+    let settled = newest.is_none_or(|since| now.duration_since(since) >= terms.grace);
+    let missing = group
+        .fresh(now)
+        .filter(|(_, status)| status.role == Role::Replica && status.silent >= terms.after)
+        .count();
+    if missing >= terms.quorum && settled {
+        return Verdict::Failed;
+    }
+    match group
+        .primary(now)
+        .and_then(|index| Some((index, group.servers[index].status?)))
+    {
+        None => Verdict::Unsure,
+        Some((index, led)) => match group.fresh(now).any(|(_, s)| s.term > led.term) {
+            true => Verdict::Outranked,
+            false => recorded(group, led.term, group.servers[index].address),
+        },
+    }
+}
+
+fn recorded(group: &Group, term: u64, server: SocketAddr) -> Verdict {
+    match &group.held {
+        Some(held) if held.record.term < term || held.record.server.is_none() => {
+            Verdict::Unrecorded { term, server }
+        }
+        _ => Verdict::Led,
+    }
+}
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -43,7 +43,7 @@
         .map_err(Error::Listen)?;
     let listen = listener.local_addr().map_err(Error::Listen)?;
     let (publish, view) = watch::channel(Arc::new(View::default()));
-    let metrics = Metrics::new();
+    let metrics = Metrics::default();
     let (bound, operator_address) = tokio::sync::oneshot::channel();
     tokio::spawn(operator::serve(
         config.operator_listen,
@@ -56,10 +56,19 @@
     let operator_address = operator_address
         .await
         .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
-    control::spawn(config.clone(), listen, operator_address, publish);
+    let addresses = control::Addresses {
+        listen,
+        operator: operator_address,
+    };
+    let patience = config.backend.pool_wait;
+    control::spawn(config, addresses, metrics.clone(), publish);
     announce(listen, operator_address);
     log::info!(target: "daemon", "Listening for callers on {listen}, operators on {operator_address}.");
-    let shared = Arc::new(Shared { view, metrics });
+    let shared = Arc::new(Shared {
+        view,
+        metrics,
+        patience,
+    });
     let open = Arc::new(AtomicUsize::new(0));
     let mut stop = unix::signal(unix::SignalKind::terminate()).map_err(Error::Listen)?;
     loop {
--- a/crates/proxy/src/error.rs
+++ b/crates/proxy/src/error.rs
@@ -14,6 +14,10 @@
     /// The settings file is not valid; the text names the key.
     #[display("settings are not valid: {_0}")]
     Settings(toml::de::Error),
+    /// The settings parsed but broke a rule; the text names the key.
+    #[display("settings are not valid: {_0}")]
+    #[from(ignore)]
+    Rule(#[error(not(source))] String),
     /// A listener could not be opened.
     #[display("cannot listen: {_0}")]
     Listen(std::io::Error),
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,14 @@
+//! The proxy daemon's parts; the binary `dandelionpitch` only parses its command line, reads its
+//! settings and hands off to [`daemon::run`].
+
+pub mod backend;
+pub mod config;
+pub mod control;
+pub mod daemon;
+pub mod error;
+pub mod metrics;
+pub mod operator;
+pub mod pool;
+pub mod route;
+pub mod session;
+pub mod view;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -2,18 +2,9 @@
 //! off to [`daemon::run`].
 
 mod cli;
-mod config;
-mod control;
-mod daemon;
-mod error;
-mod metrics;
-mod operator;
-mod pool;
-mod route;
-mod session;
-mod view;
 
 use clap::Parser;
+use dandelionpitch_proxy::{config, daemon};
 
 fn main() {
     let cli = cli::Cli::parse();
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -25,6 +25,7 @@
     reads: Counter<u64>,
     writes: Counter<u64>,
     refusals: Counter<u64>,
+    promotions: Counter<u64>,
     pool_wait: Histogram<f64>,
     reader: Arc<ManualReader>,
     _provider: SdkMeterProvider,
@@ -70,9 +71,9 @@
     }
 }
 
-impl Metrics {
+impl Default for Metrics {
     /// A meter provider with a manual reader, and the proxy's instruments.
-    pub fn new() -> Self {
+    fn default() -> Self {
         let reader = Arc::new(ManualReader::builder().build());
         let provider = SdkMeterProvider::builder()
             .with_reader(Shared(reader.clone()))
@@ -82,12 +83,15 @@
             reads: meter.u64_counter("reads").build(),
             writes: meter.u64_counter("writes").build(),
             refusals: meter.u64_counter("refusals").build(),
+            promotions: meter.u64_counter("promotions").build(),
             pool_wait: meter.f64_histogram("pool_wait_seconds").build(),
             reader,
             _provider: provider,
         }
     }
+}
 
+impl Metrics {
     /// Counts a read served by `target`.
     pub fn read(&self, target: Target) {
         let name = match target {
@@ -107,6 +111,11 @@
         self.refusals.add(1, &[KeyValue::new("code", code)]);
     }
 
+    /// Counts a primary this proxy replaced.
+    pub fn promotion(&self) {
+        self.promotions.add(1, &[]);
+    }
+
     /// Records how long a statement waited for a pooled connection.
     pub fn pool_wait(&self, seconds: f64) {
         self.pool_wait.record(seconds, &[]);
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -26,8 +26,15 @@
 pub enum Kind {
     /// Only reads, with no locking clause.
     Read,
-    /// Anything that may change data, or that we cannot tell.
+    /// Anything that may change data.
     Write,
+    /// Text that does not parse: perhaps a write, perhaps the start of a transaction.
+    Unparsed,
+    /// Several statements of which some begin or end a transaction.
+    Script {
+        /// Whether a transaction is open after the last of them.
+        open_after: bool,
+    },
     /// `BEGIN` or `START TRANSACTION`.
     Begin,
     /// `COMMIT`.
@@ -51,7 +58,7 @@
 pub fn plan(query: &str) -> Plan {
     let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, query) else {
         return Plan {
-            kind: Kind::Write,
+            kind: Kind::Unparsed,
             tags: Vec::new(),
         };
     };
@@ -59,11 +66,25 @@
     let kind = match statements.as_slice() {
         [one] => single(one),
         many if many.iter().all(is_read) => Kind::Read,
-        _ => Kind::Write,
+        many => script(many),
     };
     Plan { kind, tags }
 }
 
+/// The kind of several statements: the last one that begins or ends a transaction decides
+/// what is open after them.
+fn script(statements: &[Statement]) -> Kind {
+    let mut controls = statements.iter().filter_map(|statement| match statement {
+        Statement::StartTransaction { .. } => Some(true),
+        Statement::Commit { .. } | Statement::Rollback { .. } => Some(false),
+        _ => None,
+    });
+    match controls.next_back() {
+        Some(open_after) => Kind::Script { open_after },
+        None => Kind::Write,
+    }
+}
+
 fn single(statement: &Statement) -> Kind {
     match statement {
         Statement::StartTransaction { .. } => Kind::Begin,
@@ -150,7 +171,7 @@
                         Need::Floor(floor) => status.position.covers(floor),
                         Need::Check => true,
                     };
-                    status.role == Role::Replica && covered && status.lag <= max_staleness
+                    status.role == Role::Replica && covered && status.age(now) <= max_staleness
                 })
         })
         .collect();
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -1,4 +1,4 @@
-//! One caller connection: routing of its statements, its pinned transaction, and its
+//! One caller connection: routing of its statements, its transaction, and its
 //! read-your-writes floor.
 //!
 //! The floor is the log position the session's reads must see. It comes from the caller's
@@ -6,98 +6,85 @@
 //! write, and, when the caller brings no token, starts as a barrier: the primary's current
 //! position, read before the first read (`docs/DESIGN.md`, "Read-your-writes after roaming").
 
-use std::{fmt::Debug, sync::Arc, time::Instant};
+mod answer;
+mod connection;
+mod refusal;
+
+use std::{
+    fmt::Debug,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_trait::async_trait;
 use dandelionpitch_core::{bundle::Caller, position::Position};
-use deadpool_postgres::{Object, Pool};
-use futures::{stream, Sink, SinkExt};
+use deadpool_postgres::Pool;
+use futures::{Sink, SinkExt};
 use pgwire::{
     api::{
         auth::noop::NoopStartupHandler,
         query::SimpleQueryHandler,
-        results::{DataRowEncoder, FieldFormat, FieldInfo, QueryResponse, Response, Tag},
-        ClientInfo, ClientPortalStore, PgWireServerHandlers, Type,
+        results::{Response, Tag},
+        ClientInfo, ClientPortalStore, PgWireServerHandlers,
     },
     error::{ErrorInfo, PgWireError, PgWireResult},
     messages::{startup::ParameterStatus, PgWireBackendMessage},
 };
 use tokio::sync::{watch, Mutex};
-use tokio_postgres::SimpleQueryMessage;
+use tokio_util::sync::CancellationToken;
 
+use self::{
+    connection::{Along, Connection, Failure},
+    refusal::{Refusal, UNKNOWN_CALLER},
+};
 use crate::{
     metrics::{Metrics, Target},
     route::{self, Kind, Need, Plan, POSITION_SETTING},
-    view::{Group, View},
+    view::{Group, Server, View},
 };
 
-/// The SQLSTATE of a refusal for a request that was never sent to a backend.
-pub const NOT_RUN: &str = "57P03";
-/// The SQLSTATE of a request that reached a backend whose answer was lost.
-pub const OUTCOME_UNKNOWN: &str = "08007";
-/// The SQLSTATE for a user name the bundle does not know.
-const UNKNOWN_CALLER: &str = "28000";
-/// When a caller refused with "not run" may come back, in milliseconds.
-const RETRY_AFTER_MS: u64 = 500;
+/// How soon a write that a superseded primary refused is offered again.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
 /// What the daemon shares with every session.
 #[derive(Debug)]
 pub struct Shared {
     pub view: watch::Receiver<Arc<View>>,
     pub metrics: Metrics,
+    /// How long a statement may wait for a primary or a free backend connection.
+    pub patience: Duration,
 }
 
-/// A refusal the proxy makes itself.
-#[derive(Debug)]
-enum Refusal {
-    /// Never sent to a backend; safe to send again after the pause.
-    NotRun(String),
-    /// Sent, but the answer was lost; the caller must check before repeating.
-    Unknown(String),
-}
-
-impl From<Refusal> for ErrorInfo {
-    fn from(refusal: Refusal) -> Self {
-        let (code, text) = match refusal {
-            Refusal::NotRun(why) => (
-                NOT_RUN,
-                format!("not run: {why}; come back in {RETRY_AFTER_MS} ms"),
-            ),
-            Refusal::Unknown(why) => (OUTCOME_UNKNOWN, format!("outcome unknown: {why}")),
-        };
-        Self::new("ERROR".to_owned(), code.to_owned(), text)
-    }
+/// The session's transaction.
+#[derive(Debug, Default)]
+enum Transaction {
+    #[default]
+    None,
+    /// Open on this connection.
+    Open(Box<Pinned>),
+    /// Failed; the caller has yet to end it.
+    ///
+    /// Failure: a transaction's server dies, the caller goes on with the next statement, and
+    /// it is run and kept by itself on another server. Guard: until the caller ends the
+    /// transaction, every statement is refused.
+    Aborted,
 }
 
-/// A backend connection held by an open transaction.
-///
-/// Failure: a caller that vanishes mid-transaction would hand a connection with an open
-/// transaction back to the pool, and the next caller's statements would run inside it.
-/// Guard: a pinned connection that is dropped while the transaction is open is taken out of
-/// the pool and closed, so its transaction is rolled back by the server and never shared.
+/// The connection of an open transaction; closed, not shared, if the session ends first.
 #[derive(Debug)]
-struct Pinned {
-    connection: Option<Object>,
-}
+struct Pinned(Connection);
 
 impl Drop for Pinned {
     fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            drop(Object::take(connection));
-        }
+        self.0.close();
     }
 }
 
 impl Pinned {
-    fn client(&self) -> &Object {
-        self.connection
-            .as_ref()
-            .expect("a pinned connection is present until released")
-    }
-
-    /// Hands the connection back to the pool; the transaction is over.
+    /// Hands the connection back to its pool; the transaction is over.
     fn release(mut self) {
-        drop(self.connection.take());
+        let spent = Connection::spent();
+        drop(std::mem::replace(&mut self.0, spent));
     }
 }
 
@@ -105,7 +92,16 @@
 struct State {
     caller: Option<Caller>,
     floor: Option<Position>,
-    pinned: Option<Pinned>,
+    transaction: Transaction,
+}
+
+/// One query string on its way, with the time by which it is answered.
+#[derive(Clone, Copy, Debug)]
+struct Call<'a> {
+    query: &'a str,
+    plan: &'a Plan,
+    caller: &'a Caller,
+    deadline: Instant,
 }
 
 /// The handler of one caller connection.
@@ -115,6 +111,8 @@
     state: Mutex<State>,
 }
 
+type Answer = Result<Vec<Response>, Refusal>;
+
 impl Session {
     /// A session for a new caller connection.
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
@@ -124,63 +122,202 @@
         })
     }
 
-    /// The pool of the group's current primary.
-    fn primary_pool(&self, caller: &Caller) -> Result<Pool, Refusal> {
-        let view = self.shared.view.borrow().clone();
-        let group = view
-            .groups
-            .get(&caller.group)
-            .ok_or_else(|| Refusal::NotRun(format!("group {} is not ready", caller.group)))?;
-        let primary = group
-            .primary(Instant::now())
-            .ok_or_else(|| Refusal::NotRun(format!("group {} has no primary", caller.group)))?;
-        Ok(group.servers[primary].pool.clone())
+    async fn run(&self, query: &str, plan: &Plan) -> Answer {
+        let mut state = self.state.lock().await;
+        let caller = state
+            .caller
+            .clone()
+            .ok_or_else(|| Refusal::NotRun("no caller".to_owned()))?;
+        let call = Call {
+            query,
+            plan,
+            caller: &caller,
+            deadline: Instant::now() + caller.timeout,
+        };
+        match std::mem::take(&mut state.transaction) {
+            Transaction::None => self.outside(&mut state, call).await,
+            Transaction::Open(pinned) => self.inside(&mut state, pinned, call).await,
+            Transaction::Aborted => aborted(&mut state, &plan.kind),
+        }
     }
 
-    async fn checkout(&self, pool: &Pool) -> Result<Object, Refusal> {
-        let started = Instant::now();
-        let connection = pool.get().await;
-        self.shared
-            .metrics
-            .pool_wait(started.elapsed().as_secs_f64());
-        connection.map_err(|error| Refusal::NotRun(format!("no backend connection: {error}")))
+    /// Runs a query string that comes outside a transaction.
+    async fn outside(&self, state: &mut State, call: Call<'_>) -> Answer {
+        match &call.plan.kind {
+            Kind::ShowPosition => Ok(vec![answer::position_rows(state.floor)]),
+            Kind::SetPosition(token) => set_position(state, token),
+            Kind::Read => self.read(state, call).await,
+            Kind::Begin => self.begin(state, call).await,
+            Kind::Script { .. } => {
+                self.shared.metrics.write();
+                let connection = self.primary(call).await?;
+                self.inside(state, Box::new(Pinned(connection)), call).await
+            }
+            Kind::Write | Kind::Commit | Kind::Rollback | Kind::Unparsed => {
+                self.write(state, call).await
+            }
+        }
     }
 
-    async fn primary(&self, caller: &Caller) -> Result<Object, Refusal> {
-        let primary = self.primary_pool(caller)?;
-        self.checkout(&primary).await
+    async fn begin(&self, state: &mut State, call: Call<'_>) -> Answer {
+        self.shared.metrics.write();
+        let mut connection = self.primary(call).await?;
+        let (answer, _) = connection
+            .run(call.query, Along::Nothing, call.deadline)
+            .await;
+        match answer {
+            Ok(messages) => {
+                state.transaction = Transaction::Open(Box::new(Pinned(connection)));
+                Ok(answer::responses(messages, call.plan))
+            }
+            Err(Failure::Server(info)) => Err(Refusal::Server(info)),
+            Err(Failure::ReadOnly) => Err(not_leading(call.plan)),
+            Err(Failure::Lost(why)) => Err(Refusal::NotRun(why)),
+        }
     }
 
-    async fn read_target(&self, state: &mut State, caller: &Caller) -> Result<Object, Refusal> {
-        if caller.max_staleness.is_zero() {
-            self.shared.metrics.read(Target::Primary);
-            return self.primary(caller).await;
-        }
-        let floor = match state.floor {
-            Some(floor) => floor,
-            None => {
-                let barrier = self.barrier(caller).await?;
-                state.floor = Some(barrier);
-                barrier
+    /// Runs a write by itself. A server that does not lead has not run it, so it is offered to
+    /// the next primary; once it may have run, it is never sent again.
+    async fn write(&self, state: &mut State, call: Call<'_>) -> Answer {
+        self.shared.metrics.write();
+        let give_up = self.give_up(call);
+        loop {
+            let mut connection = self.primary(call).await?;
+            let (answer, position) = connection
+                .run(call.query, Along::Position, call.deadline)
+                .await;
+            if call.plan.kind == Kind::Unparsed {
+                // It may have left a transaction or a setting behind.
+                connection.close();
             }
+            state.floor = advance(state.floor, position);
+            match answer {
+                Ok(messages) => return Ok(answer::responses(messages, call.plan)),
+                Err(Failure::Server(info)) => return Err(Refusal::Server(info)),
+                Err(Failure::Lost(why)) => return Err(Refusal::Unknown(why)),
+                Err(Failure::ReadOnly) if call.plan.tags.len() == 1 && Instant::now() < give_up => {
+                    tokio::time::sleep(LOOK_AGAIN).await;
+                }
+                Err(Failure::ReadOnly) => return Err(not_leading(call.plan)),
+            }
+        }
+    }
+
+    /// Runs a query string on the connection of an open transaction.
+    async fn inside(&self, state: &mut State, mut pinned: Box<Pinned>, call: Call<'_>) -> Answer {
+        let along = match call.plan.kind {
+            Kind::Commit | Kind::Script { .. } => Along::Position,
+            _ => Along::Nothing,
         };
-        let view = self.shared.view.borrow().clone();
-        let Some(group) = view.groups.get(&caller.group) else {
-            return Err(Refusal::NotRun(format!(
-                "group {} is not ready",
-                caller.group
-            )));
+        let (answer, position) = pinned.0.run(call.query, along, call.deadline).await;
+        let open_after = match call.plan.kind {
+            Kind::Commit | Kind::Rollback => false,
+            Kind::Script { open_after } => open_after,
+            _ => true,
         };
-        if let Some(index) = route::replica(group, Need::Floor(floor), caller.max_staleness) {
-            self.shared.metrics.read(Target::Replica);
-            return self.checkout(&group.servers[index].pool).await;
+        if along == Along::Position {
+            state.floor = advance(state.floor, position);
+        }
+        let script = matches!(call.plan.kind, Kind::Script { .. });
+        let may_have_committed = script || call.plan.kind == Kind::Commit;
+        match answer {
+            Ok(messages) => {
+                match open_after {
+                    true => state.transaction = Transaction::Open(pinned),
+                    false => pinned.release(),
+                }
+                Ok(answer::responses(messages, call.plan))
+            }
+            Err(Failure::Server(info)) if !script && open_after => {
+                state.transaction = Transaction::Open(pinned);
+                Err(Refusal::Server(info))
+            }
+            Err(Failure::Server(info)) => {
+                // What a failed script or COMMIT left behind is not known: the connection is
+                // closed with `pinned`, which rolls back.
+                state.transaction = after_failure(&call.plan.kind);
+                Err(Refusal::Server(info))
+            }
+            Err(Failure::ReadOnly) => {
+                state.transaction = after_failure(&call.plan.kind);
+                Err(not_leading(call.plan))
+            }
+            Err(Failure::Lost(why)) => {
+                state.transaction = after_failure(&call.plan.kind);
+                Err(match may_have_committed {
+                    true => Refusal::Unknown(why),
+                    false => Refusal::NotRun(format!("{why}; the transaction is rolled back")),
+                })
+            }
         }
-        if let Some(connection) = self.checked_replica(group, floor, caller).await {
-            self.shared.metrics.read(Target::Replica);
-            return Ok(connection);
+    }
+
+    async fn read(&self, state: &mut State, call: Call<'_>) -> Answer {
+        if !call.caller.max_staleness.is_zero() {
+            let floor = self.floor(state, call).await?;
+            if let Some(mut replica) = self.replica(floor, call).await? {
+                self.shared.metrics.read(Target::Replica);
+                let (answer, _) = replica.run(call.query, Along::Nothing, call.deadline).await;
+                return read_answer(answer, call.plan);
+            }
         }
+        self.read_on_primary(state.floor, call).await
+    }
+
+    /// Reads on the primary, and passes the rows on only if it was confirmed to lead.
+    ///
+    /// Failure: a primary cut off with its data centre still believes it leads, and its rows
+    /// lack writes its successor acknowledged. Guard: see [`crate::backend::barrier`].
+    async fn read_on_primary(&self, floor: Option<Position>, call: Call<'_>) -> Answer {
         self.shared.metrics.read(Target::Primary);
-        self.primary(caller).await
+        let mut connection = self.primary(call).await?;
+        let (answer, barrier) = connection
+            .run(call.query, Along::Barrier, call.deadline)
+            .await;
+        match barrier {
+            Some(position) if position.covers(floor.unwrap_or_default()) => {
+                read_answer(answer, call.plan)
+            }
+            _ => {
+                connection.close();
+                let why = "the server did not confirm that it leads".to_owned();
+                Err(Refusal::Unknown(why))
+            }
+        }
+    }
+
+    /// The position the session's reads must see: its own, or a barrier on the primary.
+    async fn floor(&self, state: &mut State, call: Call<'_>) -> Result<Position, Refusal> {
+        if let Some(floor) = state.floor {
+            return Ok(floor);
+        }
+        let mut connection = self.primary(call).await?;
+        let give_up = self.give_up(call);
+        let barrier = connection.barrier(give_up).await;
+        let floor = barrier.map_err(|why| {
+            Refusal::NotRun(format!("the primary did not confirm that it leads: {why}"))
+        })?;
+        state.floor = Some(floor);
+        Ok(floor)
+    }
+
+    /// A connection to a replica that has applied `floor` and is within the caller's
+    /// staleness, if there is one.
+    async fn replica(
+        &self,
+        floor: Position,
+        call: Call<'_>,
+    ) -> Result<Option<Connection>, Refusal> {
+        let view = self.shared.view.borrow().clone();
+        let group = group(&view, call.caller)?;
+        let staleness = call.caller.max_staleness;
+        if let Some(index) = route::replica(group, Need::Floor(floor), staleness) {
+            // A replica that has just gone is no reason to fail a read another server can run.
+            if let Ok(connection) = self.checkout(&group.servers[index], call).await {
+                return Ok(Some(connection));
+            }
+        }
+        Ok(self.checked_replica(group, floor, call).await)
     }
 
     /// A replica connection whose own position, read just now, covers `floor`.
@@ -192,205 +329,127 @@
         &self,
         group: &Group,
         floor: Position,
-        caller: &Caller,
-    ) -> Option<Object> {
-        let index = route::replica(group, Need::Check, caller.max_staleness)?;
-        let connection = self.checkout(&group.servers[index].pool).await.ok()?;
-        let applied = position(&connection).await?;
+        call: Call<'_>,
+    ) -> Option<Connection> {
+        let index = route::replica(group, Need::Check, call.caller.max_staleness)?;
+        let connection = self.checkout(&group.servers[index], call).await.ok()?;
+        let applied = connection.position(call.deadline).await?;
         applied.covers(floor).then_some(connection)
     }
 
-    /// The primary's current position: every write acknowledged before now is at or below it.
-    async fn barrier(&self, caller: &Caller) -> Result<Position, Refusal> {
-        let connection = self.primary(caller).await?;
-        position(&connection)
+    async fn checkout(&self, server: &Server, call: Call<'_>) -> Result<Connection, String> {
+        self.take(&server.pool, &CancellationToken::new(), call)
             .await
-            .ok_or_else(|| Refusal::NotRun("the primary's position is unknown".to_owned()))
     }
 
-    async fn run(&self, query: &str, plan: &Plan) -> Result<Vec<Response>, Refusal> {
-        let mut state = self.state.lock().await;
-        let caller = state
-            .caller
-            .clone()
-            .ok_or_else(|| Refusal::NotRun("no caller".to_owned()))?;
-        if let Some(pinned) = state.pinned.take() {
-            return self.in_transaction(&mut state, pinned, query, plan).await;
-        }
-        match &plan.kind {
-            Kind::ShowPosition => Ok(vec![position_rows(state.floor)]),
-            Kind::SetPosition(token) => {
-                let token: Position = token
-                    .parse()
-                    .map_err(|error| Refusal::NotRun(format!("{error}")))?;
-                state.floor = Some(state.floor.map_or(token, |floor| floor.max(token)));
-                Ok(vec![Response::Execution(Tag::new("SET"))])
-            }
-            Kind::Read => {
-                let connection = self.read_target(&mut state, &caller).await?;
-                forward(&connection, query, plan).await
-            }
-            Kind::Begin => {
-                self.shared.metrics.write();
-                let connection = self.primary(&caller).await?;
-                let answer = forward(&connection, query, plan).await?;
-                state.pinned = Some(Pinned {
-                    connection: Some(connection),
-                });
-                Ok(answer)
-            }
-            Kind::Write | Kind::Commit | Kind::Rollback => {
-                self.shared.metrics.write();
-                let connection = self.primary(&caller).await?;
-                let answer = forward(&connection, query, plan).await?;
-                state.floor = advance(state.floor, position(&connection).await);
-                Ok(answer)
-            }
-        }
+    async fn take(
+        &self,
+        pool: &Pool,
+        superseded: &CancellationToken,
+        call: Call<'_>,
+    ) -> Result<Connection, String> {
+        let started = Instant::now();
+        let limit = self.give_up(call);
+        let checkout = Connection::checkout(pool, superseded);
+        let connection = tokio::time::timeout_at(limit.into(), checkout).await;
+        self.shared
+            .metrics
+            .pool_wait(started.elapsed().as_secs_f64());
+        connection.unwrap_or_else(|_| Err("no backend connection in time".to_owned()))
     }
 
-    async fn in_transaction(
-        &self,
-        state: &mut State,
-        pinned: Pinned,
-        query: &str,
-        plan: &Plan,
-    ) -> Result<Vec<Response>, Refusal> {
-        self.shared.metrics.write();
-        let answer = forward(pinned.client(), query, plan).await?;
-        match plan.kind {
-            Kind::Commit => {
-                state.floor = advance(state.floor, position(pinned.client()).await);
-                pinned.release();
+    /// When a statement that has not been sent yet is refused.
+    fn give_up(&self, call: Call<'_>) -> Instant {
+        call.deadline.min(Instant::now() + self.shared.patience)
+    }
+
+    /// A connection to the group's primary; while there is none, waits for one to be promoted.
+    async fn primary(&self, call: Call<'_>) -> Result<Connection, Refusal> {
+        let give_up = self.give_up(call);
+        let mut views = self.shared.view.clone();
+        loop {
+            let view = views.borrow_and_update().clone();
+            let group = group(&view, call.caller)?;
+            let why = match group.primary(Instant::now()) {
+                Some(index) => {
+                    let server = &group.servers[index];
+                    match self.take(&server.pool, &server.superseded, call).await {
+                        Ok(connection) => return Ok(connection),
+                        Err(why) => why,
+                    }
+                }
+                None => format!("group {} has no primary", call.caller.group),
+            };
+            let changed = tokio::time::timeout_at(give_up.into(), views.changed()).await;
+            if changed.is_err() {
+                return Err(Refusal::NotRun(why));
             }
-            Kind::Rollback => pinned.release(),
-            _ => state.pinned = Some(pinned),
         }
-        Ok(answer)
     }
 }
 
-/// The new floor after a write: the write's position, or a barrier when it is unknown.
-fn advance(floor: Option<Position>, written: Option<Position>) -> Option<Position> {
-    match (floor, written) {
-        (Some(floor), Some(written)) => Some(floor.max(written)),
-        (None, Some(written)) => Some(written),
-        (_, None) => None,
-    }
+fn group<'a>(view: &'a View, caller: &Caller) -> Result<&'a Group, Refusal> {
+    view.groups
+        .get(&caller.group)
+        .ok_or_else(|| Refusal::NotRun(format!("group {} is not ready", caller.group)))
 }
 
-/// Reads a backend's current log position.
-async fn position(connection: &Object) -> Option<Position> {
-    let messages = connection
-        .simple_query("SHOW dandelionpitch.position")
-        .await
-        .ok()?;
-    messages.iter().find_map(|message| match message {
-        SimpleQueryMessage::Row(row) => row.get(0)?.parse().ok(),
-        _ => None,
-    })
+fn set_position(state: &mut State, token: &str) -> Answer {
+    let token: Position = token
+        .parse()
+        .map_err(|error| Refusal::NotRun(format!("{error}")))?;
+    state.floor = Some(state.floor.map_or(token, |floor| floor.max(token)));
+    Ok(vec![Response::Execution(Tag::new("SET"))])
 }
 
-fn position_rows(floor: Option<Position>) -> Response {
-    let text = floor.map(|floor| floor.to_string()).unwrap_or_default();
-    text_response(vec![POSITION_SETTING.to_owned()], vec![vec![Some(text)]])
+/// The answer in a transaction that has failed: only its end is accepted, as a rollback.
+fn aborted(state: &mut State, kind: &Kind) -> Answer {
+    match kind {
+        Kind::Commit | Kind::Rollback => Ok(vec![Response::TransactionEnd(Tag::new("ROLLBACK"))]),
+        _ => {
+            state.transaction = Transaction::Aborted;
+            Err(Refusal::Aborted)
+        }
+    }
 }
 
-fn text_response(names: Vec<String>, rows: Vec<Vec<Option<String>>>) -> Response {
-    let fields: Vec<FieldInfo> = names
-        .into_iter()
-        .map(|name| FieldInfo::new(name, None, None, Type::TEXT, FieldFormat::Text))
-        .collect();
-    let schema = Arc::new(fields);
-    let mut encoded = Vec::with_capacity(rows.len());
-    for row in rows {
-        let mut encoder = DataRowEncoder::new(schema.clone());
-        for value in row {
-            if let Err(error) = encoder.encode_field(&value) {
-                encoded.push(Err(error));
-                continue;
-            }
-        }
-        encoded.push(Ok(encoder.take_row()));
+/// The state of a transaction in which a query string of this kind failed for good.
+fn after_failure(kind: &Kind) -> Transaction {
+    match kind {
+        Kind::Commit | Kind::Rollback => Transaction::None,
+        _ => Transaction::Aborted,
     }
-    Response::Query(QueryResponse::new(schema, stream::iter(encoded)))
 }
 
-/// Sends `query` on `connection` and turns the backend's answer into pgwire responses.
-async fn forward(connection: &Object, query: &str, plan: &Plan) -> Result<Vec<Response>, Refusal> {
-    let messages = match connection.simple_query(query).await {
-        Ok(messages) => messages,
-        Err(error) => match error.as_db_error() {
-            Some(db) => {
-                let code = db.code().code().to_owned();
-                let info = ErrorInfo::new("ERROR".to_owned(), code, db.message().to_owned());
-                return Ok(vec![Response::Error(Box::new(info))]);
-            }
-            None => {
-                return Err(Refusal::Unknown(format!(
-                    "backend connection failed: {error}"
-                )))
-            }
-        },
-    };
-    let mut responses = Vec::new();
-    let mut names: Option<Vec<String>> = None;
-    let mut rows = Vec::new();
-    let mut tags = plan.tags.iter();
-    for message in messages {
-        match message {
-            SimpleQueryMessage::RowDescription(columns) => {
-                names = Some(columns.iter().map(|c| c.name().to_owned()).collect());
-            }
-            SimpleQueryMessage::Row(row) => {
-                if names.is_none() {
-                    names = Some(row.columns().iter().map(|c| c.name().to_owned()).collect());
-                }
-                let values = (0..row.len())
-                    .map(|i| row.get(i).map(str::to_owned))
-                    .collect();
-                rows.push(values);
-            }
-            SimpleQueryMessage::CommandComplete(count) => {
-                let tag = tags.next().copied().unwrap_or("OK");
-                responses.push(complete(
-                    tag,
-                    count,
-                    names.take(),
-                    std::mem::take(&mut rows),
-                ));
-            }
-            _ => {}
-        }
+fn read_answer(answer: connection::Answer, plan: &Plan) -> Answer {
+    match answer {
+        Ok(messages) => Ok(answer::responses(messages, plan)),
+        Err(Failure::Server(info)) => Err(Refusal::Server(info)),
+        Err(Failure::ReadOnly) => Err(not_leading(plan)),
+        Err(Failure::Lost(why)) => Err(Refusal::Unknown(why)),
     }
-    Ok(responses)
 }
 
-fn complete(
-    tag: &str,
-    count: u64,
-    names: Option<Vec<String>>,
-    rows: Vec<Vec<Option<String>>>,
-) -> Response {
-    match (tag, names) {
-        (_, Some(names)) => text_response(names, rows),
-        ("BEGIN", None) => Response::TransactionStart(Tag::new(tag)),
-        ("COMMIT" | "ROLLBACK", None) => Response::TransactionEnd(Tag::new(tag)),
-        ("INSERT", None) => {
-            Response::Execution(Tag::new(tag).with_oid(0).with_rows(count as usize))
-        }
-        ("UPDATE" | "DELETE", None) => Response::Execution(Tag::new(tag).with_rows(count as usize)),
-        (tag, None) => Response::Execution(Tag::new(tag)),
+/// The refusal for a query string of which a server that does not lead refused a statement.
+/// Of several statements, those before it may have run and been kept.
+fn not_leading(plan: &Plan) -> Refusal {
+    let why = "its server does not lead".to_owned();
+    match plan.tags.len() {
+        1 => Refusal::NotRun(why),
+        _ => Refusal::Unknown(why),
     }
 }
 
+/// The new floor after a write: the write's position, or a barrier when it is unknown.
+fn advance(floor: Option<Position>, written: Option<Position>) -> Option<Position> {
+    written.map(|written| floor.map_or(written, |floor| floor.max(written)))
+}
+
 fn refuse(refusal: Refusal, metrics: &Metrics) -> Response {
-    let info = ErrorInfo::from(refusal);
-    metrics.refusal(match info.code.as_str() {
-        NOT_RUN => NOT_RUN,
-        _ => OUTCOME_UNKNOWN,
-    });
-    Response::Error(Box::new(info))
+    if let Some(code) = refusal.counted() {
+        metrics.refusal(code);
+    }
+    Response::Error(Box::new(ErrorInfo::from(refusal)))
 }
 
 /// The position token a caller brings in its startup options, as `-c dandelionpitch.position=T/L`.
@@ -448,7 +507,8 @@
         let plan = route::plan(query);
         let answer = self.run(query, &plan).await;
         let floor = self.state.lock().await.floor;
-        if let (Some(floor), Kind::Write | Kind::Commit) = (floor, &plan.kind) {
+        if let (Some(floor), Kind::Write | Kind::Commit | Kind::Script { .. }) = (floor, &plan.kind)
+        {
             let status = ParameterStatus::new(POSITION_SETTING.to_owned(), floor.to_string());
             client
                 .feed(PgWireBackendMessage::ParameterStatus(status))
--- /dev/null
+++ b/crates/proxy/src/session/answer.rs
@@ -0,0 +1,88 @@
+//! Turns a backend's answer into the messages a caller gets.
+
+use std::sync::Arc;
+
+use dandelionpitch_core::position::Position;
+use futures::stream;
+use pgwire::api::{
+    results::{DataRowEncoder, FieldFormat, FieldInfo, QueryResponse, Response, Tag},
+    Type,
+};
+use tokio_postgres::SimpleQueryMessage;
+
+use crate::route::{Plan, POSITION_SETTING};
+
+/// The answer to `SHOW dandelionpitch.position`.
+pub fn position_rows(floor: Option<Position>) -> Response {
+    let text = floor.map(|floor| floor.to_string()).unwrap_or_default();
+    text_response(vec![POSITION_SETTING.to_owned()], vec![vec![Some(text)]])
+}
+
+/// Rows of text under the given column names.
+fn text_response(names: Vec<String>, rows: Vec<Vec<Option<String>>>) -> Response {
+    let fields: Vec<FieldInfo> = names
+        .into_iter()
+        .map(|name| FieldInfo::new(name, None, None, Type::TEXT, FieldFormat::Text))
+        .collect();
+    let schema = Arc::new(fields);
+    let mut encoded = Vec::with_capacity(rows.len());
+    for row in rows {
+        let mut encoder = DataRowEncoder::new(schema.clone());
+        for value in row {
+            if let Err(error) = encoder.encode_field(&value) {
+                encoded.push(Err(error));
+                continue;
+            }
+        }
+        encoded.push(Ok(encoder.take_row()));
+    }
+    Response::Query(QueryResponse::new(schema, stream::iter(encoded)))
+}
+
+/// The responses for what a backend sent, with the command tags of `plan`, which
+/// `tokio-postgres` does not hand on.
+pub fn responses(messages: Vec<SimpleQueryMessage>, plan: &Plan) -> Vec<Response> {
+    let mut responses = Vec::new();
+    let mut names: Option<Vec<String>> = None;
+    let mut rows = Vec::new();
+    let mut tags = plan.tags.iter();
+    for message in messages {
+        match message {
+            SimpleQueryMessage::RowDescription(columns) => {
+                names = Some(columns.iter().map(|c| c.name().to_owned()).collect());
+            }
+            SimpleQueryMessage::Row(row) => {
+                names.get_or_insert_with(|| {
+                    row.columns().iter().map(|c| c.name().to_owned()).collect()
+                });
+                let text = |index| row.get(index).map(str::to_owned);
+                rows.push((0..row.len()).map(text).collect());
+            }
+            SimpleQueryMessage::CommandComplete(count) => {
+                let tag = tags.next().copied().unwrap_or("OK");
+                let rows = std::mem::take(&mut rows);
+                responses.push(complete(tag, count, names.take(), rows));
+            }
+            _ => {}
+        }
+    }
+    responses
+}
+
+fn complete(
+    tag: &str,
+    count: u64,
+    names: Option<Vec<String>>,
+    rows: Vec<Vec<Option<String>>>,
+) -> Response {
+    match (tag, names) {
+        (_, Some(names)) => text_response(names, rows),
+        ("BEGIN", None) => Response::TransactionStart(Tag::new(tag)),
+        ("COMMIT" | "ROLLBACK", None) => Response::TransactionEnd(Tag::new(tag)),
+        ("INSERT", None) => {
+            Response::Execution(Tag::new(tag).with_oid(0).with_rows(count as usize))
+        }
+        ("UPDATE" | "DELETE", None) => Response::Execution(Tag::new(tag).with_rows(count as usize)),
+        (tag, None) => Response::Execution(Tag::new(tag)),
+    }
+}
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -10,15 +10,15 @@
     time::{Duration, Instant},
 };
 
-use dandelionpitch_core::{bundle::Bundle, hash::Map, position::Position};
+use dandelionpitch_core::{bundle::Bundle, hash::Map, position::Position, primary::Record};
 use deadpool_postgres::Pool;
+use tokio_util::sync::CancellationToken;
 
 /// A status is trusted for routing this many status periods, so one slow poll does not take
 /// a server out of rotation.
 const FRESH_PERIODS: u32 = 3;
 /// The least time a status is trusted, whatever the period.
 const FRESH_MIN: Duration = Duration::from_secs(1);
-
 /// How long a status read every `period` is trusted for routing.
 pub fn fresh_for(period: Duration) -> Duration {
     (period * FRESH_PERIODS).max(FRESH_MIN)
@@ -35,13 +35,25 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Status {
     pub role: Role,
+    /// The highest term the server has accepted.
+    pub term: u64,
+    /// The last entry in its table.
     pub position: Position,
-    /// How far its table is behind the primary's log.
+    /// At most how old its table was at `read_at`.
     pub lag: Duration,
+    /// How long it had not heard from a primary at `read_at`.
+    pub silent: Duration,
     /// When the proxy read this.
     pub read_at: Instant,
 }
 
+impl Status {
+    /// At most how old the server's table is at `now`.
+    pub fn age(&self, now: Instant) -> Duration {
+        self.lag + now.duration_since(self.read_at)
+    }
+}
+
 /// One backend server of a group.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -49,6 +61,9 @@
     pub pool: Pool,
     /// `None` until the first status read succeeds, and after a read fails.
     pub status: Option<Status>,
+    /// Cancelled when another server has taken over from this one: what is under way here as
+    /// on a primary gets its final answer at once.
+    pub superseded: CancellationToken,
 }
 
 impl Server {
@@ -59,23 +74,64 @@
     }
 }
 
+/// The KV's record of a group's primary, as last seen.
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub record: Record,
+    /// The KV revision that wrote it.
+    pub revision: u64,
+    pub seen_at: Instant,
+}
+
 /// One database group's servers.
 #[derive(Clone, Debug, Default)]
 pub struct Group {
     pub servers: Vec<Server>,
     /// How long a server's status is trusted, from [`fresh_for`].
     pub fresh_for: Duration,
+    /// How long a claimed term keeps the old primary out of use before a server is promoted.
+    /// After it the claimant has failed, and the old primary, if it is there, may serve
+    /// again: the servers themselves refuse what a fence forbids.
+    pub claim_limit: Duration,
+    /// `None` while the KV has no record of this group.
+    pub held: Option<Held>,
 }
 
 impl Group {
-    /// The server that leads at the highest term among those with a fresh status.
+    /// The server that leads at the highest term among those with a fresh status, unless a
+    /// later term has been taken.
     pub fn primary(&self, now: Instant) -> Option<usize> {
-        (0..self.servers.len())
-            .filter_map(|index| Some((index, self.servers[index].fresh(now, self.fresh_for)?)))
-            .filter(|(_, status)| status.role == Role::Primary)
-            .max_by_key(|(_, status)| status.position.term)
+        let floor = self.term_floor(now);
+        self.fresh(now)
+            .filter(|(_, status)| status.role == Role::Primary && status.term >= floor)
+            .max_by_key(|(_, status)| status.term)
             .map(|(index, _)| index)
     }
+
+    /// The servers with a fresh status.
+    pub fn fresh(&self, now: Instant) -> impl Iterator<Item = (usize, Status)> + '_ {
+        let read = move |index: usize| {
+            let status = self.servers[index].fresh(now, self.fresh_for)?;
+            Some((index, status))
+        };
+        (0..self.servers.len()).filter_map(read)
+    }
+
+    /// Whether another proxy has taken a term and may still be about to promote at it.
+    pub fn claimed(&self, now: Instant) -> bool {
+        self.held.as_ref().is_some_and(|held| {
+            let pending = held.record.server.is_none();
+            pending && now.duration_since(held.seen_at) <= self.claim_limit
+        })
+    }
+
+    /// The lowest term a primary may have to be used.
+    fn term_floor(&self, now: Instant) -> u64 {
+        match &self.held {
+            Some(held) if held.record.server.is_some() || self.claimed(now) => held.record.term,
+            _ => 0,
+        }
+    }
 }
 
 /// The bundle in force and the groups built from it.
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -1,7 +1,8 @@
 //! The stand-in database group: servers on loopback that speak PostgreSQL wire protocol through
-//! `pgwire`, with terms, log positions, asynchronous replication with a settable lag, and
-//! promotion. Test support; not shipped.
+//! `pgwire`, with terms, log positions, replication with a settable lag, promotion, and faults.
+//! Test support; not shipped.
 
+mod fault;
 mod server;
 mod sql;
 mod state;
@@ -12,38 +13,140 @@
     time::{Duration, Instant},
 };
 
-use tokio::net::TcpListener;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
+use fault::{Fault, Faults};
 use state::Group;
 
-/// How often the replicas copy what is due from the primary's log.
+/// How often the primary reaches its replicas and they apply what is due.
 const REPLICATE_EVERY: Duration = Duration::from_millis(2);
+/// How long a restarted server waits before it tries again to listen on its address.
+const LISTEN_RETRY: Duration = Duration::from_millis(10);
+
+/// How a stand-in group behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// How many servers; the first is primary.
+    pub servers: usize,
+    /// How late a replica applies what it has received.
+    pub lag: Duration,
+    /// How many replicas must receive a commit before it is acknowledged.
+    pub sync: usize,
+    /// How long a promotion takes.
+    pub promote: Duration,
+}
+
+/// What the connections to all servers of a group share.
+#[derive(Debug)]
+pub struct Shared {
+    settings: Settings,
+    group: Mutex<Group>,
+    faults: Mutex<Faults>,
+    up: Vec<watch::Sender<bool>>,
+}
 
-/// Serves a group of `count` servers on `host` until the process ends; prints their
-/// addresses on stdout, the first being the primary.
-pub async fn serve(host: std::net::IpAddr, count: usize, lag: Duration) -> std::io::Result<()> {
-    let group = Arc::new(Mutex::new(Group::new(count, lag)));
-    let mut addresses: Vec<SocketAddr> = Vec::with_capacity(count);
-    for index in 0..count {
+impl Shared {
+    fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            group: Mutex::new(Group::new(settings.servers, settings.lag, settings.sync)),
+            faults: Mutex::new(Faults::default()),
+            up: (0..settings.servers)
+                .map(|_| watch::channel(true).0)
+                .collect(),
+        }
+    }
+
+    /// Whether a caller in `dc` gets no answer from `server` now.
+    fn blocked(&self, server: usize, dc: &str) -> bool {
+        self.group.lock().unwrap().frozen(server) || self.faults.lock().unwrap().cut(server, dc)
+    }
+
+    /// Switches a fault on or off; an unknown server is refused.
+    fn set(&self, fault: Fault) -> Result<(), String> {
+        if fault.server() >= self.settings.servers {
+            return Err(format!("no server {}", fault.server()));
+        }
+        let mut group = self.group.lock().unwrap();
+        let mut faults = self.faults.lock().unwrap();
+        match fault {
+            Fault::Kill(server) => {
+                group.set_up(server, false);
+                self.up[server].send_replace(false);
+            }
+            Fault::Start(server) => {
+                group.set_up(server, true);
+                self.up[server].send_replace(true);
+            }
+            Fault::Freeze(server) => group.set_frozen(server, true),
+            Fault::Thaw(server) => group.set_frozen(server, false),
+            Fault::Isolate(server) => group.set_isolated(server, true),
+            Fault::Join(server) => group.set_isolated(server, false),
+            Fault::Cut(server, dc) => faults.set_cut(server, dc, true),
+            Fault::Heal(server, dc) => faults.set_cut(server, dc, false),
+            Fault::SlowFence(server, ms) => faults.set_slow_fence(server, ms),
+        }
+        Ok(())
+    }
+}
+
+/// Serves a group on `host` until the process ends; prints the servers' addresses on stdout,
+/// the first being the primary.
+pub async fn serve(host: std::net::IpAddr, settings: Settings) -> std::io::Result<()> {
+    let shared = Arc::new(Shared::new(settings));
+    let mut addresses: Vec<SocketAddr> = Vec::with_capacity(settings.servers);
+    for index in 0..settings.servers {
         let listener = TcpListener::bind((host, 0)).await?;
         addresses.push(listener.local_addr()?);
-        tokio::spawn(accept(listener, group.clone(), index));
+        tokio::spawn(run(listener, shared.clone(), index));
     }
     let list: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
     crate::announce(&list.join(","));
     loop {
         tokio::time::sleep(REPLICATE_EVERY).await;
-        group.lock().unwrap().replicate(Instant::now());
+        shared.group.lock().unwrap().replicate(Instant::now());
     }
 }
 
-async fn accept(listener: TcpListener, group: Arc<Mutex<Group>>, index: usize) {
+/// Runs one server through its kills and starts.
+async fn run(listener: TcpListener, shared: Arc<Shared>, index: usize) {
+    let address = listener.local_addr().expect("a bound listener");
+    let mut up = shared.up[index].subscribe();
+    let mut listener = Some(listener);
+    loop {
+        if let Some(open) = listener.take() {
+            tokio::select! {
+                () = accept(open, &shared, index) => {}
+                _ = up.wait_for(|up| !up) => {}
+            }
+        }
+        let _ = up.wait_for(|up| *up).await;
+        match TcpListener::bind(address).await {
+            Ok(open) => listener = Some(open),
+            Err(_) => tokio::time::sleep(LISTEN_RETRY).await,
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: &Arc<Shared>, index: usize) {
     loop {
         let Ok((socket, _)) = listener.accept().await else {
             continue;
         };
-        let _ = socket.set_nodelay(true);
-        let handlers = server::Handlers(server::Connection::new(group.clone(), index));
-        tokio::spawn(pgwire::tokio::process_socket(socket, None, handlers));
+        tokio::spawn(serve_connection(socket, shared.clone(), index));
+    }
+}
+
+/// Serves one connection until it ends or the server is killed.
+async fn serve_connection(socket: TcpStream, shared: Arc<Shared>, index: usize) {
+    let _ = socket.set_nodelay(true);
+    let mut up = shared.up[index].subscribe();
+    let handlers = server::Handlers(server::Connection::new(shared, index));
+    tokio::select! {
+        _ = pgwire::tokio::process_socket(socket, None, handlers) => {}
+        _ = up.wait_for(|up| !up) => {}
     }
 }
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -21,28 +21,44 @@
 
 use super::{
     sql::{self, Command},
-    state::{Group, Op, Refusal},
+    state::{Entry, Op, Progress, Refusal},
+    Shared,
 };
 
+/// How often a wait for replicas, or for the end of a freeze or cut, looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(1);
+
 /// The handler of one caller connection to server `index`.
 pub struct Connection {
-    group: Arc<Mutex<Group>>,
+    shared: Arc<Shared>,
     index: usize,
+    /// The caller's data centre, the middle part of an application name such as
+    /// `dandelionpitch/dc-1/proxy-1`; empty for callers that are not proxies.
+    dc: Mutex<String>,
     /// The ops of the open transaction, if one is open.
     pending: Mutex<Option<Vec<Op>>>,
 }
 
 impl Connection {
-    /// A handler for a new connection to server `index` of `group`.
-    pub fn new(group: Arc<Mutex<Group>>, index: usize) -> Arc<Self> {
+    /// A handler for a new connection to server `index` of a group.
+    pub fn new(shared: Arc<Shared>, index: usize) -> Arc<Self> {
         Arc::new(Self {
-            group,
+            shared,
             index,
+            dc: Mutex::new(String::new()),
             pending: Mutex::new(None),
         })
     }
 
-    fn run(&self, command: Command) -> PgWireResult<Response> {
+    /// Waits while the server is frozen or cut off from this caller.
+    async fn gate(&self) {
+        let dc = self.dc.lock().unwrap().clone();
+        while self.shared.blocked(self.index, &dc) {
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    async fn run(&self, command: Command) -> PgWireResult<Response> {
         match command {
             Command::Begin => {
                 *self.pending.lock().unwrap() = Some(Vec::new());
@@ -51,7 +67,7 @@
             Command::Commit => {
                 let ops = self.pending.lock().unwrap().take().unwrap_or_default();
                 if !ops.is_empty() {
-                    self.commit(ops)?;
+                    self.commit(ops).await?;
                 }
                 Ok(Response::TransactionEnd(Tag::new("COMMIT")))
             }
@@ -59,9 +75,10 @@
                 *self.pending.lock().unwrap() = None;
                 Ok(Response::TransactionEnd(Tag::new("ROLLBACK")))
             }
-            Command::Write(op) => self.write(op),
+            Command::Write(op) => self.write(op).await,
             Command::Select(id) => {
-                let rows = self.group.lock().unwrap().select(self.index, id.as_deref());
+                let group = self.shared.group.lock().unwrap();
+                let rows = group.select(self.index, id.as_deref());
                 let rows = rows.into_iter().map(|(id, body)| vec![id, body]).collect();
                 text_rows(&["id", "body"], rows)
             }
@@ -71,77 +88,152 @@
                 text_rows(&names, vec![values])
             }
             Command::Show(name) => self.show(&name),
-            Command::Promote(term) => {
-                let position = self.group.lock().unwrap().promote(self.index, term);
-                let position = position.map_err(|text| error("55000", text))?;
-                text_rows(&["position"], vec![vec![position.to_string()]])
-            }
+            Command::Barrier => self.barrier().await,
+            Command::Fence(term) => self.fence(term).await,
+            Command::Promote(term) => self.promote(term).await,
             Command::Lag(ms) => {
                 let lag = Duration::from_millis(ms);
-                self.group.lock().unwrap().set_lag(self.index, lag);
+                let mut group = self.shared.group.lock().unwrap();
+                group.set_lag(self.index, lag);
                 text_rows(&["lag_ms"], vec![vec![ms.to_string()]])
             }
-            Command::Sleep(_) => Err(error("0A000", "dandelionpitch_sleep runs only on its own")),
+            Command::Sleep(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                text_rows(&["sleep"], vec![vec![String::new()]])
+            }
+            Command::Fault(fault) => {
+                let outcome = self.shared.set(fault);
+                outcome.map_err(|text| error("22023", text))?;
+                text_rows(&["fault"], vec![vec!["set".to_owned()]])
+            }
         }
     }
 
-    fn write(&self, op: Op) -> PgWireResult<Response> {
+    async fn write(&self, op: Op) -> PgWireResult<Response> {
         let tag = match &op {
             Op::Insert { .. } => Tag::new("INSERT").with_oid(0).with_rows(1),
             Op::Update { .. } => Tag::new("UPDATE").with_rows(1),
             Op::Delete { .. } => Tag::new("DELETE").with_rows(1),
         };
-        let mut pending = self.pending.lock().unwrap();
-        match pending.as_mut() {
-            Some(ops) => ops.push(op),
-            None => {
-                drop(pending);
-                self.commit(vec![op])?;
-            }
+        if let Some(op) = self.defer(op) {
+            self.commit(vec![op]).await?;
         }
         Ok(Response::Execution(tag))
     }
 
-    fn commit(&self, ops: Vec<Op>) -> PgWireResult<()> {
-        let outcome = self.group.lock().unwrap().commit(self.index, ops);
-        outcome.map(|_| ()).map_err(|refusal| match refusal {
-            Refusal::ReadOnly => error(
-                "25006",
-                "cannot execute a write in a read-only transaction".to_owned(),
-            ),
+    /// Keeps `op` for the open transaction, or hands it back when none is open.
+    fn defer(&self, op: Op) -> Option<Op> {
+        match self.pending.lock().unwrap().as_mut() {
+            Some(ops) => {
+                ops.push(op);
+                None
+            }
+            None => Some(op),
+        }
+    }
+
+    /// Commits `ops` and waits until enough replicas have received them.
+    async fn commit(&self, ops: Vec<Op>) -> PgWireResult<()> {
+        let outcome = self.shared.group.lock().unwrap().commit(self.index, ops);
+        let position = outcome.map_err(|refusal| match refusal {
+            Refusal::ReadOnly => read_only(),
             Refusal::Duplicate(id) => error(
                 "23505",
                 format!("duplicate key value violates unique constraint: id {id}"),
             ),
-        })
+        })?;
+        loop {
+            let progress = {
+                let mut group = self.shared.group.lock().unwrap();
+                group.progress(self.index, position)
+            };
+            match progress {
+                Progress::Done => return Ok(()),
+                Progress::Waiting => tokio::time::sleep(LOOK_AGAIN).await,
+                Progress::Lost => {
+                    return Err(error(
+                        "40003",
+                        "the server lost the lead before the commit was replicated",
+                    ))
+                }
+            }
+        }
+    }
+
+    /// The server's position, once enough replicas confirm that it leads.
+    async fn barrier(&self) -> PgWireResult<Response> {
+        loop {
+            let (progress, position) = {
+                let mut group = self.shared.group.lock().unwrap();
+                let position = group.status(self.index, Instant::now()).position;
+                (group.confirm(self.index), position)
+            };
+            match progress {
+                Progress::Done => {
+                    return text_rows(&["position"], vec![vec![position.to_string()]])
+                }
+                Progress::Waiting => tokio::time::sleep(LOOK_AGAIN).await,
+                Progress::Lost => return Err(read_only()),
+            }
+        }
+    }
+
+    async fn fence(&self, term: u64) -> PgWireResult<Response> {
+        let outcome = self.shared.group.lock().unwrap().fence(self.index, term);
+        let received = outcome.map_err(|text| error("55000", text))?;
+        let late = self.shared.faults.lock().unwrap().slow_fence(self.index);
+        tokio::time::sleep(Duration::from_millis(late)).await;
+        text_rows(&["received"], vec![vec![received.to_string()]])
+    }
+
+    async fn promote(&self, term: u64) -> PgWireResult<Response> {
+        tokio::time::sleep(self.shared.settings.promote).await;
+        let outcome = self.shared.group.lock().unwrap().promote(self.index, term);
+        let position = outcome.map_err(|text| error("55000", text))?;
+        text_rows(&["position"], vec![vec![position.to_string()]])
     }
 
     fn show(&self, name: &str) -> PgWireResult<Response> {
-        let status = self
-            .group
-            .lock()
-            .unwrap()
-            .status(self.index, Instant::now());
+        let group = self.shared.group.lock().unwrap();
+        let status = group.status(self.index, Instant::now());
         match name {
             "dandelionpitch.status" => text_rows(
-                &["server", "role", "term", "lsn", "lag_ms"],
+                &["server", "role", "term", "position", "lag_ms", "silent_ms"],
                 vec![vec![
                     status.server.to_string(),
                     status.role.name().to_owned(),
-                    status.position.term.to_string(),
-                    status.position.lsn.to_string(),
+                    status.term.to_string(),
+                    status.position.to_string(),
                     status.lag.as_millis().to_string(),
+                    status.silent.as_millis().to_string(),
                 ]],
             ),
             "dandelionpitch.position" => {
                 text_rows(&["position"], vec![vec![status.position.to_string()]])
             }
+            "dandelionpitch.history" => {
+                let rows = group.log(self.index).iter().flat_map(rows_of).collect();
+                text_rows(&["position", "id"], rows)
+            }
             "dandelionpitch.server" => text_rows(&["server"], vec![vec![self.index.to_string()]]),
             other => Err(error("42704", format!("unrecognized parameter {other:?}"))),
         }
     }
 }
 
+/// One row per change of a log entry: its position and the id of the changed row.
+fn rows_of(entry: &Entry) -> Vec<Vec<String>> {
+    let row = |op: &Op| vec![entry.position.to_string(), op.id().to_owned()];
+    entry.ops.iter().map(row).collect()
+}
+
+fn read_only() -> PgWireError {
+    error(
+        "25006",
+        "cannot execute a write in a read-only transaction".to_owned(),
+    )
+}
+
 fn error(code: &str, text: impl Into<String>) -> PgWireError {
     let info = ErrorInfo::new("ERROR".to_owned(), code.to_owned(), text.into());
     PgWireError::UserError(Box::new(info))
@@ -176,7 +268,24 @@
 }
 
 #[async_trait]
-impl NoopStartupHandler for Connection {}
+impl NoopStartupHandler for Connection {
+    async fn post_startup<C>(
+        &self,
+        client: &mut C,
+        _message: pgwire::messages::PgWireFrontendMessage,
+    ) -> PgWireResult<()>
+    where
+        C: ClientInfo + Sink<PgWireBackendMessage> + Unpin + Send,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let name = client.metadata().get("application_name");
+        let dc = name.and_then(|name| name.split('/').nth(1));
+        *self.dc.lock().unwrap() = dc.unwrap_or_default().to_owned();
+        self.gate().await;
+        Ok(())
+    }
+}
 
 #[async_trait]
 impl SimpleQueryHandler for Connection {
@@ -188,13 +297,9 @@
     {
         let commands = sql::parse(query).map_err(|text| error("42601", text))?;
         let mut responses = Vec::with_capacity(commands.len());
+        self.gate().await;
         for command in commands {
-            if let Command::Sleep(ms) = command {
-                tokio::time::sleep(Duration::from_millis(ms)).await;
-                responses.push(text_rows(&["sleep"], vec![vec![String::new()]])?);
-                continue;
-            }
-            match self.run(command) {
+            match self.run(command).await {
                 Ok(response) => responses.push(response),
                 Err(PgWireError::UserError(info)) => {
                     responses.push(Response::Error(info));
@@ -203,6 +308,7 @@
                 Err(other) => return Err(other),
             }
         }
+        self.gate().await;
         Ok(responses)
     }
 }
--- a/crates/standin/src/group/sql.rs
+++ b/crates/standin/src/group/sql.rs
@@ -10,7 +10,7 @@
     parser::Parser,
 };
 
-use super::state::Op;
+use super::{fault::Fault, state::Op};
 
 /// One statement, as the stand-in executes it.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,8 +26,14 @@
     Literal(Vec<String>),
     /// `SHOW dandelionpitch.<name>`.
     Show(String),
+    /// `SELECT dandelionpitch_barrier()`: the position, once replicas confirm the server leads.
+    Barrier,
+    /// `SELECT dandelionpitch_fence(term)`: hold that term and take nothing from lower ones.
+    Fence(u64),
     /// `SELECT dandelionpitch_promote(term)`: become primary at that term.
     Promote(u64),
+    /// `SELECT dandelionpitch_fault(kind, server[, detail])`: an experiment's fault.
+    Fault(Fault),
     /// `SELECT dandelionpitch_lag(ms)`: apply the primary's log this much later.
     Lag(u64),
     /// `SELECT dandelionpitch_sleep(ms)`: wait that many milliseconds, to stand for a slow statement.
@@ -164,16 +170,25 @@
     let FunctionArguments::List(list) = &function.args else {
         return Ok(None);
     };
-    let argument = list.args.first().and_then(|arg| match arg {
-        FunctionArg::Unnamed(FunctionArgExpr::Expr(expr)) => literal(expr),
-        _ => None,
-    });
-    let number = || argument.clone().ok_or(format!("{name} needs a number"));
-    let bad = |_| format!("{name} needs a number");
+    let arguments: Vec<String> = list.args.iter().filter_map(argument).collect();
+    let number = || {
+        let first = arguments.first().and_then(|text| text.parse::<u64>().ok());
+        first.ok_or_else(|| format!("{name} needs a number"))
+    };
     Ok(match name.as_str() {
-        "dandelionpitch_promote" => Some(Command::Promote(number()?.parse().map_err(bad)?)),
-        "dandelionpitch_lag" => Some(Command::Lag(number()?.parse().map_err(bad)?)),
-        "dandelionpitch_sleep" => Some(Command::Sleep(number()?.parse().map_err(bad)?)),
+        "dandelionpitch_barrier" => Some(Command::Barrier),
+        "dandelionpitch_fence" => Some(Command::Fence(number()?)),
+        "dandelionpitch_promote" => Some(Command::Promote(number()?)),
+        "dandelionpitch_lag" => Some(Command::Lag(number()?)),
+        "dandelionpitch_sleep" => Some(Command::Sleep(number()?)),
+        "dandelionpitch_fault" => Some(Command::Fault(Fault::parse(&arguments)?)),
         _ => None,
     })
 }
+
+fn argument(argument: &FunctionArg) -> Option<String> {
+    match argument {
+        FunctionArg::Unnamed(FunctionArgExpr::Expr(expr)) => literal(expr),
+        _ => None,
+    }
+}
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -1,5 +1,9 @@
-//! The replicated state of a stand-in group: each server's role, term, log and table, and the
-//! asynchronous copying of the primary's log to the replicas after a settable lag.
+//! The replicated state of a stand-in group: each server's role, term, log and table.
+//!
+//! The primary hands each new entry to the replicas it reaches, which receive it at once and
+//! apply it after their lag. A commit is acknowledged once `sync` replicas have received it,
+//! as with PostgreSQL's `synchronous_standby_names = 'ANY 1 (...)'`. A server that holds a
+//! term refuses entries of any lower one.
 
 use std::{
     collections::BTreeMap,
@@ -8,6 +12,9 @@
 
 use dandelionpitch_core::position::Position;
 
+/// A superseded primary goes on leading until this long after it can reach its successor.
+const STEP_DOWN_AFTER: Duration = Duration::from_secs(1);
+
 /// A change of the ledger table.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Op {
@@ -16,11 +23,20 @@
     Delete { id: String },
 }
 
+impl Op {
+    /// The id of the row this changes.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Insert { id, .. } | Self::Update { id, .. } | Self::Delete { id } => id,
+        }
+    }
+}
+
 /// One committed transaction in a server's log.
 #[derive(Clone, Debug)]
-struct Entry {
-    position: Position,
-    ops: Vec<Op>,
+pub struct Entry {
+    pub position: Position,
+    pub ops: Vec<Op>,
     at: Instant,
 }
 
@@ -50,41 +66,109 @@
     Duplicate(String),
 }
 
+/// How far a commit or a confirmation of leadership has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Enough replicas have it.
+    Done,
+    /// Not enough replicas have it yet.
+    Waiting,
+    /// The server no longer leads in that term; it will never be acknowledged.
+    Lost,
+}
+
 /// The status a server reports on `SHOW dandelionpitch.status`.
 #[derive(Clone, Debug)]
 pub struct Status {
     pub server: usize,
     pub role: Role,
+    /// The highest term the server has accepted.
+    pub term: u64,
+    /// The last entry in its table.
     pub position: Position,
-    /// How far behind the primary's log this server's table is, zero when caught up.
+    /// At most how old its table is.
     pub lag: Duration,
+    /// How long since it last heard from a primary.
+    pub silent: Duration,
 }
 
 #[derive(Debug)]
 struct Server {
     role: Role,
     term: u64,
+    /// Everything received; the first `applied` entries are in the table.
     log: Vec<Entry>,
+    applied: usize,
     table: BTreeMap<String, String>,
     lag: Duration,
+    heard_at: Instant,
+    /// When this primary first reached a server of a later term.
+    outranked_at: Option<Instant>,
+    up: bool,
+    frozen: bool,
+    isolated: bool,
 }
 
 impl Server {
+    fn new(role: Role, lag: Duration, now: Instant) -> Self {
+        let first = Entry {
+            position: Position { term: 1, lsn: 1 },
+            ops: Vec::new(),
+            at: now,
+        };
+        Self {
+            role,
+            term: 1,
+            log: vec![first],
+            applied: 1,
+            table: BTreeMap::new(),
+            lag,
+            heard_at: now,
+            outranked_at: None,
+            up: true,
+            frozen: false,
+            isolated: false,
+        }
+    }
+
+    fn received(&self) -> Position {
+        self.log
+            .last()
+            .map_or_else(Position::default, |entry| entry.position)
+    }
+
     fn position(&self) -> Position {
-        self.log.last().map_or(
-            Position {
-                term: self.term,
-                lsn: 0,
-            },
-            |entry| Position {
-                term: self.term,
-                lsn: entry.position.lsn,
-            },
-        )
-    }
-
-    fn apply(&mut self, entry: Entry) {
-        for op in &entry.ops {
+        match self.applied {
+            0 => Position::default(),
+            count => self.log[count - 1].position,
+        }
+    }
+
+    /// Whether the entry at `position` is in the log; numbers start at 1 without gaps.
+    fn holds(&self, position: Position) -> bool {
+        self.log
+            .get(position.lsn as usize - 1)
+            .is_some_and(|entry| entry.position == position)
+    }
+
+    fn append(&mut self, ops: Vec<Op>) -> Position {
+        let position = Position {
+            term: self.term,
+            lsn: self.received().lsn + 1,
+        };
+        let at = Instant::now();
+        self.log.push(Entry { position, ops, at });
+        position
+    }
+
+    fn apply_all(&mut self) {
+        while self.applied < self.log.len() {
+            self.apply_next();
+        }
+    }
+
+    fn apply_next(&mut self) {
+        for op in &self.log[self.applied].ops {
             match op {
                 Op::Insert { id, body } | Op::Update { id, body } => {
                     self.table.insert(id.clone(), body.clone());
@@ -94,35 +178,63 @@
                 }
             }
         }
-        self.log.push(entry);
+        self.applied += 1;
+    }
+
+    /// Drops the entries from `keep` on, and rebuilds the table if any was applied.
+    fn rewind(&mut self, keep: usize) {
+        self.log.truncate(keep);
+        if self.applied > keep {
+            self.applied = 0;
+            self.table.clear();
+            while self.applied < keep {
+                self.apply_next();
+            }
+        }
+    }
+
+    /// How many leading entries of this log are the same as in `other`.
+    fn common(&self, other: &[Entry]) -> usize {
+        let mut count = self.log.len().min(other.len());
+        while count > 0 && self.log[count - 1].position != other[count - 1].position {
+            count -= 1;
+        }
+        count
+    }
+
+    fn reachable(&self) -> bool {
+        self.up && !self.frozen && !self.isolated
+    }
+
+    fn step_down(&mut self) {
+        self.role = Role::Replica;
+        self.outranked_at = None;
     }
 }
 
-/// All servers of one group.
+/// All servers of one group, behind one lock.
 #[derive(Debug)]
 pub struct Group {
     servers: Vec<Server>,
+    sync: usize,
 }
 
 impl Group {
-    /// A group of `count` servers; the first is primary at term 1.
-    pub fn new(count: usize, lag: Duration) -> Self {
+    /// `count` servers, the first primary at term 1; each replica applies after `lag`, and a
+    /// commit needs `sync` replicas.
+    pub fn new(count: usize, lag: Duration, sync: usize) -> Self {
+        let now = Instant::now();
         let servers = (0..count)
-            .map(|index| Server {
-                role: match index {
-                    0 => Role::Primary,
-                    _ => Role::Replica,
-                },
-                term: 1,
-                log: Vec::new(),
-                table: BTreeMap::new(),
-                lag,
+            .map(|index| match index {
+                0 => Server::new(Role::Primary, lag, now),
+                _ => Server::new(Role::Replica, lag, now),
             })
             .collect();
-        Self { servers }
+        Self { servers, sync }
     }
 
-    /// Commits `ops` on `server` as one log entry and returns its position.
+    /// Commits `ops` on `server` as one log entry; [`Group::progress`] tells when it may be
+    /// acknowledged.
     pub fn commit(&mut self, server: usize, ops: Vec<Op>) -> Result<Position, Refusal> {
         let target = &mut self.servers[server];
         if target.role != Role::Primary {
@@ -135,15 +247,38 @@
                 }
             }
         }
-        let position = Position {
-            term: target.term,
-            lsn: target.position().lsn + 1,
-        };
-        let at = Instant::now();
-        target.apply(Entry { position, ops, at });
+        let position = target.append(ops);
+        target.apply_all();
+        self.deliver(server, Instant::now());
         Ok(position)
     }
 
+    /// Whether enough replicas hold the entry at `position`, committed on `server`.
+    pub fn progress(&mut self, server: usize, position: Position) -> Progress {
+        let leader = &self.servers[server];
+        if leader.role != Role::Primary || leader.term != position.term {
+            return Progress::Lost;
+        }
+        let holders = (0..self.servers.len())
+            .filter(|&index| index != server && self.servers[index].holds(position))
+            .count();
+        match holders >= self.sync {
+            true => Progress::Done,
+            false => Progress::Waiting,
+        }
+    }
+
+    /// Whether `server` leads right now: enough replicas accept it as their primary.
+    pub fn confirm(&mut self, server: usize) -> Progress {
+        if self.servers[server].role != Role::Primary {
+            return Progress::Lost;
+        }
+        match self.deliver(server, Instant::now()) >= self.sync {
+            true => Progress::Done,
+            false => Progress::Waiting,
+        }
+    }
+
     /// The rows of `server`'s table, all or the one with `id`.
     pub fn select(&self, server: usize, id: Option<&str>) -> Vec<(String, String)> {
         let table = &self.servers[server].table;
@@ -157,73 +292,144 @@
         }
     }
 
-    fn leader(&self) -> Option<usize> {
-        (0..self.servers.len())
-            .filter(|&index| self.servers[index].role == Role::Primary)
-            .max_by_key(|&index| self.servers[index].term)
+    /// The entries in `server`'s log.
+    pub fn log(&self, server: usize) -> &[Entry] {
+        &self.servers[server].log
     }
 
     /// The status of `server`.
     pub fn status(&self, server: usize, now: Instant) -> Status {
         let this = &self.servers[server];
-        let lag = match (this.role, self.leader()) {
-            (Role::Replica, Some(leader)) => {
-                let applied = this.position().lsn;
-                self.servers[leader]
-                    .log
-                    .iter()
-                    .find(|entry| entry.position.lsn > applied)
-                    .map_or(Duration::ZERO, |entry| now.duration_since(entry.at))
-            }
-            _ => Duration::ZERO,
+        let silent = match this.role {
+            Role::Primary => Duration::ZERO,
+            Role::Replica => now.duration_since(this.heard_at),
         };
+        let waiting = this
+            .log
+            .get(this.applied)
+            .map_or(Duration::ZERO, |entry| now.duration_since(entry.at));
         Status {
             server,
             role: this.role,
+            term: this.term,
             position: this.position(),
-            lag,
+            lag: silent.max(waiting),
+            silent,
+        }
+    }
+
+    /// Makes `server` hold `term`: it takes nothing from a primary of a lower term any more,
+    /// and steps down if it is one. Returns the last position it has received.
+    pub fn fence(&mut self, server: usize, term: u64) -> Result<Position, String> {
+        let target = &mut self.servers[server];
+        if term < target.term || (term == target.term && target.role == Role::Primary) {
+            return Err(format!("term {term} is not above {}", target.term));
         }
+        target.term = term;
+        target.step_down();
+        Ok(target.received())
     }
 
-    /// Makes `server` primary at `term`; refused when `term` is not above its own.
+    /// Makes `server` primary at `term` with what it has received; refused below its term.
     pub fn promote(&mut self, server: usize, term: u64) -> Result<Position, String> {
         let target = &mut self.servers[server];
-        if term <= target.term {
+        if target.role == Role::Primary && target.term == term {
+            return Ok(target.position());
+        }
+        if term < target.term || target.role == Role::Primary {
             return Err(format!("term {term} is not above {}", target.term));
         }
-        target.role = Role::Primary;
         target.term = term;
-        Ok(target.position())
+        target.role = Role::Primary;
+        let position = target.append(Vec::new());
+        target.apply_all();
+        Ok(position)
     }
 
-    /// Sets how late `server` applies the primary's log.
+    /// Sets how late `server` applies what it receives.
     pub fn set_lag(&mut self, server: usize, lag: Duration) {
         self.servers[server].lag = lag;
     }
 
-    /// Copies to each replica the primary's entries that are older than its lag.
+    /// Stops or starts `server`. It comes back with its log, as a replica if another server
+    /// was promoted meanwhile.
+    pub fn set_up(&mut self, server: usize, up: bool) {
+        let top = self.servers.iter().map(|other| other.term).max();
+        let target = &mut self.servers[server];
+        target.up = up;
+        if up && top.is_some_and(|top| top > target.term) {
+            target.step_down();
+        }
+    }
+
+    /// Freezes or thaws `server`: it neither answers nor replicates while frozen.
+    pub fn set_frozen(&mut self, server: usize, frozen: bool) {
+        self.servers[server].frozen = frozen;
+    }
+
+    /// Whether `server` is frozen.
+    pub fn frozen(&self, server: usize) -> bool {
+        self.servers[server].frozen
+    }
+
+    /// Cuts `server` off from the other servers, or joins it again.
+    pub fn set_isolated(&mut self, server: usize, isolated: bool) {
+        self.servers[server].isolated = isolated;
+    }
+
+    /// Lets every primary reach its replicas, and every replica apply what is due.
     pub fn replicate(&mut self, now: Instant) {
-        let Some(leader) = self.leader() else {
-            return;
-        };
+        for leader in 0..self.servers.len() {
+            if self.servers[leader].role == Role::Primary && self.servers[leader].up {
+                self.deliver(leader, now);
+            }
+        }
+        for server in self.servers.iter_mut().filter(|s| s.up && !s.frozen) {
+            while server
+                .log
+                .get(server.applied)
+                .is_some_and(|entry| entry.at + server.lag <= now)
+            {
+                server.apply_next();
+            }
+        }
+    }
+
+    /// Hands `leader`'s log to every server that it reaches and that accepts its term;
+    /// returns how many did.
+    fn deliver(&mut self, leader: usize, now: Instant) -> usize {
+        if !self.servers[leader].reachable() {
+            return 0;
+        }
+        let log = std::mem::take(&mut self.servers[leader].log);
         let term = self.servers[leader].term;
-        for index in 0..self.servers.len() {
-            if index == leader || self.servers[index].role == Role::Primary {
+        let mut accepted = 0;
+        let mut outranked = false;
+        for (index, server) in self.servers.iter_mut().enumerate() {
+            if index == leader || !server.reachable() {
                 continue;
             }
-            let applied = self.servers[index].position().lsn;
-            let lag = self.servers[index].lag;
-            let due: Vec<Entry> = self.servers[leader]
-                .log
-                .iter()
-                .filter(|entry| entry.position.lsn > applied && entry.at + lag <= now)
-                .cloned()
-                .collect();
-            let replica = &mut self.servers[index];
-            replica.term = term;
-            for entry in due {
-                replica.apply(entry);
+            if server.term > term {
+                outranked |= server.role == Role::Primary;
+                continue;
             }
+            if server.role == Role::Primary {
+                continue;
+            }
+            let common = server.common(&log);
+            server.rewind(common);
+            server.log.extend_from_slice(&log[common..]);
+            server.term = term;
+            server.heard_at = now;
+            accepted += 1;
+        }
+        let this = &mut self.servers[leader];
+        this.log = log;
+        match (outranked, this.outranked_at) {
+            (true, None) => this.outranked_at = Some(now),
+            (true, Some(since)) if now.duration_since(since) >= STEP_DOWN_AFTER => this.step_down(),
+            _ => {}
         }
+        accepted
     }
 }
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -5,10 +5,12 @@
 mod store;
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
+use rocket::tokio::{self, sync::oneshot};
 use serde::{Deserialize, Serialize};
 
 pub use store::Store;
@@ -31,44 +33,87 @@
     pub lose_answer: bool,
 }
 
-/// The stand-in's state shared by the routes.
-#[derive(Debug)]
+/// One address of the stand-in: the store all doors share, and the faults at this door.
+#[derive(Clone, Debug)]
 pub struct State {
     /// Keys, leases and watches.
-    pub store: Mutex<Store>,
+    pub store: Arc<Mutex<Store>>,
     /// The faults in force.
-    pub fault: Mutex<Fault>,
+    pub fault: Arc<Mutex<Fault>>,
 }
 
-/// Serves the stand-in KV at `address` until the process ends; prints the URL on stdout.
-pub async fn serve(address: std::net::SocketAddr) -> Result<(), rocket::Error> {
-    let state = Arc::new(State {
-        store: Mutex::new(Store::new()),
-        fault: Mutex::new(Fault::default()),
-    });
-    tokio::spawn(sweep(state.clone()));
+/// Serves the stand-in KV on `doors` addresses, the first being `address`, until the process
+/// ends; prints their URLs on stdout, separated by commas.
+pub async fn serve(address: SocketAddr, doors: usize) -> Result<(), rocket::Error> {
+    let store = Arc::new(Mutex::new(Store::new()));
+    let mut ready = Vec::with_capacity(doors);
+    for index in 0..doors {
+        let state = State {
+            store: store.clone(),
+            fault: Arc::new(Mutex::new(Fault::default())),
+        };
+        let port = match index {
+            0 => address.port(),
+            _ => 0,
+        };
+        ready.push(rocket(SocketAddr::new(address.ip(), port), state));
+    }
+    let mut urls = Vec::with_capacity(doors);
+    let mut running = Vec::with_capacity(doors);
+    for (door, url) in ignite(ready).await? {
+        running.push(tokio::spawn(door.launch()));
+        urls.extend(url.await);
+    }
+    crate::announce(&urls.join(","));
+    tokio::spawn(sweep(store));
+    for door in running {
+        door.await.expect("a door does not panic")?;
+    }
+    Ok(())
+}
+
+/// Readies every door before the first is launched.
+///
+/// Failure: making a Rocket switches the process's log level on until that Rocket is
+/// ignited; a door launched meanwhile prints a line where the addresses are expected. Guard:
+/// no door is made or ignited once one is launched.
+async fn ignite(
+    doors: Vec<Door<rocket::Build>>,
+) -> Result<Vec<Door<rocket::Ignite>>, rocket::Error> {
+    let mut ignited = Vec::with_capacity(doors.len());
+    for (door, url) in doors {
+        ignited.push((door.ignite().await?, url));
+    }
+    Ok(ignited)
+}
+
+/// A server on its way, and where it will say its URL.
+type Door<P> = (rocket::Rocket<P>, oneshot::Receiver<String>);
+
+fn rocket(address: SocketAddr, state: State) -> Door<rocket::Build> {
+    let (bound, url) = oneshot::channel();
     let figment = rocket::Config::figment()
         .merge(("address", address.ip()))
         .merge(("port", address.port()))
         .merge(("log_level", "off"))
         .merge(("shutdown.ctrlc", false));
-    let _ = rocket::custom(figment)
+    let bound = Mutex::new(Some(bound));
+    let door = rocket::custom(figment)
         .manage(state)
         .mount("/", routes::all())
-        .attach(rocket::fairing::AdHoc::on_liftoff("announce", |rocket| {
-            Box::pin(async move {
-                let config = rocket.config();
-                crate::announce(&format!("http://{}:{}", config.address, config.port));
-            })
-        }))
-        .launch()
-        .await?;
-    Ok(())
+        .attach(rocket::fairing::AdHoc::on_liftoff("bound", move |rocket| {
+            let config = rocket.config();
+            if let Some(bound) = bound.lock().unwrap().take() {
+                let _ = bound.send(format!("http://{}:{}", config.address, config.port));
+            }
+            Box::pin(async {})
+        }));
+    (door, url)
 }
 
-async fn sweep(state: Arc<State>) {
+async fn sweep(store: Arc<Mutex<Store>>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
-        state.store.lock().unwrap().expire(Instant::now());
+        store.lock().unwrap().expire(Instant::now());
     }
 }
--- a/crates/standin/src/kv/routes.rs
+++ b/crates/standin/src/kv/routes.rs
@@ -1,6 +1,6 @@
 //! The HTTP routes of the stand-in KV.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use dandelionpitch_core::kv::wire::{
     Header, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest, LeaseKeepAliveResponse,
@@ -18,7 +18,7 @@
 
 use super::{Fault, State};
 
-type Shared = Managed<Arc<State>>;
+type Shared = Managed<State>;
 type Answer<T> = Result<Json<T>, Status>;
 
 /// Every route of the stand-in.
@@ -173,14 +173,25 @@
     text
 }
 
+/// Whether `key` lies in a request's bounds.
+fn within(key: &str, start: &str, end: Option<&str>) -> bool {
+    match end {
+        None => key == start,
+        Some(end) => key >= start && key < end,
+    }
+}
+
 #[post("/v3/watch", data = "<request>")]
 async fn watch(state: &Shared, request: Json<WatchRequest>) -> Result<TextStream![String], Status> {
     enter(state).await?;
-    let key = text(request.key().map_err(|_| Status::BadRequest)?)?;
+    let (key, end) = request.bounds().map_err(|_| Status::BadRequest)?;
+    let key = text(key)?;
+    let end = end.map(text).transpose()?;
     let start = request.create_request.start_revision;
     let (mut feed, current, revision) = {
         let store = state.store.lock().unwrap();
-        (store.subscribe(), store.range(&key, None), store.revision())
+        let current = store.range(&key, end.as_deref());
+        (store.subscribe(), current, store.revision())
     };
     let state = (*state).clone();
     Ok(TextStream! {
@@ -197,7 +208,7 @@
             if state.fault.lock().unwrap().down {
                 break;
             }
-            if event.kv.key != key {
+            if !within(&event.kv.key, &key, end.as_deref()) {
                 continue;
             }
             let revision = event.kv.mod_revision;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -28,6 +28,12 @@
         /// Replication lag of each replica, in milliseconds.
         #[arg(long, default_value_t = 20)]
         lag_ms: u64,
+        /// How many replicas must receive a commit before it is acknowledged.
+        #[arg(long, default_value_t = 1)]
+        sync: usize,
+        /// How long a promotion takes, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        promote_ms: u64,
         /// The address to listen on.
         #[arg(long, default_value = "127.0.0.1")]
         host: IpAddr,
@@ -37,6 +43,10 @@
         /// The address to listen on; port 0 lets the OS choose.
         #[arg(long, default_value = "127.0.0.1:0")]
         listen: std::net::SocketAddr,
+        /// How many addresses to serve the one store on, each with faults of its own; those
+        /// after the first get ports from the OS.
+        #[arg(long, default_value_t = 1)]
+        doors: usize,
     },
 }
 
@@ -54,11 +64,23 @@
         Command::Group {
             servers,
             lag_ms,
+            sync,
+            promote_ms,
             host,
-        } => group::serve(host, servers.max(1), Duration::from_millis(lag_ms))
-            .await
-            .map_err(|error| error.to_string()),
-        Command::Kv { listen } => kv::serve(listen).await.map_err(|error| error.to_string()),
+        } => {
+            let settings = group::Settings {
+                servers: servers.max(1),
+                lag: Duration::from_millis(lag_ms),
+                sync,
+                promote: Duration::from_millis(promote_ms),
+            };
+            let outcome = group::serve(host, settings).await;
+            outcome.map_err(|error| error.to_string())
+        }
+        Command::Kv { listen, doors } => {
+            let outcome = kv::serve(listen, doors.max(1)).await;
+            outcome.map_err(|error| error.to_string())
+        }
     };
     if let Err(error) = outcome {
         eprintln!("dp-standin: {error}");
