Drop idle backend connections when their server's status read falls silent

With every connection to the primary silent for good, each idle pooled one cost a caller its whole timeout ("outcome unknown"), though the status reader had reconnected long before. Ruled out: TCP keepalive and user timeout alone; both see a peer that is gone, not a path that answers probes and loses data, and they take seconds. Change: when a server's status goes from known to unknown its idle pooled connections are closed. Stand-in fault "silence". Left: statements under way on a silent connection still wait for the caller's timeout.

--- /dev/null
+++ b/crates/e2e/tests/faults.rs
@@ -0,0 +1,144 @@
+//! What callers see when proxies, connections and operators fail; primaries are in `failover`.
+
+mod fixture;
+
+use std::time::{Duration, Instant};
+
+use fixture::{
+    connect, dpctl, eventually,
+    history::{self, Broken, Outcome, Writer},
+    operator, scalar, Layout, Site,
+};
+
+const WAIT: Duration = Duration::from_secs(20);
+const CALM: Duration = Duration::from_millis(300);
+const TWO_IN_ONE_DC: &[&str] = &["dc-1", "dc-1"];
+
+fn insert(id: &str) -> String {
+    format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'placed')")
+}
+
+/// A member's transaction is open when its proxy is killed. The server sees the connection end
+/// and rolls back; the member, who gets no answer, finds nothing of it through another proxy.
+#[tokio::test]
+async fn proxy_killed_in_a_transaction() {
+    let mut site = Site::build(&Layout::new("proxy-killed", TWO_IN_ONE_DC)).await;
+    let member = connect(&site.proxies[0], "member", "").await;
+    member.simple_query("BEGIN").await.expect("begins");
+    member.simple_query(&insert("tx-1")).await.expect("runs");
+
+    site.proxies[0].process.kill();
+    let commit = member.simple_query("COMMIT").await;
+    let other = connect(&site.proxies[1], "strict", "").await;
+    other.simple_query(&insert("alone")).await.expect("runs");
+    let query = "SELECT * FROM ledger WHERE id = 'tx-1'";
+    let seen = scalar(&other, query).await;
+    let rows = history::read(&site.server(0).await).await;
+
+    assert!(commit.is_err());
+    assert_eq!(seen, None);
+    assert_eq!(rows.keys().collect::<Vec<_>>(), ["alone"]);
+}
+
+/// One backend connection serves two members. The first begins a transaction within a query
+/// string of several statements and leaves it open; the second one's write must not run inside
+/// it, where the first one's rollback would undo it.
+#[tokio::test]
+async fn script_does_not_leave_its_transaction_to_others() {
+    let mut layout = Layout::new("script", &["dc-1"]);
+    layout.pool_size = 1;
+    let site = Site::build(&layout).await;
+    let first = connect(&site.proxies[0], "member", "").await;
+    let second = connect(&site.proxies[0], "member", "").await;
+    let script = format!("BEGIN; {}", insert("script-1"));
+
+    first.simple_query(&script).await.expect("runs");
+    let refused = fixture::refusal(&second, &insert("early")).await;
+    first.simple_query("ROLLBACK").await.expect("rolls back");
+    second.simple_query(&insert("late")).await.expect("runs");
+    let rows = history::read(&site.server(0).await).await;
+
+    assert_eq!(
+        refused.as_deref(),
+        Some("57P03"),
+        "the only connection is taken"
+    );
+    assert_eq!(rows.keys().collect::<Vec<_>>(), ["late"]);
+}
+
+/// Every connection to the primary goes silent for good, while new ones work. Statements that
+/// were under way end as "outcome unknown" at the callers' timeout; the proxy notices by its own
+/// status reads, drops the idle connections, and later statements run on new ones.
+#[tokio::test]
+async fn connections_gone_silent() {
+    let site = Site::build(&Layout::new("silent", TWO_IN_ONE_DC)).await;
+    let warm: Vec<Writer> = (0..4)
+        .map(|index| Writer::start(&site.proxies[0], &format!("warm-{index}")))
+        .collect();
+    tokio::time::sleep(CALM).await;
+    for writer in warm {
+        writer.stop().await;
+    }
+
+    site.fault(1, "silence", 0, "").await;
+    tokio::time::sleep(2 * CALM).await;
+    let since = Instant::now();
+    let writer = Writer::start(&site.proxies[0], "after");
+    tokio::time::sleep(CALM).await;
+    let attempts = writer.stop().await;
+    let rows = history::read(&site.server(0).await).await;
+
+    assert_eq!(history::check(&attempts, &rows, None), Broken::default());
+    assert!(attempts.iter().all(|a| a.outcome == Outcome::Acked));
+    assert!(history::gap(&attempts, since) < Duration::from_secs(1));
+    assert_eq!(site.record().await, None, "nobody was promoted for it");
+}
+
+/// Eight operators put versions 2 to 9 at the same moment. Each is told whether its version was
+/// accepted; the highest accepted one is in force on every proxy, and none goes back.
+#[tokio::test]
+async fn operators_race() {
+    let site = Site::build(&Layout::new("race", TWO_IN_ONE_DC)).await;
+    let before: Vec<u64> = versions(&site).await;
+
+    let site_ref = &site;
+    let accepted: Vec<u64> = std::thread::scope(|scope| {
+        let puts: Vec<_> = (2..10)
+            .map(|version| scope.spawn(move || (version, site_ref.put(version).0)))
+            .collect();
+        let told = puts.into_iter().map(|put| put.join().unwrap());
+        told.filter(|(_, ok)| *ok)
+            .map(|(version, _)| version)
+            .collect()
+    });
+    let highest = *accepted.iter().max().expect("one was accepted");
+    let in_force = eventually(WAIT, || async {
+        versions(&site)
+            .await
+            .iter()
+            .all(|version| *version == highest)
+    })
+    .await;
+    let (status, text) = dpctl(&["status", "--kv", site.kv_url()]);
+
+    assert_eq!(before, [1, 1]);
+    assert!(
+        in_force,
+        "accepted {accepted:?}, in force {:?}",
+        versions(&site).await
+    );
+    assert!(status, "{text}");
+    let shown = text
+        .lines()
+        .filter(|line| line.ends_with(&format!(" {highest}")));
+    assert_eq!(shown.count(), 2, "{text}");
+}
+
+async fn versions(site: &Site) -> Vec<u64> {
+    let mut versions = Vec::new();
+    for proxy in &site.proxies {
+        let report = operator(proxy, "/status").await;
+        versions.push(report["bundle_version"].as_u64().unwrap());
+    }
+    versions
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -274,6 +274,9 @@
                 if lead(server.status) != lead(status) {
                     change = Change::Routing;
                 }
+                if server.status.is_some() && status.is_none() {
+                    drop_idle(server);
+                }
                 server.status = status;
             }
         }
@@ -368,6 +371,19 @@
     }
 }
 
+/// Closes the idle pooled connections to a server that has stopped answering status reads.
+///
+/// Failure: something on the way lost track of all connections to the server; the status read
+/// opens a new one and finds it well, but each pooled one costs a caller its whole timeout.
+/// Guard: what was idle when the old status connection fell silent is not used again.
+fn drop_idle(server: &Server) {
+    let dropped = server.pool.retain(|_, _| false).removed.len();
+    if dropped > 0 {
+        let address = server.address;
+        log::info!(target: "control", "Dropped {dropped} idle connections to {address}.");
+    }
+}
+
 async fn report(attempt: failover::Attempt, out: mpsc::Sender<Message>) {
     let group = attempt.group().to_owned();
     let result = attempt.run().await;
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -60,9 +60,12 @@
         }
     }
 
-    /// Whether a caller in `dc` gets no answer from `server` now.
-    fn blocked(&self, server: usize, dc: &str) -> bool {
-        self.group.lock().unwrap().frozen(server) || self.faults.lock().unwrap().cut(server, dc)
+    /// Whether a caller in `dc` gets no answer from `server` now, on a connection opened when
+    /// there had been `silences`.
+    fn blocked(&self, server: usize, dc: &str, silences: u64) -> bool {
+        let frozen = self.group.lock().unwrap().frozen(server);
+        let faults = self.faults.lock().unwrap();
+        frozen || faults.cut(server, dc) || faults.silences(server) > silences
     }
 
     /// Switches a fault on or off; an unknown server is refused.
@@ -87,6 +90,7 @@
             Fault::Join(server) => group.set_isolated(server, false),
             Fault::Cut(server, dc) => faults.set_cut(server, dc, true),
             Fault::Heal(server, dc) => faults.set_cut(server, dc, false),
+            Fault::Silence(server) => faults.silence(server),
             Fault::SlowFence(server, ms) => faults.set_slow_fence(server, ms),
         }
         Ok(())
--- a/crates/standin/src/group/fault.rs
+++ b/crates/standin/src/group/fault.rs
@@ -21,6 +21,8 @@
     Cut(usize, String),
     /// `heal`: the end of a cut.
     Heal(usize, String),
+    /// `silence`: the connections the server has now get no further answer; new ones do.
+    Silence(usize),
     /// `slow_fence`: the server answers a fence only this many milliseconds after obeying it.
     SlowFence(usize, u64),
 }
@@ -46,6 +48,7 @@
             "join" => Self::Join(server),
             "cut" => Self::Cut(server, detail()?),
             "heal" => Self::Heal(server, detail()?),
+            "silence" => Self::Silence(server),
             "slow_fence" => {
                 let ms = detail()?.parse().map_err(|_| "slow_fence needs a number")?;
                 Self::SlowFence(server, ms)
@@ -65,6 +68,7 @@
             | Self::Join(server)
             | Self::Cut(server, _)
             | Self::Heal(server, _)
+            | Self::Silence(server)
             | Self::SlowFence(server, _) => *server,
         }
     }
@@ -75,6 +79,9 @@
 pub struct Faults {
     cuts: Map<(usize, String), ()>,
     slow_fence: Map<usize, u64>,
+    /// How often each server's connections were silenced; a connection from before the last
+    /// time stays silent.
+    silences: Map<usize, u64>,
 }
 
 impl Faults {
@@ -91,6 +98,16 @@
         self.cuts.contains_key(&(server, dc.to_owned()))
     }
 
+    /// Silences the connections `server` has now.
+    pub fn silence(&mut self, server: usize) {
+        *self.silences.entry(server).or_default() += 1;
+    }
+
+    /// How often `server`'s connections were silenced.
+    pub fn silences(&self, server: usize) -> u64 {
+        self.silences.get(&server).copied().unwrap_or_default()
+    }
+
     /// Delays the answer to a fence on `server`.
     pub fn set_slow_fence(&mut self, server: usize, ms: u64) {
         self.slow_fence.insert(server, ms);
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -35,6 +35,8 @@
     /// The caller's data centre, the middle part of an application name such as
     /// `dandelionpitch/dc-1/proxy-1`; empty for callers that are not proxies.
     dc: Mutex<String>,
+    /// How often the server's connections had been silenced when this one was opened.
+    silences: u64,
     /// The ops of the open transaction, if one is open.
     pending: Mutex<Option<Vec<Op>>>,
 }
@@ -42,9 +44,11 @@
 impl Connection {
     /// A handler for a new connection to server `index` of a group.
     pub fn new(shared: Arc<Shared>, index: usize) -> Arc<Self> {
+        let silences = shared.faults.lock().unwrap().silences(index);
         Arc::new(Self {
             shared,
             index,
+            silences,
             dc: Mutex::new(String::new()),
             pending: Mutex::new(None),
         })
@@ -53,7 +57,7 @@
     /// Waits while the server is frozen or cut off from this caller.
     async fn gate(&self) {
         let dc = self.dc.lock().unwrap().clone();
-        while self.shared.blocked(self.index, &dc) {
+        while self.shared.blocked(self.index, &dc, self.silences) {
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
