A planned stop closes resting sessions and waits for the others

The stop waited for every session to leave by itself, so one resting session held it for the whole 10 s, after which whatever was in progress was cut off too. Ruled out: closing a session some time after its last query; a caller that reads slowly would lose the rest of its answer. Change: a session is at rest when its last answer has been handed to the socket and no transaction is open; on SIGTERM those are closed at once, the others as they come to rest, up to the new setting drain_limit. GET /ready for the balancer. Conclusion: a stop now takes as long as the longest request or transaction in progress.

--- a/crates/e2e/tests/faults.rs
+++ b/crates/e2e/tests/faults.rs
@@ -142,3 +142,37 @@
     }
     versions
 }
+
+/// A proxy is asked to stop while one member waits for a slow answer, one is between two
+/// statements of a transaction, and one rests. The slow answer arrives whole, the transaction
+/// commits, the resting session is closed at once, and the process ends by itself right after,
+/// without waiting out its limit.
+#[tokio::test]
+async fn planned_stop_cuts_nothing_off() {
+    let mut site = Site::build(&Layout::new("stop", &["dc-1"])).await;
+    let slow = connect(&site.proxies[0], "lookup", "").await;
+    let buyer = connect(&site.proxies[0], "member", "").await;
+    let resting = connect(&site.proxies[0], "member", "").await;
+    buyer.simple_query("BEGIN").await.expect("begins");
+    buyer.simple_query(&insert("tx-1")).await.expect("runs");
+    let answer = tokio::spawn(async move {
+        let sleep = "SELECT dandelionpitch_sleep(1000)";
+        slow.simple_query(sleep).await
+    });
+    tokio::time::sleep(CALM).await;
+
+    site.proxies[0].process.terminate();
+    let closed = eventually(CALM, || async { resting.is_closed() }).await;
+    let ready = reqwest::get(format!("http://{}/ready", site.proxies[0].operator)).await;
+    buyer.simple_query(&insert("tx-2")).await.expect("runs");
+    buyer.simple_query("COMMIT").await.expect("commits");
+    let rows = answer.await.unwrap().expect("the whole answer");
+    let ended = site.proxies[0].process.ended(Duration::from_secs(3));
+    let kept = history::read(&site.server(0).await).await;
+
+    assert!(closed, "the resting session was closed");
+    assert!(!ready.is_ok_and(|answer| answer.status().is_success()));
+    assert!(!rows.is_empty());
+    assert!(ended, "the process ended");
+    assert_eq!(kept.len(), 2, "{kept:?}");
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -32,6 +32,9 @@
     pub operator_listen: SocketAddr,
     /// The platform KV endpoint, `http://host:port`.
     pub kv: String,
+    /// How long a planned stop waits for requests and transactions in progress.
+    #[serde(default = "default_drain_limit", with = "humantime_serde")]
+    pub drain_limit: Duration,
     /// When a primary counts as failed.
     #[serde(default)]
     pub failover: Failover,
@@ -40,6 +43,10 @@
     pub backend: Backend,
 }
 
+fn default_drain_limit() -> Duration {
+    Duration::from_secs(10)
+}
+
 /// Settings for backend connections.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -1,7 +1,8 @@
 //! Start-up and stop of the proxy: listeners, the control thread, the traffic runtime.
 //!
-//! A planned stop (SIGTERM or SIGINT) closes the caller listener first and then waits for the
-//! open sessions to end, up to [`DRAIN_LIMIT`], so no request in progress is cut.
+//! A planned stop (SIGTERM or SIGINT) reports not ready to the balancer and closes the caller
+//! listener. Sessions at rest are closed at once; a request in progress gets its whole answer
+//! and an open transaction its end first, up to the setting `drain_limit`.
 
 use std::{
     io::Write,
@@ -13,6 +14,7 @@
 };
 
 use tokio::{net::TcpListener, signal::unix, sync::watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     config::Config,
@@ -24,8 +26,8 @@
     view::View,
 };
 
-/// How long a planned stop waits for open sessions.
-const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+/// How often a stopping proxy looks whether a session has come to rest.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
 /// Runs the proxy until a planned stop.
 pub fn run(config: Config) -> Result<(), Error> {
@@ -44,6 +46,7 @@
     let listen = listener.local_addr().map_err(Error::Listen)?;
     let (publish, view) = watch::channel(Arc::new(View::default()));
     let metrics = Metrics::default();
+    let stopping = CancellationToken::new();
     let (bound, operator_address) = tokio::sync::oneshot::channel();
     tokio::spawn(operator::serve(
         config.operator_listen,
@@ -51,6 +54,7 @@
         config.dc.clone(),
         view.clone(),
         metrics.clone(),
+        stopping.clone(),
         bound,
     ));
     let operator_address = operator_address
@@ -61,6 +65,7 @@
         operator: operator_address,
     };
     let patience = config.backend.pool_wait;
+    let drain_limit = config.drain_limit;
     control::spawn(config, addresses, metrics.clone(), publish);
     announce(listen, operator_address);
     log::info!(target: "daemon", "Listening for callers on {listen}, operators on {operator_address}.");
@@ -76,11 +81,15 @@
             accepted = listener.accept() => {
                 let Ok((socket, _)) = accepted else { continue };
                 let _ = socket.set_nodelay(true);
-                let handlers = Handlers(Session::new(shared.clone()));
-                let open = open.clone();
+                let session = Session::new(shared.clone());
+                let (open, stopping) = (open.clone(), stopping.clone());
                 open.fetch_add(1, Ordering::SeqCst);
                 tokio::spawn(async move {
-                    let _ = pgwire::tokio::process_socket(socket, None, handlers).await;
+                    let handlers = Handlers(session.clone());
+                    tokio::select! {
+                        _ = pgwire::tokio::process_socket(socket, None, handlers) => {}
+                        () = retire(&session, &stopping) => {}
+                    }
                     open.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -89,15 +98,24 @@
         }
     }
     drop(listener);
-    drain(&open).await;
+    stopping.cancel();
+    drain(&open, drain_limit).await;
     Ok(())
 }
 
-async fn drain(open: &AtomicUsize) {
+/// Returns once the proxy is stopping and the session is at rest.
+async fn retire(session: &Session, stopping: &CancellationToken) {
+    stopping.cancelled().await;
+    while !session.at_rest() {
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
+
+async fn drain(open: &AtomicUsize, limit: Duration) {
     log::info!(target: "daemon", "Stopping; {} sessions open.", open.load(Ordering::SeqCst));
-    let deadline = Instant::now() + DRAIN_LIMIT;
+    let deadline = Instant::now() + limit;
     while open.load(Ordering::SeqCst) > 0 && Instant::now() < deadline {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        tokio::time::sleep(LOOK_AGAIN).await;
     }
     log::info!(target: "daemon", "Stopped; {} sessions left.", open.load(Ordering::SeqCst));
 }
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -2,9 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use rocket::{get, routes, serde::json::Json, State};
+use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     metrics::{Figure, Metrics},
@@ -38,6 +39,7 @@
 }
 
 struct Context {
+    stopping: CancellationToken,
     id: String,
     dc: String,
     view: watch::Receiver<Arc<View>>,
@@ -76,6 +78,17 @@
     })
 }
 
+/// Whether the balancer should send this proxy new connections: it runs a bundle and is not
+/// stopping. A proxy cut off from the KV stays ready, and serves what it can.
+#[get("/ready")]
+fn ready(context: &State<Context>) -> Status {
+    let runs_bundle = context.view.borrow().bundle.is_some();
+    match runs_bundle && !context.stopping.is_cancelled() {
+        true => Status::Ok,
+        false => Status::ServiceUnavailable,
+    }
+}
+
 #[get("/metrics")]
 fn metrics(context: &State<Context>) -> Json<Vec<Figure>> {
     Json(context.metrics.figures())
@@ -88,6 +101,7 @@
     dc: String,
     view: watch::Receiver<Arc<View>>,
     metrics: Metrics,
+    stopping: CancellationToken,
     bound: oneshot::Sender<SocketAddr>,
 ) -> Result<(), rocket::Error> {
     let figment = rocket::Config::figment()
@@ -98,12 +112,13 @@
     let bound = std::sync::Mutex::new(Some(bound));
     let _ = rocket::custom(figment)
         .manage(Context {
+            stopping,
             id,
             dc,
             view,
             metrics,
         })
-        .mount("/", routes![status, metrics])
+        .mount("/", routes![status, ready, metrics])
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", move |rocket| {
             let config = rocket.config();
             let address = SocketAddr::new(config.address, config.port);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -12,7 +12,10 @@
 
 use std::{
     fmt::Debug,
-    sync::Arc,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 
@@ -25,10 +28,11 @@
         auth::noop::NoopStartupHandler,
         query::SimpleQueryHandler,
         results::{Response, Tag},
+        store::PortalStore,
         ClientInfo, ClientPortalStore, PgWireServerHandlers,
     },
     error::{ErrorInfo, PgWireError, PgWireResult},
-    messages::{startup::ParameterStatus, PgWireBackendMessage},
+    messages::{simplequery::Query, startup::ParameterStatus, PgWireBackendMessage},
 };
 use tokio::sync::{watch, Mutex};
 use tokio_util::sync::CancellationToken;
@@ -109,6 +113,8 @@
 pub struct Session {
     shared: Arc<Shared>,
     state: Mutex<State>,
+    /// Set from a query's arrival until its whole answer has been handed to the socket.
+    answering: AtomicBool,
 }
 
 type Answer = Result<Vec<Response>, Refusal>;
@@ -119,9 +125,17 @@
         Arc::new(Self {
             shared,
             state: Mutex::new(State::default()),
+            answering: AtomicBool::new(false),
         })
     }
 
+    /// Whether the connection can be closed without cutting off a request or a transaction.
+    pub fn at_rest(&self) -> bool {
+        let state = self.state.try_lock();
+        let none = state.is_ok_and(|state| matches!(state.transaction, Transaction::None));
+        none && !self.answering.load(Ordering::SeqCst)
+    }
+
     async fn run(&self, query: &str, plan: &Plan) -> Answer {
         let mut state = self.state.lock().await;
         let caller = state
@@ -498,6 +512,19 @@
 
 #[async_trait]
 impl SimpleQueryHandler for Session {
+    async fn on_query<C>(&self, client: &mut C, query: Query) -> PgWireResult<()>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        self.answering.store(true, Ordering::SeqCst);
+        let result = self._on_query(client, query).await;
+        self.answering.store(false, Ordering::SeqCst);
+        result
+    }
+
     async fn do_query<C>(&self, client: &mut C, query: &str) -> PgWireResult<Vec<Response>>
     where
         C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
