Keep what a session sets to the session, not to the shared connection

Cause: SET ran on whichever pooled connection the statement got and stayed there: the next caller's statements ran under it, and the session's own reads, on replicas, without it. Ruled out: a connection of its own for such sessions (connections are scarce), refusing SET (drivers send it). Change: the session keeps its values; they are set on each connection it gets and cleared with DISCARD ALL before that goes back, else it is closed. DISCARD ALL from a caller is answered by the proxy. Conclusion: sessions that set nothing pay nothing; others two round trips a statement.

--- a/crates/e2e/tests/faults.rs
+++ b/crates/e2e/tests/faults.rs
@@ -176,3 +176,41 @@
     assert!(ended, "the process ended");
     assert_eq!(kept.len(), 2, "{kept:?}");
 }
+
+/// Two members share one backend connection and set the same value differently. Each must find
+/// its own, whatever server runs its next statement, in a transaction and outside; a third one,
+/// who set nothing, must find none.
+#[tokio::test]
+async fn values_set_by_a_session_stay_its_own() {
+    let mut layout = Layout::new("values", &["dc-1"]);
+    layout.pool_size = 1;
+    let site = Site::build(&layout).await;
+    let mut members = Vec::new();
+    for _ in 0..3 {
+        members.push(connect(&site.proxies[0], "member", "").await);
+    }
+    let show = "SHOW app.pharmacy";
+
+    for (member, value) in members.iter().zip(["centrs", "imanta"]) {
+        let set = format!("SET app.pharmacy = '{value}'");
+        member.simple_query(&set).await.expect("is set");
+    }
+    let mut seen = Vec::new();
+    for _ in 0..3 {
+        for member in &members {
+            seen.push(scalar(member, show).await);
+        }
+    }
+    members[0].simple_query("BEGIN").await.expect("begins");
+    let inside = scalar(&members[0], show).await;
+    members[0].simple_query("COMMIT").await.expect("commits");
+    members[1].simple_query("DISCARD ALL").await.expect("runs");
+    let after_discard = scalar(&members[1], show).await;
+
+    let expected = [Some("centrs".to_owned()), Some("imanta".to_owned()), None];
+    for three in seen.chunks(3) {
+        assert_eq!(three, expected);
+    }
+    assert_eq!(inside.as_deref(), Some("centrs"));
+    assert_eq!(after_discard, None);
+}
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -11,7 +11,7 @@
 
 use dandelionpitch_core::position::Position;
 use sqlparser::{
-    ast::{Expr, Set, Statement, Value},
+    ast::{ContextModifier, Expr, Set, Statement, Value as Literal},
     dialect::PostgreSqlDialect,
     parser::Parser,
 };
@@ -41,17 +41,27 @@
     Commit,
     /// `ROLLBACK`.
     Rollback,
+    /// `DISCARD ALL`, answered by the proxy, which forgets the session's values.
+    Discard,
     /// `SHOW dandelionpitch.position`, answered by the proxy.
     ShowPosition,
     /// `SET dandelionpitch.position = '...'`, kept by the proxy.
     SetPosition(String),
 }
 
-/// The kind of a query string and the command tag of each statement in it.
+/// A value a session has set, and the statement that sets it again on another connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Value {
+    pub name: String,
+    pub statement: String,
+}
+
+/// The kind of a query string, the command tag of each statement in it, and what it sets.
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub kind: Kind,
     pub tags: Vec<&'static str>,
+    pub values: Vec<Value>,
 }
 
 /// Classifies a query string.
@@ -60,6 +70,7 @@
         return Plan {
             kind: Kind::Unparsed,
             tags: Vec::new(),
+            values: Vec::new(),
         };
     };
     let tags = statements.iter().map(tag).collect();
@@ -68,7 +79,28 @@
         many if many.iter().all(is_read) => Kind::Read,
         many => script(many),
     };
-    Plan { kind, tags }
+    let values = statements.iter().filter_map(value).collect();
+    Plan { kind, tags, values }
+}
+
+/// What a statement sets for the rest of the session; `SET LOCAL` ends with its transaction.
+fn value(statement: &Statement) -> Option<Value> {
+    let Statement::Set(set) = statement else {
+        return None;
+    };
+    let name = match set {
+        Set::SingleAssignment {
+            scope: Some(ContextModifier::Local),
+            ..
+        }
+        | Set::SetTransaction { session: false, .. } => return None,
+        Set::SingleAssignment { variable, .. } => variable.to_string(),
+        other => other.to_string(),
+    };
+    Some(Value {
+        name,
+        statement: statement.to_string(),
+    })
 }
 
 /// The kind of several statements: the last one that begins or ends a transaction decides
@@ -90,6 +122,7 @@
         Statement::StartTransaction { .. } => Kind::Begin,
         Statement::Commit { .. } => Kind::Commit,
         Statement::Rollback { .. } => Kind::Rollback,
+        Statement::Discard { .. } => Kind::Discard,
         Statement::ShowVariable { variable } if name(variable) == POSITION_SETTING => {
             Kind::ShowPosition
         }
@@ -111,7 +144,7 @@
 fn text(expr: &Expr) -> String {
     match expr {
         Expr::Value(value) => match &value.value {
-            Value::SingleQuotedString(text) => text.clone(),
+            Literal::SingleQuotedString(text) => text.clone(),
             other => other.to_string(),
         },
         other => other.to_string(),
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -43,7 +43,7 @@
 };
 use crate::{
     metrics::{Metrics, Target},
-    route::{self, Kind, Need, Plan, POSITION_SETTING},
+    route::{self, Kind, Need, Plan, Value, POSITION_SETTING},
     view::{Group, Server, View},
 };
 
@@ -86,9 +86,9 @@
 
 impl Pinned {
     /// Hands the connection back to its pool; the transaction is over.
-    fn release(mut self) {
-        let spent = Connection::spent();
-        drop(std::mem::replace(&mut self.0, spent));
+    async fn release(mut self, deadline: Instant) {
+        let connection = std::mem::replace(&mut self.0, Connection::spent());
+        connection.finish(deadline).await;
     }
 }
 
@@ -97,6 +97,20 @@
     caller: Option<Caller>,
     floor: Option<Position>,
     transaction: Transaction,
+    /// What the session has set, in the order it did.
+    values: Arc<Vec<Value>>,
+}
+
+impl State {
+    /// Notes what a query string that succeeded has set.
+    fn keep(&mut self, set: &[Value]) {
+        if set.is_empty() {
+            return;
+        }
+        let values = Arc::make_mut(&mut self.values);
+        values.retain(|old| set.iter().all(|new| new.name != old.name));
+        values.extend_from_slice(set);
+    }
 }
 
 /// One query string on its way, with the time by which it is answered.
@@ -105,6 +119,7 @@
     query: &'a str,
     plan: &'a Plan,
     caller: &'a Caller,
+    values: &'a [Value],
     deadline: Instant,
 }
 
@@ -142,10 +157,12 @@
             .caller
             .clone()
             .ok_or_else(|| Refusal::NotRun("no caller".to_owned()))?;
+        let values = state.values.clone();
         let call = Call {
             query,
             plan,
             caller: &caller,
+            values: &values,
             deadline: Instant::now() + caller.timeout,
         };
         match std::mem::take(&mut state.transaction) {
@@ -160,6 +177,10 @@
         match &call.plan.kind {
             Kind::ShowPosition => Ok(vec![answer::position_rows(state.floor)]),
             Kind::SetPosition(token) => set_position(state, token),
+            Kind::Discard => {
+                state.values = Arc::default();
+                Ok(vec![Response::Execution(Tag::new("DISCARD ALL"))])
+            }
             Kind::Read => self.read(state, call).await,
             Kind::Begin => self.begin(state, call).await,
             Kind::Script { .. } => {
@@ -200,13 +221,19 @@
             let (answer, position) = connection
                 .run(call.query, Along::Position, call.deadline)
                 .await;
-            if call.plan.kind == Kind::Unparsed {
-                // It may have left a transaction or a setting behind.
-                connection.close();
+            match call.plan.kind {
+                // It may have left a transaction or a value behind.
+                Kind::Unparsed => connection.close(),
+                _ if !call.plan.values.is_empty() => connection.mark_customized(),
+                _ => {}
             }
+            connection.finish(call.deadline).await;
             state.floor = advance(state.floor, position);
             match answer {
-                Ok(messages) => return Ok(answer::responses(messages, call.plan)),
+                Ok(messages) => {
+                    state.keep(&call.plan.values);
+                    return Ok(answer::responses(messages, call.plan));
+                }
                 Err(Failure::Server(info)) => return Err(Refusal::Server(info)),
                 Err(Failure::Lost(why)) => return Err(Refusal::Unknown(why)),
                 Err(Failure::ReadOnly) if call.plan.tags.len() == 1 && Instant::now() < give_up => {
@@ -223,6 +250,9 @@
             Kind::Commit | Kind::Script { .. } => Along::Position,
             _ => Along::Nothing,
         };
+        if !call.plan.values.is_empty() {
+            pinned.0.mark_customized();
+        }
         let (answer, position) = pinned.0.run(call.query, along, call.deadline).await;
         let open_after = match call.plan.kind {
             Kind::Commit | Kind::Rollback => false,
@@ -236,9 +266,10 @@
         let may_have_committed = script || call.plan.kind == Kind::Commit;
         match answer {
             Ok(messages) => {
+                state.keep(&call.plan.values);
                 match open_after {
                     true => state.transaction = Transaction::Open(pinned),
-                    false => pinned.release(),
+                    false => pinned.release(call.deadline).await,
                 }
                 Ok(answer::responses(messages, call.plan))
             }
@@ -272,6 +303,7 @@
             if let Some(mut replica) = self.replica(floor, call).await? {
                 self.shared.metrics.read(Target::Replica);
                 let (answer, _) = replica.run(call.query, Along::Nothing, call.deadline).await;
+                replica.finish(call.deadline).await;
                 return read_answer(answer, call.plan);
             }
         }
@@ -290,6 +322,7 @@
             .await;
         match barrier {
             Some(position) if position.covers(floor.unwrap_or_default()) => {
+                connection.finish(call.deadline).await;
                 read_answer(answer, call.plan)
             }
             _ => {
@@ -308,6 +341,7 @@
         let mut connection = self.primary(call).await?;
         let give_up = self.give_up(call);
         let barrier = connection.barrier(give_up).await;
+        connection.finish(call.deadline).await;
         let floor = barrier.map_err(|why| {
             Refusal::NotRun(format!("the primary did not confirm that it leads: {why}"))
         })?;
@@ -348,7 +382,11 @@
         let index = route::replica(group, Need::Check, call.caller.max_staleness)?;
         let connection = self.checkout(&group.servers[index], call).await.ok()?;
         let applied = connection.position(call.deadline).await?;
-        applied.covers(floor).then_some(connection)
+        if applied.covers(floor) {
+            return Some(connection);
+        }
+        connection.finish(call.deadline).await;
+        None
     }
 
     async fn checkout(&self, server: &Server, call: Call<'_>) -> Result<Connection, String> {
@@ -369,7 +407,10 @@
         self.shared
             .metrics
             .pool_wait(started.elapsed().as_secs_f64());
-        connection.unwrap_or_else(|_| Err("no backend connection in time".to_owned()))
+        let late = |_| Err("no backend connection in time".to_owned());
+        let mut connection = connection.unwrap_or_else(late)?;
+        connection.customize(call.values, limit).await?;
+        Ok(connection)
     }
 
     /// When a statement that has not been sent yet is refused.
--- a/crates/proxy/src/session/connection.rs
+++ b/crates/proxy/src/session/connection.rs
@@ -8,7 +8,7 @@
 use tokio_postgres::{Client, SimpleQueryMessage};
 use tokio_util::sync::CancellationToken;
 
-use crate::backend;
+use crate::{backend, route::Value};
 
 /// The SQLSTATE a server refuses a write with when it does not lead; nothing was run.
 const READ_ONLY: &str = "25006";
@@ -45,6 +45,19 @@
 pub struct Connection {
     object: Option<Object>,
     superseded: CancellationToken,
+    /// Whether values of one session may be set on it.
+    customized: bool,
+}
+
+/// Failure: a value that one caller set stays on a shared connection, and the next caller's
+/// statements run under it. Guard: a connection that may carry such a value and was not
+/// cleared by [`Connection::finish`] is closed instead of going back to its pool.
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.customized {
+            self.close();
+        }
+    }
 }
 
 impl Connection {
@@ -54,14 +67,48 @@
         Ok(Self {
             object: Some(object.map_err(|error| error.to_string())?),
             superseded: superseded.clone(),
+            customized: false,
         })
     }
 
+    /// Sets a session's values on it, in one round trip.
+    pub async fn customize(&mut self, values: &[Value], deadline: Instant) -> Result<(), String> {
+        if values.is_empty() {
+            return Ok(());
+        }
+        self.customized = true;
+        let statements: Vec<&str> = values.iter().map(|v| v.statement.as_str()).collect();
+        let (answer, _) = self
+            .run(&statements.join("; "), Along::Nothing, deadline)
+            .await;
+        match answer {
+            Ok(_) => Ok(()),
+            Err(failure) => Err(format!(
+                "the session's values could not be set: {failure:?}"
+            )),
+        }
+    }
+
+    /// Notes that a statement may have left a session's value on it.
+    pub fn mark_customized(&mut self) {
+        self.customized = true;
+    }
+
+    /// Hands the connection back to its pool, cleared of a session's values.
+    pub async fn finish(mut self, deadline: Instant) {
+        if !self.customized {
+            return;
+        }
+        let (answer, _) = self.run("DISCARD ALL", Along::Nothing, deadline).await;
+        self.customized = answer.is_err();
+    }
+
     /// A connection that is already closed.
     pub fn spent() -> Self {
         Self {
             object: None,
             superseded: CancellationToken::new(),
+            customized: false,
         }
     }
 
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -7,6 +7,7 @@
 };
 
 use async_trait::async_trait;
+use dandelionpitch_core::hash::Map;
 use futures::{stream, Sink};
 use pgwire::{
     api::{
@@ -39,6 +40,8 @@
     silences: u64,
     /// The ops of the open transaction, if one is open.
     pending: Mutex<Option<Vec<Op>>>,
+    /// The values set on this connection.
+    values: Mutex<Map<String, String>>,
 }
 
 impl Connection {
@@ -51,6 +54,7 @@
             silences,
             dc: Mutex::new(String::new()),
             pending: Mutex::new(None),
+            values: Mutex::new(Map::default()),
         })
     }
 
@@ -91,6 +95,14 @@
                 let names: Vec<&str> = names.iter().map(String::as_str).collect();
                 text_rows(&names, vec![values])
             }
+            Command::Set(name, value) => {
+                self.values.lock().unwrap().insert(name, value);
+                Ok(Response::Execution(Tag::new("SET")))
+            }
+            Command::Discard => {
+                self.values.lock().unwrap().clear();
+                Ok(Response::Execution(Tag::new("DISCARD ALL")))
+            }
             Command::Show(name) => self.show(&name),
             Command::Barrier => self.barrier().await,
             Command::Fence(term) => self.fence(term).await,
@@ -220,7 +232,10 @@
                 text_rows(&["position", "id"], rows)
             }
             "dandelionpitch.server" => text_rows(&["server"], vec![vec![self.index.to_string()]]),
-            other => Err(error("42704", format!("unrecognized parameter {other:?}"))),
+            other => match self.values.lock().unwrap().get(other) {
+                Some(value) => text_rows(&[other], vec![vec![value.clone()]]),
+                None => Err(error("42704", format!("unrecognized parameter {other:?}"))),
+            },
         }
     }
 }
--- a/crates/standin/src/group/sql.rs
+++ b/crates/standin/src/group/sql.rs
@@ -4,7 +4,7 @@
 use sqlparser::{
     ast::{
         Assignment, AssignmentTarget, BinaryOperator, Expr, FunctionArg, FunctionArgExpr,
-        FunctionArguments, Query, SelectItem, SetExpr, Statement, Value,
+        FunctionArguments, Query, SelectItem, Set, SetExpr, Statement, Value,
     },
     dialect::PostgreSqlDialect,
     parser::Parser,
@@ -26,6 +26,10 @@
     Literal(Vec<String>),
     /// `SHOW dandelionpitch.<name>`.
     Show(String),
+    /// `SET name = value`: a value of this connection, shown by `SHOW name`.
+    Set(String, String),
+    /// `DISCARD ALL`: forget the values of this connection.
+    Discard,
     /// `SELECT dandelionpitch_barrier()`: the position, once replicas confirm the server leads.
     Barrier,
     /// `SELECT dandelionpitch_fence(term)`: hold that term and take nothing from lower ones.
@@ -63,6 +67,16 @@
             Ok(Command::Write(Op::Delete { id }))
         }
         Statement::Query(query) => select(query),
+        Statement::Set(Set::SingleAssignment {
+            variable, values, ..
+        }) => {
+            let value = values
+                .first()
+                .and_then(literal)
+                .ok_or("SET needs a value")?;
+            Ok(Command::Set(variable.to_string(), value))
+        }
+        Statement::Discard { .. } => Ok(Command::Discard),
         Statement::ShowVariable { variable } => {
             let name: Vec<String> = variable.iter().map(|part| part.value.clone()).collect();
             Ok(Command::Show(name.join(".")))
