Follow the VM list: no new work to leaving servers, a leaving primary replaced

Ruled out: waiting for the server's own end, which would make planned work cost a failover gap. Conclusion: within 3 s of the listing nothing new reaches the server, and at most what was under way on the old primary is told "outcome unknown".

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod logging;
 pub mod position;
 pub mod primary;
+pub mod vms;
 
 pub use error::Error;
--- a/crates/e2e/tests/faults.rs
+++ b/crates/e2e/tests/faults.rs
@@ -12,6 +12,8 @@
 
 const WAIT: Duration = Duration::from_secs(20);
 const CALM: Duration = Duration::from_millis(300);
+/// How long a leaving server may still get new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 const TWO_IN_ONE_DC: &[&str] = &["dc-1", "dc-1"];
 
 fn insert(id: &str) -> String {
@@ -214,3 +216,58 @@
     assert_eq!(inside.as_deref(), Some("centrs"));
     assert_eq!(after_discard, None);
 }
+
+/// The platform lists a replica as leaving. Within the time it is given, lookups stop being
+/// served by it, and the other replica serves them all.
+#[tokio::test]
+async fn leaving_replica_gets_no_new_reads() {
+    let site = Site::build(&Layout::new("leaving", &["dc-1"])).await;
+    let lookup = connect(&site.proxies[0], "lookup", "").await;
+    let show = "SHOW dandelionpitch.server";
+    let served = eventually(WAIT, || async {
+        scalar(&lookup, show).await.as_deref() == Some("2")
+    })
+    .await;
+
+    site.leave(2).await;
+    tokio::time::sleep(LEAVING_LIMIT).await;
+    let mut servers = Vec::new();
+    for _ in 0..200 {
+        servers.push(scalar(&lookup, show).await.expect("an answer"));
+    }
+
+    assert!(served, "it served before");
+    assert!(servers.iter().all(|server| server == "1"), "{servers:?}");
+}
+
+/// The platform lists the primary as leaving. A replica takes over before it is stopped, while
+/// members write; none of them is refused, and nothing goes to the old primary any more.
+#[tokio::test]
+async fn leaving_primary_is_replaced() {
+    let site = Site::build(&Layout::new("leaving-primary", TWO_IN_ONE_DC)).await;
+    let writers: Vec<Writer> = (0..2)
+        .map(|index| Writer::start(&site.proxies[index], &format!("w{index}")))
+        .collect();
+    tokio::time::sleep(CALM).await;
+
+    site.leave(0).await;
+    tokio::time::sleep(LEAVING_LIMIT).await;
+    let record = site.record().await.expect("a record");
+    let since = Instant::now();
+    tokio::time::sleep(CALM).await;
+    let mut attempts = Vec::new();
+    for writer in writers {
+        attempts.extend(writer.stop().await);
+    }
+    let server = record.server.expect("a primary").to_string();
+    let leader = site.servers().iter().position(|s| *s == server).unwrap();
+    let rows = history::read(&site.server(leader).await).await;
+
+    assert_ne!(leader, 0);
+    assert_eq!(record.term, 2);
+    let broken = history::check(&attempts, &rows, Some((2, since)));
+    assert_eq!(broken, Broken::default());
+    let refused = |a: &&history::Attempt| a.outcome != Outcome::Acked;
+    let refused: Vec<_> = attempts.iter().filter(refused).collect();
+    assert!(refused.len() <= 2, "only what was under way: {refused:?}");
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -32,6 +32,9 @@
     pub operator_listen: SocketAddr,
     /// The platform KV endpoint, `http://host:port`.
     pub kv: String,
+    /// The platform's VM list, `http://host:port/path`; without it no server is known to leave.
+    #[serde(default)]
+    pub vms: Option<String>,
     /// How long a planned stop waits for requests and transactions in progress.
     #[serde(default = "default_drain_limit", with = "humantime_serde")]
     pub drain_limit: Duration,
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -12,6 +12,7 @@
 mod heartbeat;
 mod probe;
 pub mod verdict;
+mod vms;
 
 use std::{
     net::SocketAddr,
@@ -43,6 +44,8 @@
     Bundle(Bundle),
     /// A group's primary record from the KV.
     Record { group: String, held: Held },
+    /// The servers that are leaving now.
+    Leaving(Vec<SocketAddr>),
     /// A server's status, `None` when it could not be read.
     Status {
         address: SocketAddr,
@@ -91,6 +94,9 @@
     let (out, mut messages) = mpsc::channel(QUEUE);
     let salt = backoff::salt(&config.id);
     tokio::spawn(follow::run(kv.clone(), salt, out.clone()));
+    if let Some(url) = &config.vms {
+        tokio::spawn(vms::run(url.clone(), out.clone()));
+    }
     let record = heartbeat::Record {
         id: config.id.clone(),
         dc: config.dc.clone(),
@@ -108,6 +114,7 @@
         groups: Map::default(),
         records: Map::default(),
         probes: Map::default(),
+        leaving: Vec::new(),
         led_by: Map::default(),
         attempts: Map::default(),
     };
@@ -159,6 +166,8 @@
     /// The primary records by group; kept apart from the groups, which come with the bundle.
     records: Map<String, Held>,
     probes: Map<SocketAddr, Probe>,
+    /// The servers that are leaving, whatever group lists them.
+    leaving: Vec<SocketAddr>,
     /// The last known primary of each group.
     led_by: Map<String, Leader>,
     watch: Watch,
@@ -171,6 +180,7 @@
         match message {
             Message::Bundle(bundle) => self.apply(bundle),
             Message::Record { group, held } => self.hold(group, held),
+            Message::Leaving(servers) => self.leave(servers),
             Message::Status { address, status } => self.note(address, status),
             Message::Attempted { group, result } => self.attempted(&group, result),
         }
@@ -233,6 +243,7 @@
             address,
             pool: pool::build(address, &group.name, group.pool_size, &self.config),
             status: old.and_then(|old| old.status),
+            leaving: self.leaving.contains(&address),
             superseded: CancellationToken::new(),
         }
     }
@@ -256,6 +267,19 @@
         Change::Routing
     }
 
+    /// Marks the servers that are leaving, in every group.
+    fn leave(&mut self, leaving: Vec<SocketAddr>) -> Change {
+        for server in self.groups.values_mut().flat_map(|g| &mut g.servers) {
+            let leaves = leaving.contains(&server.address);
+            if leaves && !server.leaving {
+                log::info!(target: "control", "Server {} is leaving.", server.address);
+            }
+            server.leaving = leaves;
+        }
+        self.leaving = leaving;
+        Change::Routing
+    }
+
     fn hurry(&self, group: &str) {
         let servers = self.groups.get(group).into_iter().flat_map(|g| &g.servers);
         for server in servers {
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -144,7 +144,7 @@
         }
         let task = match verdict {
             Verdict::Led | Verdict::Unsure => return None,
-            Verdict::Failed => Task::Replace {
+            Verdict::Failed | Verdict::Leaving => Task::Replace {
                 suspect: led_by.map(|leader| leader.server),
             },
             Verdict::Outranked => Task::Replace { suspect: None },
@@ -181,7 +181,7 @@
         let share = backoff::share(&(&self.config.id, group));
         let spread = self.config.failover.spread.mul_f64(share);
         match verdict {
-            Verdict::Led | Verdict::Unsure | Verdict::Failed => spread,
+            Verdict::Led | Verdict::Unsure | Verdict::Failed | Verdict::Leaving => spread,
             Verdict::Outranked | Verdict::Unrecorded { .. } => {
                 self.config.failover.claim_limit + spread
             }
--- a/crates/proxy/src/control/verdict.rs
+++ b/crates/proxy/src/control/verdict.rs
@@ -16,6 +16,8 @@
     Unsure,
     /// Enough replicas have missed their primary.
     Failed,
+    /// A primary leads, but it is about to be stopped, and enough others can replace it.
+    Leaving,
     /// A primary leads, but a server holds a later term and takes nothing from it: a failover
     /// stopped halfway.
     Outranked,
@@ -65,11 +67,22 @@
         None => Verdict::Unsure,
         Some((index, led)) => match group.fresh(now).any(|(_, s)| s.term > led.term) {
             true => Verdict::Outranked,
+            false if group.servers[index].leaving && stay(group, now) >= terms.quorum => {
+                Verdict::Leaving
+            }
             false => recorded(group, led.term, group.servers[index].address),
         },
     }
 }
 
+/// How many replicas are in sight and not leaving themselves.
+fn stay(group: &Group, now: Instant) -> usize {
+    group
+        .fresh(now)
+        .filter(|(index, status)| status.role == Role::Replica && !group.servers[*index].leaving)
+        .count()
+}
+
 fn recorded(group: &Group, term: u64, server: SocketAddr) -> Verdict {
     match &group.held {
         Some(held) if held.record.term < term || held.record.server.is_none() => {
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -196,6 +196,7 @@
     }
     let now = Instant::now();
     let fit: Vec<usize> = (0..group.servers.len())
+        .filter(|&index| !group.servers[index].leaving)
         .filter(|&index| {
             group.servers[index]
                 .fresh(now, group.fresh_for)
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -61,6 +61,9 @@
     pub pool: Pool,
     /// `None` until the first status read succeeds, and after a read fails.
     pub status: Option<Status>,
+    /// Whether the platform is about to stop it; it gets no new reads, and a primary is
+    /// replaced first.
+    pub leaving: bool,
     /// Cancelled when another server has taken over from this one: what is under way here as
     /// on a primary gets its final answer at once.
     pub superseded: CancellationToken,
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -39,6 +39,7 @@
             address,
             pool: pool::build(address, "ledger", 1, &config),
             status,
+            leaving: false,
             superseded: Default::default(),
         }
     };
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -5,6 +5,7 @@
 
 mod group;
 mod kv;
+mod vms;
 
 use std::{io::Write, net::IpAddr, time::Duration};
 
@@ -38,6 +39,12 @@
         #[arg(long, default_value = "127.0.0.1")]
         host: IpAddr,
     },
+    /// The platform's list of live and leaving VMs.
+    Vms {
+        /// The address to listen on; port 0 lets the OS choose.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: std::net::SocketAddr,
+    },
     /// The platform KV, as the etcd v3 JSON gateway.
     Kv {
         /// The address to listen on; port 0 lets the OS choose.
@@ -77,6 +84,7 @@
             let outcome = group::serve(host, settings).await;
             outcome.map_err(|error| error.to_string())
         }
+        Command::Vms { listen } => vms::serve(listen).await.map_err(|error| error.to_string()),
         Command::Kv { listen, doors } => {
             let outcome = kv::serve(listen, doors.max(1)).await;
             outcome.map_err(|error| error.to_string())
