Three watchers a group; the other proxies serve it without polling it

Ruled out: sharing statuses between a data centre's proxies over nng (800 servers' statuses to 227 proxies is itself over the budget at any useful rate); polling slower (12,000 servers once a minute is 48 KB/s). Change: control/duty.rs picks three live proxies per group by rendezvous hashing, one per data centre first; they poll and replace the primary. The others take the primary from the KV's record (now written for every group from the start) and ask a replica for its status along with each read, passing the rows on only if it holds the floor and is fresh enough. Heartbeat records moved under the one watched prefix; membership costs nothing while nobody comes or goes. Left: while a claim has no server in the record (KV down after the claim), proxies that do not watch the group have no primary until the KV is back.

--- /dev/null
+++ b/crates/e2e/tests/duty.rs
@@ -0,0 +1,171 @@
+//! A group is watched by a few proxies; the others serve it all the same.
+
+mod fixture;
+
+use std::time::{Duration, Instant};
+
+use fixture::{
+    connect, eventually,
+    history::{self, Broken, Outcome, Writer},
+    operator, scalar, Layout, Proxy, Site,
+};
+
+const WAIT: Duration = Duration::from_secs(20);
+const CALM: Duration = Duration::from_millis(300);
+const SIX: &[&str] = &["dc-1", "dc-1", "dc-2", "dc-2", "dc-3", "dc-3"];
+
+/// A site of six proxies in three data centres, once the watchers have settled.
+async fn site(name: &str) -> (Site, Vec<usize>) {
+    site_with(name, "").await
+}
+
+/// As [`site`], with `settings` appended to every proxy's.
+async fn site_with(name: &str, settings: &str) -> (Site, Vec<usize>) {
+    let mut layout = Layout::new(name, SIX);
+    layout.settings = settings;
+    let site = Site::build(&layout).await;
+    let settled = eventually(WAIT, || async { all_know_each_other(&site).await }).await;
+    assert!(settled, "all six proxies know each other");
+    let watchers = watchers(&site).await;
+    (site, watchers)
+}
+
+async fn all_know_each_other(site: &Site) -> bool {
+    let mut all = true;
+    for proxy in &site.proxies {
+        all &= operator(proxy, "/status").await["members"] == site.proxies.len();
+    }
+    all
+}
+
+/// The proxies that watch the group.
+async fn watchers(site: &Site) -> Vec<usize> {
+    let mut watchers = Vec::new();
+    for (index, proxy) in site.proxies.iter().enumerate() {
+        let report = operator(proxy, "/status").await;
+        if report["groups"][0]["watched"] == true {
+            watchers.push(index);
+        }
+    }
+    watchers
+}
+
+fn others<'a>(site: &'a Site, watchers: &[usize]) -> Vec<&'a Proxy> {
+    let all = site.proxies.iter().enumerate();
+    let others = all.filter(|(index, _)| !watchers.contains(index));
+    others.map(|(_, proxy)| proxy).collect()
+}
+
+fn insert(id: &str) -> String {
+    format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'placed')")
+}
+
+/// One proxy of each data centre watches the group, so the loss of a data centre leaves two.
+/// Members read their own writes, from replicas, through proxies that watch nothing.
+#[tokio::test]
+async fn group_is_served_by_proxies_that_do_not_watch_it() {
+    let (site, watchers) = site("duty").await;
+    let others = others(&site, &watchers);
+    let member = connect(others[0], "member", "").await;
+    member.simple_query(&insert("order-1")).await.expect("runs");
+    let token = scalar(&member, "SHOW dandelionpitch.position").await;
+    let options = format!("-c dandelionpitch.position={}", token.expect("a token"));
+    let query = "SELECT * FROM ledger WHERE id = 'order-1'";
+
+    let mut seen = Vec::new();
+    for proxy in &others {
+        let roamed = connect(proxy, "member", &options).await;
+        seen.push(scalar(&roamed, query).await);
+    }
+    let lookup = connect(others[1], "lookup", "").await;
+    let by_replica = eventually(WAIT, || async {
+        let server = scalar(&lookup, "SHOW dandelionpitch.server").await;
+        server.is_some_and(|server| server != "0")
+    })
+    .await;
+
+    let mut dcs: Vec<&str> = watchers
+        .iter()
+        .map(|&i| site.proxies[i].dc.as_str())
+        .collect();
+    dcs.sort();
+    assert_eq!(dcs, ["dc-1", "dc-2", "dc-3"]);
+    assert_eq!(seen, vec![Some("order-1".to_owned()); 3]);
+    assert!(by_replica);
+}
+
+/// The primary dies while a member writes through a proxy that does not watch the group. A
+/// watcher replaces it; the proxy learns of the new one from the KV's record.
+#[tokio::test]
+async fn failover_reaches_proxies_that_do_not_watch() {
+    let (site, watchers) = site("duty-failover").await;
+    let writer = Writer::start(others(&site, &watchers)[0], "w");
+    tokio::time::sleep(CALM).await;
+
+    site.fault(1, "kill", 0, "").await;
+    let replaced = eventually(WAIT, || async {
+        let record = site.record().await;
+        record.is_some_and(|record| record.term > 1 && record.server.is_some())
+    })
+    .await;
+    let since = Instant::now();
+    tokio::time::sleep(2 * CALM).await;
+    let attempts = writer.stop().await;
+    let record = site.record().await.expect("a record");
+    let server = record.server.expect("a primary").to_string();
+    let leader = site.servers().iter().position(|s| *s == server).unwrap();
+    let rows = history::read(&site.server(leader).await).await;
+
+    assert_eq!(record.term, 2);
+    assert_eq!(history::check(&attempts, &rows, None), Broken::default());
+    assert!(replaced);
+    let acked = |a: &&history::Attempt| a.outcome == Outcome::Acked && a.sent > since;
+    assert!(attempts.iter().filter(acked).count() > 10, "writes resumed");
+}
+
+/// A replica freezes. A proxy that does not watch the group cannot know; a lookup it sends
+/// there, on a connection it has or on one it has yet to open, must not wait for the limits
+/// of 20 and 30 s that hold for connections and statements, but be answered by another server.
+#[tokio::test]
+async fn frozen_replica_does_not_hold_up_reads() {
+    let patient = "[backend]\nconnect_timeout = \"20s\"\npool_wait = \"20s\"\n";
+    let (site, watchers) = site_with("duty-frozen", patient).await;
+    let others = others(&site, &watchers);
+    let warm = connect(others[0], "lookup", "").await;
+    for _ in 0..10 {
+        scalar(&warm, "SHOW dandelionpitch.server").await;
+    }
+    let lookup = connect(others[1], "lookup", "").await;
+
+    site.fault(0, "freeze", 2, "").await;
+    let since = Instant::now();
+    let mut servers = Vec::new();
+    for _ in 0..20 {
+        servers.push(scalar(&warm, "SHOW dandelionpitch.server").await);
+        servers.push(scalar(&lookup, "SHOW dandelionpitch.server").await);
+    }
+    let took = since.elapsed();
+
+    assert!(servers.iter().all(|server| server.as_deref() == Some("1")));
+    assert!(took < Duration::from_secs(10), "took {took:?}");
+}
+
+/// A watcher is killed. Its heartbeat's lease runs out, the others learn it from the KV, and
+/// another proxy takes over its part; nobody has to be told.
+#[tokio::test]
+async fn dead_watcher_is_succeeded() {
+    let (mut site, watchers) = site("duty-dead").await;
+    let dead = watchers[0];
+    let record = dandelionpitch_core::keys::proxy(&site.proxies[dead].dc, &format!("proxy-{dead}"));
+
+    site.proxies[dead].process.kill();
+    site.expire(&record).await;
+    site.proxies.remove(dead);
+    let succeeded = eventually(WAIT, || async {
+        let now = self::watchers(&site).await;
+        now.len() == 3
+    })
+    .await;
+
+    assert!(succeeded, "{:?}", self::watchers(&site).await);
+}
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -7,6 +7,7 @@
 //! a task of its own on that thread and reports back by [`Message`].
 
 pub mod backoff;
+pub mod duty;
 pub mod failover;
 mod follow;
 mod heartbeat;
@@ -24,7 +25,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use self::{failover::Watch, probe::Probe};
+use self::{duty::Member, failover::Watch, probe::Probe};
 use crate::{
     config::Config,
     metrics::Metrics,
@@ -44,6 +45,10 @@
     Bundle(Bundle),
     /// A group's primary record from the KV.
     Record { group: String, held: Held },
+    /// All live proxies.
+    Members(Vec<Member>),
+    /// A proxy that has come or gone.
+    Member { member: Member, present: bool },
     /// The servers that are leaving now.
     Leaving(Vec<SocketAddr>),
     /// A server's status, `None` when it could not be read.
@@ -115,6 +120,7 @@
         records: Map::default(),
         probes: Map::default(),
         leaving: Vec::new(),
+        members: Vec::new(),
         led_by: Map::default(),
         attempts: Map::default(),
     };
@@ -166,6 +172,8 @@
     /// The primary records by group; kept apart from the groups, which come with the bundle.
     records: Map<String, Held>,
     probes: Map<SocketAddr, Probe>,
+    /// The live proxies, as far as the KV has told.
+    members: Vec<Member>,
     /// The servers that are leaving, whatever group lists them.
     leaving: Vec<SocketAddr>,
     /// The last known primary of each group.
@@ -180,6 +188,15 @@
         match message {
             Message::Bundle(bundle) => self.apply(bundle),
             Message::Record { group, held } => self.hold(group, held),
+            Message::Members(members) => {
+                self.members = members;
+                self.assign()
+            }
+            Message::Member { member, present } => {
+                self.members.retain(|known| *known != member);
+                self.members.extend(present.then_some(member));
+                self.assign()
+            }
             Message::Leaving(servers) => self.leave(servers),
             Message::Status { address, status } => self.note(address, status),
             Message::Attempted { group, result } => self.attempted(&group, result),
@@ -204,15 +221,42 @@
             let built = self.build(group, kept.as_ref());
             self.groups.insert(group.name.clone(), built);
         }
-        let kept: Vec<SocketAddr> = self.servers().map(|server| server.address).collect();
-        self.probes.retain(|address, _| kept.contains(address));
         log::info!(target: "control", "Applied bundle version {} (was {current}).", bundle.version);
         self.bundle = Some(Arc::new(bundle));
+        self.assign()
+    }
+
+    /// Starts to watch the groups that are now this proxy's to watch, and stops the others.
+    fn assign(&mut self) -> Change {
+        let me = Member {
+            dc: self.config.dc.clone(),
+            id: self.config.id.clone(),
+        };
+        if !self.members.contains(&me) {
+            self.members.push(me.clone());
+        }
+        let mut probes = std::mem::take(&mut self.probes);
+        for (name, group) in &mut self.groups {
+            group.watched = duty::watchers(name, &self.members).contains(&&me);
+            if !group.watched {
+                group
+                    .servers
+                    .iter_mut()
+                    .for_each(|server| server.status = None);
+                continue;
+            }
+            for server in &group.servers {
+                let address = server.address;
+                let start = || Probe::start(address, name, &self.config, self.out.clone());
+                let probe = probes.remove(&address).unwrap_or_else(start);
+                self.probes.insert(address, probe);
+            }
+        }
         Change::Routing
     }
 
     /// The group's servers, with the pools and statuses of those it already had.
-    fn build(&mut self, group: &dandelionpitch_core::bundle::Group, kept: Option<&Group>) -> Group {
+    fn build(&self, group: &dandelionpitch_core::bundle::Group, kept: Option<&Group>) -> Group {
         let servers = group
             .servers
             .iter()
@@ -223,11 +267,12 @@
             fresh_for: view::fresh_for(self.config.backend.status_every),
             claim_limit: self.config.failover.claim_limit,
             held: self.records.get(&group.name).cloned(),
+            watched: kept.is_some_and(|kept| kept.watched),
         }
     }
 
     fn server(
-        &mut self,
+        &self,
         address: SocketAddr,
         group: &dandelionpitch_core::bundle::Group,
         kept: Option<&Group>,
@@ -236,22 +281,17 @@
         if let Some(old) = old.filter(|old| old.pool.status().max_size == group.pool_size) {
             return old.clone();
         }
-        self.probes
-            .entry(address)
-            .or_insert_with(|| Probe::start(address, &group.name, &self.config, self.out.clone()));
+
         Server {
             address,
             pool: pool::build(address, &group.name, group.pool_size, &self.config),
             status: old.and_then(|old| old.status),
             leaving: self.leaving.contains(&address),
+            rest: old.map(|old| old.rest.clone()).unwrap_or_default(),
             superseded: CancellationToken::new(),
         }
     }
 
-    fn servers(&self) -> impl Iterator<Item = &Server> {
-        self.groups.values().flat_map(|group| &group.servers)
-    }
-
     /// Takes a primary record from the KV unless it is older than the one held, and looks at
     /// the group's servers at once.
     fn hold(&mut self, group: String, held: Held) -> Change {
@@ -264,6 +304,7 @@
         }
         self.records.insert(group.clone(), held);
         self.hurry(&group);
+        self.supersede();
         Change::Routing
     }
 
@@ -293,6 +334,9 @@
     fn note(&mut self, address: SocketAddr, status: Option<Status>) -> Change {
         let mut change = Change::Figures;
         for group in self.groups.values_mut() {
+            if !group.watched {
+                continue;
+            }
             for server in group.servers.iter_mut().filter(|s| s.address == address) {
                 let lead = |status: Option<Status>| status.map(|s| (s.role, s.term));
                 if lead(server.status) != lead(status) {
@@ -345,6 +389,7 @@
     fn publish(&self) {
         let _ = self.publish.send(Arc::new(View {
             bundle: self.bundle.clone(),
+            members: self.members.len(),
             groups: self.groups.clone(),
         }));
     }
@@ -356,7 +401,7 @@
         };
         let now = Instant::now();
         for (name, group) in &self.groups {
-            if self.attempts.contains_key(name) {
+            if !group.watched || self.attempts.contains_key(name) {
                 continue;
             }
             let Some(listed) = bundle.groups.get(name) else {
--- a/crates/proxy/src/control/backoff.rs
+++ b/crates/proxy/src/control/backoff.rs
@@ -47,14 +47,12 @@
 
 /// A number from zero up to one, the same each time for the same key.
 pub fn share(key: &impl Hash) -> f64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    key.hash(&mut hasher);
-    (hasher.finish() >> 32) as f64 / f64::from(u32::MAX)
+    (salt(key) >> 32) as f64 / f64::from(u32::MAX)
 }
 
-/// The salt of a proxy's pauses.
-pub fn salt(id: &str) -> u64 {
+/// A number spread over all 64 bits, the same each time and in each process for the same key.
+pub fn salt(key: &impl Hash) -> u64 {
     let mut hasher = rustc_hash::FxHasher::default();
-    id.hash(&mut hasher);
+    key.hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -133,7 +133,8 @@
             grace: after + 2 * self.config.backend.status_every,
         };
         let verdict = verdict::judge(view, led_by.map(|leader| leader.since), terms, now);
-        let wait = self.wait(&group.name, verdict);
+        let first = view.held.is_none();
+        let wait = self.wait(&group.name, verdict, first);
         let memory = self.remember(&group.name, now);
         if memory.verdict != verdict {
             memory.verdict = verdict;
@@ -176,12 +177,13 @@
     }
 
     /// How long a verdict must hold before this proxy acts on it; the share of the spread is
-    /// its own and the same each time.
-    fn wait(&self, group: &str, verdict: Verdict) -> Duration {
+    /// its own and the same each time. The `first` record of a group is nobody's to wait for.
+    fn wait(&self, group: &str, verdict: Verdict, first: bool) -> Duration {
         let share = backoff::share(&(&self.config.id, group));
         let spread = self.config.failover.spread.mul_f64(share);
         match verdict {
             Verdict::Led | Verdict::Unsure | Verdict::Failed | Verdict::Leaving => spread,
+            Verdict::Unrecorded { .. } if first => spread,
             Verdict::Outranked | Verdict::Unrecorded { .. } => {
                 self.config.failover.claim_limit + spread
             }
--- a/crates/proxy/src/control/follow.rs
+++ b/crates/proxy/src/control/follow.rs
@@ -1,5 +1,5 @@
-//! Follows what the platform KV says to all proxies: the bundle, and the record of each group's
-//! primary. One watch carries both, because the KV counts every waiting watch.
+//! Follows what the platform KV says to all proxies: the bundle, the record of each group's
+//! primary, and who is there. One watch carries all, because the KV counts every waiting watch.
 
 use std::time::{Duration, Instant};
 
@@ -12,7 +12,7 @@
 };
 use tokio::sync::mpsc;
 
-use super::{backoff::Backoff, Message};
+use super::{backoff::Backoff, duty::Member, Message};
 use crate::view::Held;
 
 /// The pause after the first failure, and the longest one. A fleet that all asked again at
@@ -54,6 +54,9 @@
         Some(revision) => revision,
         None => {
             let current = kv.list(keys::SITE_PREFIX).await?;
+            // Before the bundle, so that a proxy that starts watches only what is its to watch.
+            let members = current.iter().filter_map(|kv| member(&kv.key)).collect();
+            let _ = out.send(Message::Members(members)).await;
             send(&current, out).await;
             current
                 .iter()
@@ -65,17 +68,29 @@
     let mut watch = kv.watch_prefix(keys::SITE_PREFIX, start).await?;
     *next = Some(start);
     while let Some(events) = watch.next().await? {
-        let puts = events
-            .into_iter()
-            .filter(|event| event.kind == EventType::Put);
-        let puts: Vec<KeyValue> = puts.map(|event| event.kv).collect();
-        send(&puts, out).await;
-        let seen = puts.iter().map(|kv| kv.mod_revision + 1).max();
+        let seen = events.iter().map(|event| event.kv.mod_revision + 1).max();
+        for event in events {
+            let present = event.kind == EventType::Put;
+            if let Some(member) = member(&event.kv.key) {
+                let _ = out.send(Message::Member { member, present }).await;
+            } else if present {
+                send(&[event.kv], out).await;
+            }
+        }
         *next = (*next).max(seen);
     }
     Ok(())
 }
 
+/// The proxy a heartbeat record's key names.
+fn member(key: &str) -> Option<Member> {
+    let (dc, id) = keys::proxy_parts(key)?;
+    Some(Member {
+        dc: dc.to_owned(),
+        id: id.to_owned(),
+    })
+}
+
 async fn send(values: &[KeyValue], out: &mpsc::Sender<Message>) {
     for message in values.iter().filter_map(message) {
         let _ = out.send(message).await;
--- a/crates/proxy/src/control/heartbeat.rs
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -49,7 +49,7 @@
     }
     let granted = kv.grant(TTL).await?;
     let value = serde_json::to_vec(record).unwrap_or_default();
-    kv.put(&keys::proxy(&record.id), &value, Some(granted))
+    kv.put(&keys::proxy(&record.dc, &record.id), &value, Some(granted))
         .await?;
     *lease = Some(granted);
     Ok(())
--- a/crates/proxy/src/control/verdict.rs
+++ b/crates/proxy/src/control/verdict.rs
@@ -21,7 +21,8 @@
     /// A primary leads, but a server holds a later term and takes nothing from it: a failover
     /// stopped halfway.
     Outranked,
-    /// A primary leads, but the KV still says its term is only claimed, or an earlier one.
+    /// A primary leads, but the KV has no record of it, or still says that its term is only
+    /// claimed, or an earlier one.
     Unrecorded { term: u64, server: SocketAddr },
 }
 
@@ -85,9 +86,7 @@
 
 fn recorded(group: &Group, term: u64, server: SocketAddr) -> Verdict {
     match &group.held {
-        Some(held) if held.record.term < term || held.record.server.is_none() => {
-            Verdict::Unrecorded { term, server }
-        }
-        _ => Verdict::Led,
+        Some(held) if held.record.term >= term && held.record.server.is_some() => Verdict::Led,
+        _ => Verdict::Unrecorded { term, server },
     }
 }
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -65,6 +65,7 @@
         operator: operator_address,
     };
     let patience = config.backend.pool_wait;
+    let check_limit = config.backend.status_timeout;
     let drain_limit = config.drain_limit;
     control::spawn(config, addresses, metrics.clone(), publish);
     announce(listen, operator_address);
@@ -73,6 +74,7 @@
         view,
         metrics,
         patience,
+        check_limit,
     });
     let open = Arc::new(AtomicUsize::new(0));
     let mut stop = unix::signal(unix::SignalKind::terminate()).map_err(Error::Listen)?;
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -18,6 +18,8 @@
     pub id: String,
     pub dc: String,
     pub bundle_version: u64,
+    /// How many live proxies this one knows of, itself included.
+    pub members: usize,
     pub groups: Vec<GroupReport>,
 }
 
@@ -26,6 +28,8 @@
 pub struct GroupReport {
     pub name: String,
     pub primary: Option<SocketAddr>,
+    /// Whether this proxy is one of the group's watchers.
+    pub watched: bool,
     pub servers: Vec<ServerReport>,
 }
 
@@ -55,6 +59,7 @@
         .iter()
         .map(|(name, group)| GroupReport {
             name: name.clone(),
+            watched: group.watched,
             primary: group.primary(now).map(|index| group.servers[index].address),
             servers: group
                 .servers
@@ -74,6 +79,7 @@
         id: context.id.clone(),
         dc: context.dc.clone(),
         bundle_version: view.bundle.as_ref().map_or(0, |bundle| bundle.version),
+        members: view.members,
         groups,
     })
 }
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -179,6 +179,21 @@
 /// Spreads reads over the replicas that qualify.
 static TURN: AtomicUsize = AtomicUsize::new(0);
 
+/// The servers of a group this proxy does not watch that may serve a read, in the order to try
+/// them; each has yet to show that it is a replica, holds the floor and is fresh enough.
+pub fn unwatched(group: &Group, now: Instant) -> Vec<usize> {
+    let primary = group.primary(now);
+    let mut order: Vec<usize> = (0..group.servers.len())
+        .filter(|&index| Some(index) != primary)
+        .filter(|&index| !group.servers[index].leaving && !group.servers[index].rest.lasts(now))
+        .collect();
+    if !order.is_empty() {
+        let first = TURN.fetch_add(1, Ordering::Relaxed) % order.len();
+        order.rotate_left(first);
+    }
+    order
+}
+
 /// What a replica must show, by its last polled status, to be chosen for a read.
 #[derive(Clone, Copy, Debug)]
 pub enum Need {
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -38,13 +38,13 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{
-    connection::{Along, Connection, Failure},
+    connection::{Along, Checked, Connection, Failure},
     refusal::{Refusal, UNKNOWN_CALLER},
 };
 use crate::{
     metrics::{Metrics, Target},
     route::{self, Kind, Need, Plan, Value, POSITION_SETTING},
-    view::{Group, Server, View},
+    view::{Group, Role, Server, Status, View},
 };
 
 /// How soon a write that a superseded primary refused is offered again.
@@ -57,6 +57,8 @@
     pub metrics: Metrics,
     /// How long a statement may wait for a primary or a free backend connection.
     pub patience: Duration,
+    /// How long a server may take to give its status along with a read.
+    pub check_limit: Duration,
 }
 
 /// The session's transaction.
@@ -300,6 +302,9 @@
     async fn read(&self, state: &mut State, call: Call<'_>) -> Answer {
         if !call.caller.max_staleness.is_zero() {
             let floor = self.floor(state, call).await?;
+            if let Some(answer) = self.read_unwatched(floor, call).await? {
+                return answer;
+            }
             if let Some(mut replica) = self.replica(floor, call).await? {
                 self.shared.metrics.read(Target::Replica);
                 let (answer, _) = replica.run(call.query, Along::Nothing, call.deadline).await;
@@ -310,6 +315,53 @@
         self.read_on_primary(state.floor, call).await
     }
 
+    /// Reads on a replica of a group this proxy does not watch: each is asked for its status
+    /// along with the read, and the next one is tried if that is not good enough. `None` when
+    /// there is no such replica, or the group is watched.
+    ///
+    /// Failure: a frozen replica, of which this proxy has no status, would hold every read
+    /// until the caller's timeout. Guard: a connection and the status must come within
+    /// `check_limit` each, and a server that did not give them is left alone for a while by
+    /// all sessions.
+    async fn read_unwatched(
+        &self,
+        floor: Position,
+        call: Call<'_>,
+    ) -> Result<Option<Answer>, Refusal> {
+        let view = self.shared.view.borrow().clone();
+        let group = group(&view, call.caller)?;
+        if group.watched {
+            return Ok(None);
+        }
+        let fit = |status: &Status| {
+            let age = status.age(Instant::now());
+            let replica = status.role == Role::Replica;
+            replica && status.position.covers(floor) && age <= call.caller.max_staleness
+        };
+        let limit = self.shared.check_limit;
+        for index in route::unwatched(group, Instant::now()) {
+            let server = &group.servers[index];
+            let checkout = tokio::time::timeout(limit, self.checkout(server, call));
+            let Ok(Ok(mut replica)) = checkout.await else {
+                server.rest.start();
+                continue;
+            };
+            let checked = replica
+                .run_checked(call.query, limit, call.deadline, fit)
+                .await;
+            replica.finish(call.deadline).await;
+            match checked {
+                Checked::Fit(answer) => {
+                    self.shared.metrics.read(Target::Replica);
+                    return Ok(Some(read_answer(answer, call.plan)));
+                }
+                Checked::Unfit => {}
+                Checked::Silent => server.rest.start(),
+            }
+        }
+        Ok(None)
+    }
+
     /// Reads on the primary, and passes the rows on only if it was confirmed to lead.
     ///
     /// Failure: a primary cut off with its data centre still believes it leads, and its rows
--- a/crates/proxy/src/session/connection.rs
+++ b/crates/proxy/src/session/connection.rs
@@ -8,7 +8,7 @@
 use tokio_postgres::{Client, SimpleQueryMessage};
 use tokio_util::sync::CancellationToken;
 
-use crate::{backend, route::Value};
+use crate::{backend, route::Value, view::Status};
 
 /// The SQLSTATE a server refuses a write with when it does not lead; nothing was run.
 const READ_ONLY: &str = "25006";
@@ -39,6 +39,17 @@
     Barrier,
 }
 
+/// How a read went that was sent along with a question for the server's status.
+#[derive(Debug)]
+pub enum Checked {
+    /// The status was good enough, and this is the answer.
+    Fit(Answer),
+    /// The status was not good enough; the rows are not passed on.
+    Unfit,
+    /// The server did not answer; the connection is closed.
+    Silent,
+}
+
 /// A backend connection. Dropped, it goes back to its pool, unless a statement failed on it
 /// in a way that leaves its state unknown.
 #[derive(Debug)]
@@ -150,6 +161,48 @@
         (answer, position)
     }
 
+    /// Runs a read, and asks for the server's status before it in the same round trip; the
+    /// answer counts only if `fit` accepts the status, which must come within `limit`.
+    pub async fn run_checked(
+        &mut self,
+        query: &str,
+        limit: Duration,
+        deadline: Instant,
+        fit: impl Fn(&Status) -> bool,
+    ) -> Checked {
+        let Some(object) = &self.object else {
+            return Checked::Silent;
+        };
+        let checked = async {
+            let mut status = std::pin::pin!(backend::status(object, limit));
+            let mut rows = std::pin::pin!(object.simple_query(query));
+            // The server answers in order: rows that come first mean the connection failed.
+            let status = tokio::select! {
+                biased;
+                status = &mut status => status.ok(),
+                _ = &mut rows => None,
+            };
+            match status {
+                None => Checked::Silent,
+                Some(status) if fit(&status) => Checked::Fit(rows.await.map_err(Failure::from)),
+                Some(_) => match rows.await {
+                    Ok(_) => Checked::Unfit,
+                    Err(_) => Checked::Silent,
+                },
+            }
+        };
+        let late = || Checked::Fit(Err(Failure::Lost("no answer in time".to_owned())));
+        let checked = tokio::time::timeout_at(deadline.into(), checked).await;
+        let checked = checked.unwrap_or_else(|_| late());
+        if matches!(
+            checked,
+            Checked::Silent | Checked::Fit(Err(Failure::Lost(_)))
+        ) {
+            self.close();
+        }
+        checked
+    }
+
     /// The server's position, read now.
     pub async fn position(&self, deadline: Instant) -> Option<Position> {
         let limit = deadline.saturating_duration_since(Instant::now());
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -6,7 +6,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -19,6 +19,9 @@
 const FRESH_PERIODS: u32 = 3;
 /// The least time a status is trusted, whatever the period.
 const FRESH_MIN: Duration = Duration::from_secs(1);
+/// How long a server of a group this proxy does not watch is left alone after it did not answer.
+const REST: Duration = Duration::from_secs(2);
+
 /// How long a status read every `period` is trusted for routing.
 pub fn fresh_for(period: Duration) -> Duration {
     (period * FRESH_PERIODS).max(FRESH_MIN)
@@ -64,6 +67,8 @@
     /// Whether the platform is about to stop it; it gets no new reads, and a primary is
     /// replaced first.
     pub leaving: bool,
+    /// Set while it is left alone, in a group that is not watched.
+    pub rest: Rest,
     /// Cancelled when another server has taken over from this one: what is under way here as
     /// on a primary gets its final answer at once.
     pub superseded: CancellationToken,
@@ -77,6 +82,22 @@
     }
 }
 
+/// Until when a server that did not answer is left alone; shared by all sessions.
+#[derive(Clone, Debug, Default)]
+pub struct Rest(Arc<Mutex<Option<Instant>>>);
+
+impl Rest {
+    /// Leaves the server alone for [`REST`].
+    pub fn start(&self) {
+        *self.0.lock().unwrap() = Some(Instant::now() + REST);
+    }
+
+    /// Whether the server is to be left alone at `now`.
+    pub fn lasts(&self, now: Instant) -> bool {
+        self.0.lock().unwrap().is_some_and(|until| now < until)
+    }
+}
+
 /// The KV's record of a group's primary, as last seen.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -98,12 +119,18 @@
     pub claim_limit: Duration,
     /// `None` while the KV has no record of this group.
     pub held: Option<Held>,
+    /// Whether this proxy reads the servers' status. Otherwise it knows the primary from the
+    /// record, and asks a replica for its status along with each read.
+    pub watched: bool,
 }
 
 impl Group {
     /// The server that leads at the highest term among those with a fresh status, unless a
     /// later term has been taken.
     pub fn primary(&self, now: Instant) -> Option<usize> {
+        if !self.watched {
+            return self.recorded();
+        }
         let floor = self.term_floor(now);
         self.fresh(now)
             .filter(|(_, status)| status.role == Role::Primary && status.term >= floor)
@@ -111,6 +138,14 @@
             .map(|(index, _)| index)
     }
 
+    /// The server that the record says leads.
+    fn recorded(&self) -> Option<usize> {
+        let leader = self.held.as_ref()?.record.server?;
+        self.servers
+            .iter()
+            .position(|server| server.address == leader)
+    }
+
     /// The servers with a fresh status.
     pub fn fresh(&self, now: Instant) -> impl Iterator<Item = (usize, Status)> + '_ {
         let read = move |index: usize| {
@@ -141,5 +176,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     pub bundle: Option<Arc<Bundle>>,
+    /// How many live proxies the KV has told of, this one included.
+    pub members: usize,
     pub groups: Map<String, Group>,
 }
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -40,6 +40,7 @@
             pool: pool::build(address, "ledger", 1, &config),
             status,
             leaving: false,
+            rest: Default::default(),
             superseded: Default::default(),
         }
     };
@@ -48,6 +49,7 @@
         fresh_for: Duration::from_secs(1),
         claim_limit: Duration::from_secs(2),
         held,
+        watched: true,
     }
 }
 
--- a/crates/standin/src/kv/store.rs
+++ b/crates/standin/src/kv/store.rs
@@ -115,6 +115,14 @@
         }
     }
 
+    /// Makes the lease of `key`, if it has one, run out at the next sweep.
+    pub fn end_lease(&mut self, key: &str) {
+        let lease = self.keys.get(key).map(|kv| kv.lease);
+        if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.deadline = Instant::now();
+        }
+    }
+
     /// Drops expired leases and the keys tied to them.
     pub fn expire(&mut self, now: Instant) {
         let expired: Vec<i64> = self
