--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -25,7 +25,11 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use self::{duty::Member, failover::Watch, probe::Probe};
+use self::{
+    duty::{Member, Roster},
+    failover::Watch,
+    probe::Probe,
+};
 use crate::{
     config::Config,
     metrics::Metrics,
@@ -120,7 +124,7 @@
         records: Map::default(),
         probes: Map::default(),
         leaving: Vec::new(),
-        members: Vec::new(),
+        members: Roster::default(),
         led_by: Map::default(),
         attempts: Map::default(),
     };
@@ -173,7 +177,7 @@
     records: Map<String, Held>,
     probes: Map<SocketAddr, Probe>,
     /// The live proxies, as far as the KV has told.
-    members: Vec<Member>,
+    members: Roster,
     /// The servers that are leaving, whatever group lists them.
     leaving: Vec<SocketAddr>,
     /// The last known primary of each group.
@@ -189,12 +193,14 @@
             Message::Bundle(bundle) => self.apply(bundle),
             Message::Record { group, held } => self.hold(group, held),
             Message::Members(members) => {
-                self.members = members;
+                self.members = members.into_iter().collect();
                 self.assign()
             }
             Message::Member { member, present } => {
-                self.members.retain(|known| *known != member);
-                self.members.extend(present.then_some(member));
+                match present {
+                    true => self.members.add(member),
+                    false => self.members.remove(&member),
+                }
                 self.assign()
             }
             Message::Leaving(servers) => self.leave(servers),
@@ -232,12 +238,10 @@
             dc: self.config.dc.clone(),
             id: self.config.id.clone(),
         };
-        if !self.members.contains(&me) {
-            self.members.push(me.clone());
-        }
+        self.members.add(me.clone());
         let mut probes = std::mem::take(&mut self.probes);
         for (name, group) in &mut self.groups {
-            group.watched = duty::watchers(name, &self.members).contains(&&me);
+            group.watched = self.members.watchers(name).contains(&&me);
             if !group.watched {
                 group
                     .servers
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -15,31 +15,91 @@
 pub const WATCHERS: usize = 3;
 
 /// One live proxy.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
     pub dc: String,
     pub id: String,
 }
 
-/// The watchers of `group` among `members`: first the best of each data centre, so that the
-/// loss of one leaves the others, then the best of the rest.
-pub fn watchers<'a>(group: &str, members: &'a [Member]) -> Vec<&'a Member> {
-    let weight = |member: &Member| Reverse(backoff::salt(&(group, &member.dc, &member.id)));
-    let mut ranked: Vec<&Member> = members.iter().collect();
-    ranked.sort_by_cached_key(|member| (weight(member), member.id.clone()));
-    let mut taken: Map<&str, usize> = Map::default();
-    let mut rounds: Vec<(usize, &Member)> = ranked
-        .into_iter()
-        .map(|member| {
-            let before = taken.entry(member.dc.as_str()).or_default();
-            *before += 1;
-            (*before, member)
-        })
-        .collect();
-    rounds.sort_by_key(|(round, _)| *round);
-    rounds
-        .into_iter()
-        .take(WATCHERS)
-        .map(|(_, member)| member)
-        .collect()
+/// A proxy with its part of the hash, computed once: a change of the roster ranks every proxy
+/// for every group again.
+#[derive(Clone, Debug)]
+struct Entry {
+    member: Member,
+    seed: u64,
+}
+
+/// The live proxies, by data centre.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    dcs: Map<String, Vec<Entry>>,
+    count: usize,
+}
+
+impl Roster {
+    /// How many proxies there are.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether there is no proxy.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Adds a proxy; one that is there already changes nothing.
+    pub fn add(&mut self, member: Member) {
+        let dc = self.dcs.entry(member.dc.clone()).or_default();
+        if dc.iter().all(|entry| entry.member != member) {
+            let seed = backoff::salt(&member);
+            dc.push(Entry { member, seed });
+            self.count += 1;
+        }
+    }
+
+    /// Removes a proxy; one that is not there changes nothing.
+    pub fn remove(&mut self, member: &Member) {
+        if let Some(dc) = self.dcs.get_mut(&member.dc) {
+            let before = dc.len();
+            dc.retain(|entry| entry.member != *member);
+            self.count -= before - dc.len();
+        }
+    }
+
+    /// The watchers of `group`: first the best of each data centre, so that the loss of one
+    /// leaves the others, then the second best, and so on.
+    pub fn watchers(&self, group: &str) -> Vec<&Member> {
+        let seed = backoff::salt(&group);
+        let best = self.dcs.values().map(|dc| best(dc, seed));
+        let mut ranked: Vec<(usize, Reverse<u64>, &Member)> = best
+            .flat_map(|best| best.into_iter().enumerate())
+            .map(|(round, (weight, entry))| (round, Reverse(weight), &entry.member))
+            .collect();
+        ranked.sort_by_key(|(round, weight, _)| (*round, *weight));
+        ranked.truncate(WATCHERS);
+        ranked.into_iter().map(|(.., member)| member).collect()
+    }
+}
+
+impl FromIterator<Member> for Roster {
+    fn from_iter<I: IntoIterator<Item = Member>>(members: I) -> Self {
+        let mut roster = Self::default();
+        members.into_iter().for_each(|member| roster.add(member));
+        roster
+    }
+}
+
+/// The highest weighted proxies of one data centre, at most as many as there are watchers.
+fn best(dc: &[Entry], seed: u64) -> Vec<(u64, &Entry)> {
+    let mut best: Vec<(u64, &Entry)> = Vec::with_capacity(WATCHERS + 1);
+    for entry in dc {
+        let weight = backoff::salt(&(seed, entry.seed));
+        if best.len() == WATCHERS && best[WATCHERS - 1].0 >= weight {
+            continue;
+        }
+        let place = best.partition_point(|(higher, _)| *higher >= weight);
+        best.insert(place, (weight, entry));
+        best.truncate(WATCHERS);
+    }
+    best
 }
