Positions and lags in shared cells; a view only when routing changes

Cause: every status read republished a copy of all groups, up to 40 times a second; at 4,000 groups that is 12,000 server entries a time. Ruled out: publishing less often (floors would be seen later by as much). Change: view::Latest, one cell a server that all views share; views are published when they change who leads, who is there or the bundle. A statement that waits for a primary looks again every 10 ms besides, since a failed checkout is no longer followed by a new view within 25 ms.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -37,7 +37,7 @@
     view::{self, Group, Held, Server, Status, View},
 };
 
-/// How often the groups are judged and gathered status changes are published.
+/// How often the groups are judged.
 const TICK: Duration = Duration::from_millis(25);
 /// How many messages may wait for the control loop.
 const QUEUE: usize = 256;
@@ -130,20 +130,13 @@
     };
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut dirty = false;
     loop {
         tokio::select! {
             Some(message) = messages.recv() => match control.take(message) {
                 Change::Nothing => {}
-                Change::Figures => dirty = true,
                 Change::Routing => control.publish(),
             },
-            _ = tick.tick() => {
-                control.judge();
-                if std::mem::take(&mut dirty) {
-                    control.publish();
-                }
-            }
+            _ = tick.tick() => control.judge(),
         }
     }
 }
@@ -156,12 +149,11 @@
     pub since: Instant,
 }
 
-/// What a message changed, which decides how soon traffic must see it.
+/// Whether a message changed what traffic goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Change {
+    /// No, or only positions and lags, which traffic reads as they are.
     Nothing,
-    /// Positions and lags: published at the next tick.
-    Figures,
     /// Who leads, who is there, or the bundle: published at once.
     Routing,
 }
@@ -243,10 +235,9 @@
         for (name, group) in &mut self.groups {
             group.watched = self.members.watchers(name).contains(&&me);
             if !group.watched {
-                group
-                    .servers
-                    .iter_mut()
-                    .for_each(|server| server.status = None);
+                for server in &group.servers {
+                    server.status.set(None);
+                }
                 continue;
             }
             for server in &group.servers {
@@ -289,7 +280,7 @@
         Server {
             address,
             pool: pool::build(address, &group.name, group.pool_size, &self.config),
-            status: old.and_then(|old| old.status),
+            status: old.map(|old| old.status.clone()).unwrap_or_default(),
             leaving: self.leaving.contains(&address),
             rest: old.map(|old| old.rest.clone()).unwrap_or_default(),
             superseded: CancellationToken::new(),
@@ -336,20 +327,20 @@
 
     /// Notes a server's status in every group that lists it.
     fn note(&mut self, address: SocketAddr, status: Option<Status>) -> Change {
-        let mut change = Change::Figures;
+        let mut change = Change::Nothing;
         for group in self.groups.values_mut() {
             if !group.watched {
                 continue;
             }
             for server in group.servers.iter_mut().filter(|s| s.address == address) {
+                let old = server.status.set(status);
                 let lead = |status: Option<Status>| status.map(|s| (s.role, s.term));
-                if lead(server.status) != lead(status) {
+                if lead(old) != lead(status) {
                     change = Change::Routing;
                 }
-                if server.status.is_some() && status.is_none() {
+                if old.is_some() && status.is_none() {
                     drop_idle(server);
                 }
-                server.status = status;
             }
         }
         if change == Change::Routing {
--- a/crates/proxy/src/control/verdict.rs
+++ b/crates/proxy/src/control/verdict.rs
@@ -63,7 +63,7 @@
     }
     match group
         .primary(now)
-        .and_then(|index| Some((index, group.servers[index].status?)))
+        .and_then(|index| Some((index, group.servers[index].status.get()?)))
     {
         None => Verdict::Unsure,
         Some((index, led)) => match group.fresh(now).any(|(_, s)| s.term > led.term) {
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -68,9 +68,10 @@
                     address: server.address,
                     role: server
                         .status
+                        .get()
                         .map(|s| format!("{:?}", s.role).to_lowercase()),
-                    position: server.status.map(|s| s.position.to_string()),
-                    lag_ms: server.status.map(|s| s.lag.as_millis()),
+                    position: server.status.get().map(|s| s.position.to_string()),
+                    lag_ms: server.status.get().map(|s| s.lag.as_millis()),
                 })
                 .collect(),
         })
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -47,7 +47,8 @@
     view::{Group, Role, Server, Status, View},
 };
 
-/// How soon a write that a superseded primary refused is offered again.
+/// How soon a statement for which there was no primary, or no connection to it, or which a
+/// superseded one refused, is tried again.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
 
 /// What the daemon shares with every session.
@@ -487,10 +488,12 @@
                 }
                 None => format!("group {} has no primary", call.caller.group),
             };
-            let changed = tokio::time::timeout_at(give_up.into(), views.changed()).await;
-            if changed.is_err() {
+            if Instant::now() >= give_up {
                 return Err(Refusal::NotRun(why));
             }
+            // A new view, or a while: a connection may be had later though nothing changed.
+            let again = give_up.min(Instant::now() + LOOK_AGAIN);
+            let _ = tokio::time::timeout_at(again.into(), views.changed()).await;
         }
     }
 }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -57,13 +57,31 @@
     }
 }
 
+/// The last status of a server, `None` until the first is read and after a read fails.
+///
+/// The control thread writes it and sessions read it, so new positions and lags need no new
+/// [`View`]: at 4,000 groups, publishing one for every status read costs more than the reads.
+#[derive(Clone, Debug, Default)]
+pub struct Latest(Arc<Mutex<Option<Status>>>);
+
+impl Latest {
+    /// The status, if there is one.
+    pub fn get(&self) -> Option<Status> {
+        *self.0.lock().unwrap()
+    }
+
+    /// Replaces the status; returns the one before.
+    pub fn set(&self, status: Option<Status>) -> Option<Status> {
+        std::mem::replace(&mut *self.0.lock().unwrap(), status)
+    }
+}
+
 /// One backend server of a group.
 #[derive(Clone, Debug)]
 pub struct Server {
     pub address: SocketAddr,
     pub pool: Pool,
-    /// `None` until the first status read succeeds, and after a read fails.
-    pub status: Option<Status>,
+    pub status: Latest,
     /// Whether the platform is about to stop it; it gets no new reads, and a primary is
     /// replaced first.
     pub leaving: bool,
@@ -78,6 +96,7 @@
     /// The status, if it was read within `limit` before `now`.
     pub fn fresh(&self, now: Instant, limit: Duration) -> Option<Status> {
         self.status
+            .get()
             .filter(|status| now.duration_since(status.read_at) <= limit)
     }
 }
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -7,7 +7,7 @@
     config::Config,
     control::verdict::{judge, Terms, Verdict},
     pool,
-    view::{Group, Held, Role, Server, Status},
+    view::{Group, Held, Latest, Role, Server, Status},
 };
 use yare::parameterized;
 
@@ -35,10 +35,12 @@
     let config = Config::load(None).expect("the embedded settings");
     let server = |(index, status)| {
         let address = ([127, 0, 0, 1], 5000 + index as u16).into();
+        let latest = Latest::default();
+        latest.set(status);
         Server {
             address,
             pool: pool::build(address, "ledger", 1, &config),
-            status,
+            status: latest,
             leaving: false,
             rest: Default::default(),
             superseded: Default::default(),
