--- a/crates/proxy/benches/control.rs
+++ b/crates/proxy/benches/control.rs
@@ -6,13 +6,18 @@
 use std::time::{Duration, Instant};
 
 use dandelionpitch_core::bundle::Bundle;
-use dandelionpitch_proxy::control::duty::{Member, Roster};
+use dandelionpitch_proxy::{
+    config::Config,
+    control::duty::{Member, Roster},
+    pool,
+};
 
 const PROXIES: usize = 3_400;
 const DCS: usize = 15;
 const GROUPS: usize = 4_000;
 const ROUNDS: usize = 5;
 const DUTY_BOUND: Duration = Duration::from_millis(300);
+const POOL_KB_BOUND: f64 = 4.0;
 const BUNDLE_BOUND: Duration = Duration::from_millis(500);
 
 fn roster() -> Roster {
@@ -51,6 +56,27 @@
     times[ROUNDS / 2]
 }
 
+/// Resident memory of this process, in KB.
+fn resident() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("Linux");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let field = line.and_then(|line| line.split_whitespace().nth(1));
+    field.expect("a resident size").parse().expect("a number")
+}
+
+/// KB for the pool of one backend server without a connection.
+fn pool_size() -> f64 {
+    let config = Config::load(None).expect("the embedded settings");
+    let before = resident();
+    let pools: Vec<_> = (0..3 * GROUPS)
+        .map(|index| {
+            let address = ([10, 0, (index / 250) as u8, (index % 250) as u8], 5432).into();
+            pool::build(address, "g", 8, &config)
+        })
+        .collect();
+    (resident() - before) / pools.len() as f64
+}
+
 fn main() {
     let roster = roster();
     let me = Member {
@@ -70,8 +96,14 @@
         Bundle::parse(&text).expect("a valid bundle");
     });
 
+    let pool = pool_size();
+    println!(
+        "pool: {pool:.2} KB a server, {:.1} MB for all",
+        pool * 3.0 * GROUPS as f64 / 1024.0
+    );
     println!("duty: {duty:.1?} for {GROUPS} groups over {PROXIES} proxies, {mine} to watch");
     println!("bundle: {} KB, {parse:.1?} to read", text.len() / 1024);
     assert!(duty <= DUTY_BOUND, "duty is past its bound");
+    assert!(pool <= POOL_KB_BOUND, "an unused pool is past its bound");
     assert!(parse <= BUNDLE_BOUND, "reading a bundle is past its bound");
 }
