--- a/crates/e2e/tests/duty.rs
+++ b/crates/e2e/tests/duty.rs
@@ -169,3 +169,31 @@
 
     assert!(succeeded, "{:?}", self::watchers(&site).await);
 }
+
+/// A data centre loses the KV, and then the primary dies. The proxy there that does not watch
+/// the group hears nothing of the failover from the KV; it finds the new primary by asking the
+/// servers, and its members' writes go on.
+#[tokio::test]
+async fn failover_is_found_without_the_kv() {
+    let (site, watchers) = site("duty-no-kv").await;
+    let other = others(&site, &watchers)[0];
+    let down = serde_json::json!({ "down": true });
+    site.kv_fault(&other.dc, down).await;
+    let writer = Writer::start(other, "w");
+    tokio::time::sleep(CALM).await;
+
+    site.fault(1, "kill", 0, "").await;
+    let replaced = eventually(WAIT, || async {
+        let record = site.record().await;
+        record.is_some_and(|record| record.term > 1 && record.server.is_some())
+    })
+    .await;
+    tokio::time::sleep(2 * CALM).await;
+    let since = Instant::now();
+    tokio::time::sleep(2 * CALM).await;
+    let attempts = writer.stop().await;
+
+    assert!(replaced);
+    let acked = |a: &&history::Attempt| a.outcome == Outcome::Acked && a.sent > since;
+    assert!(attempts.iter().filter(acked).count() > 10, "writes resumed");
+}
--- a/crates/e2e/tests/failover.rs
+++ b/crates/e2e/tests/failover.rs
@@ -20,7 +20,17 @@
 const TWO_IN_ONE_DC: &[&str] = &["dc-1", "dc-1"];
 const TWO_DCS: &[&str] = &["dc-1", "dc-2"];
 
-/// The address and term of the primary as proxy `index` sees it.
+/// A site with two proxies, and a member who has been writing through each for a while, as
+/// `w0` and `w1`.
+async fn site_with_writers(name: &str, dcs: &[&str]) -> (Site, Vec<Writer>) {
+    let site = Site::build(&Layout::new(name, dcs)).await;
+    let start = |(index, proxy)| Writer::start(proxy, &format!("w{index}"));
+    let writers = site.proxies.iter().enumerate().map(start).collect();
+    tokio::time::sleep(CALM).await;
+    (site, writers)
+}
+
+/// The address of the primary as proxy `index` sees it.
 async fn primary(site: &Site, index: usize) -> Option<String> {
     let report = operator(&site.proxies[index], "/status").await;
     report["groups"][0]["primary"].as_str().map(str::to_owned)
@@ -101,12 +111,7 @@
 /// gap. Each acknowledged write is on the new primary once, each "not run" one is not there.
 #[tokio::test]
 async fn primary_killed() {
-    let site = Site::build(&Layout::new("killed", TWO_IN_ONE_DC)).await;
-    let writers = vec![
-        Writer::start(&site.proxies[0], "a"),
-        Writer::start(&site.proxies[1], "b"),
-    ];
-    tokio::time::sleep(CALM).await;
+    let (site, writers) = site_with_writers("killed", TWO_IN_ONE_DC).await;
 
     site.fault(1, "kill", 0, "").await;
     let record = replaced(&site, 1).await;
@@ -173,12 +178,7 @@
 /// "not run" but no acknowledgement; when the cut ends, their proxy follows the new primary.
 #[tokio::test]
 async fn primary_cut_off_while_leading() {
-    let site = Site::build(&Layout::new("cut", TWO_DCS)).await;
-    let writers = vec![
-        Writer::start(&site.proxies[0], "cut"),
-        Writer::start(&site.proxies[1], "sound"),
-    ];
-    tokio::time::sleep(CALM).await;
+    let (site, writers) = site_with_writers("cut", TWO_DCS).await;
 
     site.cut_dc("dc-1", 0, true).await;
     let cut = Instant::now();
@@ -198,7 +198,7 @@
         both.contains(&(0, 1)),
         "the old primary still led: {both:?}"
     );
-    let on_cut_side = |a: &&Attempt| a.id.starts_with("cut") && a.sent > cut && a.sent < healed;
+    let on_cut_side = |a: &&Attempt| a.id.starts_with("w0") && a.sent > cut && a.sent < healed;
     let acked = |a: &Attempt| a.outcome == Outcome::Acked && a.answered < healed;
     assert!(attempts.iter().filter(on_cut_side).count() > 0);
     assert!(!attempts.iter().filter(on_cut_side).any(acked));
@@ -344,12 +344,7 @@
 /// thaws it still believes it leads, and the writes it held are not acknowledged by it.
 #[tokio::test]
 async fn primary_frozen_and_thawed() {
-    let site = Site::build(&Layout::new("frozen", TWO_IN_ONE_DC)).await;
-    let writers = vec![
-        Writer::start(&site.proxies[0], "a"),
-        Writer::start(&site.proxies[1], "b"),
-    ];
-    tokio::time::sleep(CALM).await;
+    let (site, writers) = site_with_writers("frozen", TWO_IN_ONE_DC).await;
 
     site.fault(1, "freeze", 0, "").await;
     replaced(&site, 1).await;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -263,6 +263,7 @@
             claim_limit: self.config.failover.claim_limit,
             held: self.records.get(&group.name).cloned(),
             watched: kept.is_some_and(|kept| kept.watched),
+            found: kept.map(|kept| kept.found.clone()).unwrap_or_default(),
         }
     }
 
--- a/crates/proxy/src/session/connection.rs
+++ b/crates/proxy/src/session/connection.rs
@@ -203,6 +203,15 @@
         checked
     }
 
+    /// The server's status, read now; without an answer the connection is closed.
+    pub async fn status(&mut self, limit: Duration) -> Option<Status> {
+        let status = backend::status(self.object.as_deref()?, limit).await.ok();
+        if status.is_none() {
+            self.close();
+        }
+        status
+    }
+
     /// The server's position, read now.
     pub async fn position(&self, deadline: Instant) -> Option<Position> {
         let limit = deadline.saturating_duration_since(Instant::now());
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -117,6 +117,48 @@
     }
 }
 
+/// How often the servers of a group are asked which of them leads.
+const SEARCH_EVERY: Duration = Duration::from_millis(200);
+
+/// The primary that sessions found by asking the servers, in a group this proxy does not watch.
+///
+/// Failure: the proxy is cut off from the KV while a primary is replaced, and sends writes to
+/// the old one until the KV is back. Guard: sessions that get no further ask the servers, a
+/// few times a second for all of them together, and the highest term that leads is used.
+#[derive(Clone, Debug, Default)]
+pub struct Found(Arc<Mutex<Search>>);
+
+#[derive(Debug, Default)]
+struct Search {
+    leader: Option<(SocketAddr, u64)>,
+    asked_at: Option<Instant>,
+}
+
+impl Found {
+    /// The server that said it leads, and its term.
+    pub fn leader(&self) -> Option<(SocketAddr, u64)> {
+        self.0.lock().unwrap().leader
+    }
+
+    /// Notes that a server says it leads at `term`, unless a later term is known.
+    pub fn offer(&self, server: SocketAddr, term: u64) {
+        let leader = &mut self.0.lock().unwrap().leader;
+        if leader.is_none_or(|(_, known)| known < term) {
+            *leader = Some((server, term));
+        }
+    }
+
+    /// Whether it is time to ask the servers; whoever is told so is to ask them.
+    pub fn due(&self, now: Instant) -> bool {
+        let asked_at = &mut self.0.lock().unwrap().asked_at;
+        let due = asked_at.is_none_or(|at| now.duration_since(at) >= SEARCH_EVERY);
+        if due {
+            *asked_at = Some(now);
+        }
+        due
+    }
+}
+
 /// The KV's record of a group's primary, as last seen.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -141,6 +183,8 @@
     /// Whether this proxy reads the servers' status. Otherwise it knows the primary from the
     /// record, and asks a replica for its status along with each read.
     pub watched: bool,
+    /// What sessions found out about the primary while it is not watched.
+    pub found: Found,
 }
 
 impl Group {
@@ -157,9 +201,12 @@
             .map(|(index, _)| index)
     }
 
-    /// The server that the record says leads.
+    /// The server that leads by the record, or at a later term by its own word.
     fn recorded(&self) -> Option<usize> {
-        let leader = self.held.as_ref()?.record.server?;
+        let record = self.held.as_ref().map(|held| &held.record);
+        let recorded = record.and_then(|record| Some((record.server?, record.term)));
+        let known = recorded.into_iter().chain(self.found.leader());
+        let (leader, _) = known.max_by_key(|(_, term)| *term)?;
         self.servers
             .iter()
             .position(|server| server.address == leader)
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -52,6 +52,7 @@
         claim_limit: Duration::from_secs(2),
         held,
         watched: true,
+        found: Default::default(),
     }
 }
 
