A new bundle holds for open sessions too

Test: thin_path.rs bundle_holds_for_open_sessions, red before (lookups still on replicas 1 and 2 with no staleness allowed), green after. Left: the move to another group is not tested.

--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -6,7 +6,7 @@
 //! higher than the one in force, and a proxy never applies a lower version than it runs
 //! (`docs/DESIGN.md`, "Configuration bundles").
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,7 +25,7 @@
     /// Database groups by name.
     pub groups: Map<String, Group>,
     /// Callers by user name.
-    pub callers: Map<String, Caller>,
+    pub callers: Map<String, Arc<Caller>>,
 }
 
 /// One replicated database group.
@@ -132,7 +132,7 @@
     }
 
     /// The caller entry for a user name, if the bundle knows it.
-    pub fn caller(&self, user: &str) -> Option<&Caller> {
+    pub fn caller(&self, user: &str) -> Option<&Arc<Caller>> {
         self.callers.get(user)
     }
 }
@@ -162,7 +162,7 @@
             if callers.contains_key(&caller.user) {
                 return Err(rule(format!("caller {:?}: named twice", caller.user)));
             }
-            callers.insert(caller.user.clone(), caller);
+            callers.insert(caller.user.clone(), Arc::new(caller));
         }
         Ok(Self {
             version: wire.version,
--- a/crates/e2e/tests/thin_path.rs
+++ b/crates/e2e/tests/thin_path.rs
@@ -91,3 +91,36 @@
     assert!(!older, "{refusal}");
     assert!(refusal.contains("never revert"), "{refusal}");
 }
+
+/// A lookup session is open and is served by a replica. A new bundle allows lookups no
+/// staleness, and the next one knows no lookups any more. Both hold for the open session, not
+/// only for callers that connect later.
+#[tokio::test]
+async fn bundle_holds_for_open_sessions() {
+    let site = Site::start("open-session", 1, 20).await;
+    let lookup = connect(&site.proxies[0], "lookup", "").await;
+    let server = || scalar(&lookup, "SHOW dandelionpitch.server");
+    let on_replica = eventually(WAIT, || async { server().await.is_some_and(|s| s != "0") }).await;
+
+    let strict = |text: String| text.replace("\"5s\"", "\"0s\"");
+    assert!(site.put_edited(2, strict).0);
+    let in_force = eventually(WAIT, || async {
+        operator(&site.proxies[0], "/status").await["bundle_version"] == 2
+    })
+    .await;
+    let mut after = Vec::new();
+    for _ in 0..20 {
+        after.push(server().await.expect("an answer"));
+    }
+    let unknown = |text: String| text.replace("\"lookup\"", "\"someone\"");
+    assert!(site.put_edited(3, unknown).0);
+    let refused = eventually(WAIT, || async {
+        let code = fixture::refusal(&lookup, "SELECT 1").await;
+        code.as_deref() == Some("28000")
+    })
+    .await;
+
+    assert!(on_replica && in_force);
+    assert!(after.iter().all(|server| server == "0"), "{after:?}");
+    assert!(refused, "an unknown caller's session goes on");
+}
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -38,10 +38,7 @@
 };
 use tokio::sync::{watch, Mutex};
 
-use self::{
-    connection::Connection,
-    refusal::{Refusal, UNKNOWN_CALLER},
-};
+use self::{connection::Connection, refusal::Refusal};
 use crate::{
     metrics::Metrics,
     route::{self, Kind, Plan, Value, POSITION_SETTING},
@@ -98,7 +95,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    caller: Option<Caller>,
+    user: String,
+    caller: Option<Arc<Caller>>,
     floor: Option<Position>,
     transaction: Transaction,
     /// What the session has set, in the order it did.
@@ -157,10 +155,7 @@
 
     async fn run(&self, query: &str, plan: &Plan) -> Answer {
         let mut state = self.state.lock().await;
-        let caller = state
-            .caller
-            .clone()
-            .ok_or_else(|| Refusal::NotRun("no caller".to_owned()))?;
+        let caller = self.caller(&mut state)?;
         let values = state.values.clone();
         let call = Call {
             query,
@@ -176,6 +171,31 @@
         }
     }
 
+    /// What the bundle in force says of the session's caller; within a transaction, what it
+    /// said when the transaction began.
+    ///
+    /// Failure: a session stays open for days, and what a new bundle allows or forbids its
+    /// caller would hold only for those who connect later. Guard: it is looked up for every
+    /// statement outside a transaction.
+    fn caller(&self, state: &mut State) -> Result<Arc<Caller>, Refusal> {
+        if let (Some(caller), Transaction::Open(_)) = (&state.caller, &state.transaction) {
+            return Ok(caller.clone());
+        }
+        let view = self.shared.view.borrow().clone();
+        let bundle = view.bundle.as_ref();
+        let caller = bundle.and_then(|bundle| bundle.caller(&state.user).cloned());
+        let moved = |old: &Arc<Caller>| caller.as_ref().is_some_and(|new| new.group != old.group);
+        if state.caller.as_ref().is_some_and(moved) {
+            // A position in one group's log says nothing about another's.
+            state.floor = None;
+        }
+        state.caller = caller;
+        match &state.caller {
+            Some(caller) => Ok(caller.clone()),
+            None => Err(Refusal::UnknownCaller(state.user.clone())),
+        }
+    }
+
     /// Runs a query string that comes outside a transaction.
     async fn outside(&self, state: &mut State, call: Call<'_>) -> Answer {
         match &call.plan.kind {
@@ -234,26 +254,20 @@
         C::Error: Debug,
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
-        let user = client.metadata().get("user").cloned().unwrap_or_default();
-        let view = self.shared.view.borrow().clone();
-        let caller = view
-            .bundle
-            .as_ref()
-            .and_then(|bundle| bundle.caller(&user).cloned());
-        let Some(caller) = caller else {
-            log::info!(target: "session", "Refused unknown caller {user:?}.");
-            let text = format!("unknown caller {user:?}: no such user in the bundle in force");
-            let info = ErrorInfo::new("FATAL".to_owned(), UNKNOWN_CALLER.to_owned(), text);
+        let mut state = self.state.lock().await;
+        state.user = client.metadata().get("user").cloned().unwrap_or_default();
+        if let Err(refusal) = self.caller(&mut state) {
+            log::info!(target: "session", "Refused unknown caller {:?}.", state.user);
+            let mut info = ErrorInfo::from(refusal);
+            info.severity = "FATAL".to_owned();
             return Err(PgWireError::UserError(Box::new(info)));
-        };
+        }
         let options = client
             .metadata()
             .get("options")
             .cloned()
             .unwrap_or_default();
-        let mut state = self.state.lock().await;
         state.floor = startup_token(&options);
-        state.caller = Some(caller);
         Ok(())
     }
 }
--- a/crates/proxy/src/session/refusal.rs
+++ b/crates/proxy/src/session/refusal.rs
@@ -9,7 +9,7 @@
 /// The SQLSTATE of a statement in a transaction that has already failed.
 const ABORTED: &str = "25P02";
 /// The SQLSTATE for a user name the bundle does not know.
-pub const UNKNOWN_CALLER: &str = "28000";
+const UNKNOWN_CALLER: &str = "28000";
 /// When a caller refused with "not run" may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -21,6 +21,8 @@
     NotRun(String),
     /// Sent, but the answer was lost; the caller must check before repeating.
     Unknown(String),
+    /// The bundle in force does not know the user name.
+    UnknownCaller(String),
     /// The transaction has failed; only its end is accepted.
     Aborted,
     /// The backend's own error, passed on.
@@ -33,6 +35,7 @@
         match self {
             Self::NotRun(_) => Some(NOT_RUN),
             Self::Unknown(_) => Some(OUTCOME_UNKNOWN),
+            Self::UnknownCaller(_) => Some(UNKNOWN_CALLER),
             Self::Aborted => Some(ABORTED),
             Self::Server(_) => None,
         }
@@ -47,6 +50,10 @@
                 format!("not run: {why}; come back in {RETRY_AFTER_MS} ms"),
             ),
             Refusal::Unknown(why) => (OUTCOME_UNKNOWN, format!("outcome unknown: {why}")),
+            Refusal::UnknownCaller(user) => (
+                UNKNOWN_CALLER,
+                format!("unknown caller {user:?}: no such user in the bundle in force"),
+            ),
             Refusal::Aborted => (
                 ABORTED,
                 "current transaction is aborted, commands ignored until end of transaction block"
