dpctl burn: a report on service-level burn

Change: the proxy counts statements answered and those it failed (not run, outcome unknown); dpctl burn shows, per proxy and in all, the failed share over what the objective allows, since start and in a window. dpctl's reading of heartbeats and operator endpoints moved to one module. Ruled out: counting backends' own errors (a doubled id is the caller's). Test: burn_report_counts_what_the_proxy_failed: 20 statements, one failed by the proxy, one by the caller: burn 5.0 at 99 %.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -28,10 +28,31 @@
         #[arg(long, default_value = "http://127.0.0.1:2379")]
         kv: String,
     },
-    /// Show which bundle version each proxy runs.
+    /// Report how fast the service level burns: the share of statements the proxies failed,
+    /// over the share the objective allows.
+    Burn {
+        /// The platform KV endpoint.
+        #[arg(long, default_value = "http://127.0.0.1:2379")]
+        kv: String,
+        /// The share of statements that must not fail, in per cent.
+        #[arg(long, default_value_t = 99.9, value_parser = objective)]
+        objective: f64,
+        /// How long to watch, in seconds, besides the time since each proxy started.
+        #[arg(long, default_value_t = 10)]
+        window: u64,
+    },
+    /// Show which bundle version each proxy runs, and who leads each group.
     Status {
         /// The platform KV endpoint.
         #[arg(long, default_value = "http://127.0.0.1:2379")]
         kv: String,
     },
 }
+
+/// An objective leaves something to burn, so 100 is refused.
+fn objective(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(value) if (0.0..100.0).contains(&value) => Ok(value),
+        _ => Err("must be a number from 0 up to, but not, 100".to_owned()),
+    }
+}
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -5,18 +5,27 @@
 use dandelionpitch_core::{
     bundle::Bundle,
     keys,
-    kv::{self, KeyValue, Swap},
+    kv::{self, Swap},
     primary::Record,
 };
 use serde::Deserialize;
 
-use crate::cli::Command;
+use crate::{
+    burn,
+    cli::Command,
+    proxy::{self, Heartbeat},
+};
 
 /// Runs one command.
 pub async fn run(command: Command) -> Result<String, String> {
     match command {
         Command::Validate { file } => validate(&file),
         Command::Put { file, kv } => put(&file, &kv::Client::new(&kv)).await,
+        Command::Burn {
+            kv,
+            objective,
+            window,
+        } => burn::report(&kv::Client::new(&kv), objective, window).await,
         Command::Status { kv } => status(&kv::Client::new(&kv)).await,
     }
 }
@@ -81,14 +90,6 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
-struct Heartbeat {
-    id: String,
-    dc: String,
-    listen: String,
-    operator: String,
-}
-
 /// The part of a proxy's `GET /status` that is shown here.
 #[derive(Debug, Deserialize)]
 struct Report {
@@ -104,17 +105,22 @@
 
 /// A line per proxy, with the bundle version that the proxy itself reports.
 async fn proxies(kv: &kv::Client) -> Result<Vec<String>, String> {
-    let records = list(kv, keys::PROXY_PREFIX).await?;
-    let lines = records.iter().map(|record| async {
-        match serde_json::from_slice::<Heartbeat>(&record.value) {
-            Ok(beat) => format!(
-                "{:<16} {:<8} {:<22} {}",
-                beat.id,
-                beat.dc,
-                beat.listen,
-                version(&beat.operator).await
-            ),
-            Err(_) => format!("{}: unreadable record", record.key),
+    let all = proxy::all(kv).await?;
+    let lines = all.iter().map(|heartbeat| async {
+        match heartbeat {
+            Ok(Heartbeat {
+                id,
+                dc,
+                listen,
+                operator,
+            }) => {
+                let version = match proxy::get::<Report>(operator, "/status").await {
+                    Ok(report) => report.bundle_version.to_string(),
+                    Err(_) => "no answer".to_owned(),
+                };
+                format!("{id:<16} {dc:<8} {listen:<22} {version}")
+            }
+            Err(key) => format!("{key}: unreadable record"),
         }
     });
     let mut table = vec![format!(
@@ -125,25 +131,10 @@
     Ok(table)
 }
 
-/// The bundle version in force on the proxy with this operator address.
-async fn version(operator: &str) -> String {
-    let get = async {
-        let answer = reqwest::Client::new()
-            .get(format!("http://{operator}/status"))
-            .timeout(kv::CALL_TIMEOUT)
-            .send()
-            .await?;
-        answer.error_for_status()?.json::<Report>().await
-    };
-    match get.await {
-        Ok(report) => report.bundle_version.to_string(),
-        Err(_) => "no answer".to_owned(),
-    }
-}
-
 /// A line per group whose primary was ever replaced.
 async fn primaries(kv: &kv::Client) -> Result<Vec<String>, String> {
-    let records = list(kv, keys::PRIMARY_PREFIX).await?;
+    let records = kv.list(keys::PRIMARY_PREFIX).await;
+    let records = records.map_err(|error| error.to_string())?;
     let mut lines = vec![format!(
         "{:<16} {:<6} {:<22} {}",
         "group", "term", "primary", "claimed by"
@@ -163,7 +154,3 @@
     }
     Ok(lines)
 }
-
-async fn list(kv: &kv::Client, prefix: &str) -> Result<Vec<KeyValue>, String> {
-    kv.list(prefix).await.map_err(|error| error.to_string())
-}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,7 +1,9 @@
 //! `dpctl`, the operator command line: parses, then hands off to one command.
 
+mod burn;
 mod cli;
 mod command;
+mod proxy;
 
 use clap::Parser;
 
--- a/crates/e2e/tests/faults.rs
+++ b/crates/e2e/tests/faults.rs
@@ -272,3 +272,41 @@
     let refused: Vec<_> = attempts.iter().filter(refused).collect();
     assert!(refused.len() <= 2, "only what was under way: {refused:?}");
 }
+
+/// A member runs 18 statements that succeed, one that its own mistake fails, and one for which
+/// there is no primary. The report counts only the last against the service level: one failed
+/// of twenty, at an objective of 99 %, burns five times the allowance.
+#[tokio::test]
+async fn burn_report_counts_what_the_proxy_failed() {
+    let site = Site::build(&Layout::new("burn", &["dc-1"])).await;
+    let member = connect(&site.proxies[0], "member", "").await;
+    for number in 0..18 {
+        let query = insert(&format!("order-{number}"));
+        member.simple_query(&query).await.expect("runs");
+    }
+    let doubled = fixture::refusal(&member, &insert("order-0")).await;
+    site.kv_fault("dc-1", serde_json::json!({ "down": true }))
+        .await;
+    site.fault(1, "kill", 0, "").await;
+    let no_primary = fixture::refusal(&member, &insert("order-18")).await;
+
+    let args = [
+        "burn",
+        "--kv",
+        site.kv_url(),
+        "--objective",
+        "99",
+        "--window",
+        "0",
+    ];
+    let (ok, text) = dpctl(&args);
+    let (allowed, _) = dpctl(&["burn", "--objective", "100"]);
+
+    assert_eq!(doubled.as_deref(), Some("23505"));
+    assert_eq!(no_primary.as_deref(), Some("57P03"));
+    assert!(ok, "{text}");
+    let last = text.lines().last().unwrap();
+    let words: Vec<&str> = last.split_whitespace().collect();
+    assert_eq!(words[..4], ["all", "20", "1", "5.0"], "{text}");
+    assert!(!allowed, "an objective of 100 % is refused");
+}
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -25,6 +25,7 @@
     reads: Counter<u64>,
     writes: Counter<u64>,
     refusals: Counter<u64>,
+    statements: Counter<u64>,
     promotions: Counter<u64>,
     pool_wait: Histogram<f64>,
     reader: Arc<ManualReader>,
@@ -83,6 +84,7 @@
             reads: meter.u64_counter("reads").build(),
             writes: meter.u64_counter("writes").build(),
             refusals: meter.u64_counter("refusals").build(),
+            statements: meter.u64_counter("statements").build(),
             promotions: meter.u64_counter("promotions").build(),
             pool_wait: meter.f64_histogram("pool_wait_seconds").build(),
             reader,
@@ -111,6 +113,16 @@
         self.refusals.add(1, &[KeyValue::new("code", code)]);
     }
 
+    /// Counts a query string that has been answered, for the report on service-level burn; `ok`
+    /// unless the proxy itself failed it.
+    pub fn statement(&self, ok: bool) {
+        let outcome = match ok {
+            true => "ok",
+            false => "failed",
+        };
+        self.statements.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a primary this proxy replaced.
     pub fn promotion(&self) {
         self.promotions.add(1, &[]);
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -295,6 +295,8 @@
     {
         let plan = route::plan(query);
         let answer = self.run(query, &plan).await;
+        let failed = answer.as_ref().is_err_and(Refusal::burns);
+        self.shared.metrics.statement(!failed);
         let floor = self.state.lock().await.floor;
         if let (Some(floor), Kind::Write | Kind::Commit | Kind::Script { .. }) = (floor, &plan.kind)
         {
--- a/crates/proxy/src/session/refusal.rs
+++ b/crates/proxy/src/session/refusal.rs
@@ -30,6 +30,12 @@
 }
 
 impl Refusal {
+    /// Whether it counts against the service level: the proxy could not do what the caller may
+    /// ask for. A backend's own error, or a caller's mistake, does not.
+    pub fn burns(&self) -> bool {
+        matches!(self, Self::NotRun(_) | Self::Unknown(_))
+    }
+
     /// The name it is counted under in the metrics; `None` for a backend's own error.
     pub fn counted(&self) -> Option<&'static str> {
         match self {
