--- a/crates/proxy/src/session/refusal.rs
+++ b/crates/proxy/src/session/refusal.rs
@@ -10,7 +10,8 @@
 const ABORTED: &str = "25P02";
 /// The SQLSTATE for a user name the bundle does not know.
 const UNKNOWN_CALLER: &str = "28000";
-/// When a caller refused with "not run" may come back, in milliseconds.
+/// When a caller may come back, with the same request or to see what became of it, in
+/// milliseconds; a failover takes less.
 const RETRY_AFTER_MS: u64 = 500;
 
 /// A refusal.
@@ -55,7 +56,12 @@
                 NOT_RUN,
                 format!("not run: {why}; come back in {RETRY_AFTER_MS} ms"),
             ),
-            Refusal::Unknown(why) => (OUTCOME_UNKNOWN, format!("outcome unknown: {why}")),
+            Refusal::Unknown(why) => (
+                OUTCOME_UNKNOWN,
+                format!(
+                    "outcome unknown: {why}; check what became of it from {RETRY_AFTER_MS} ms on"
+                ),
+            ),
             Refusal::UnknownCaller(user) => (
                 UNKNOWN_CALLER,
                 format!("unknown caller {user:?}: no such user in the bundle in force"),
