Two tests wait until the proxy knows that the primary is gone

Cause: burn_report_counts_... failed in 2 of 5 runs of the suite: a write sent in the instant the primary was killed went out on a connection that was just ending and was told 08007, rightly, where the test expects 57P03. Ruled out: a wrong "outcome unknown" (the statement had been written to the connection). Change: that test and kv_down_during_failover, which has the same race, wait until the proxy shows no primary; the expected codes stay as they were.

--- a/crates/e2e/tests/failover.rs
+++ b/crates/e2e/tests/failover.rs
@@ -297,6 +297,7 @@
         .await;
 
     site.fault(1, "kill", 0, "").await;
+    fixture::without_primary(&site.proxies[0]).await;
     let query = "INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')";
     let told = refusal(&member, query).await;
     let while_down = leaders(&site, &[1, 2]).await;
--- a/crates/e2e/tests/faults.rs
+++ b/crates/e2e/tests/faults.rs
@@ -288,6 +288,7 @@
     site.kv_fault("dc-1", serde_json::json!({ "down": true }))
         .await;
     site.fault(1, "kill", 0, "").await;
+    fixture::without_primary(&site.proxies[0]).await;
     let no_primary = fixture::refusal(&member, &insert("order-18")).await;
 
     let args = [
