A savepoint's rollback and a chained commit do not end the transaction

Cause: ROLLBACK TO SAVEPOINT and COMMIT/ROLLBACK AND CHAIN were taken for the end of the transaction: the connection went back to the pool with it open, and the next caller's statements would have run inside. Ruled out: the text parsing wrongly; sqlparser tells them apart, the code did not look. Change: route.rs looks at savepoint and chain; the caller is not told that its transaction is over; text that does not parse, lost inside a transaction, is "outcome unknown", as it may have been an end. Left: the stand-in has no savepoints, so there is no end-to-end test of this.

--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -108,7 +108,11 @@
 fn script(statements: &[Statement]) -> Kind {
     let mut controls = statements.iter().filter_map(|statement| match statement {
         Statement::StartTransaction { .. } => Some(true),
-        Statement::Commit { .. } | Statement::Rollback { .. } => Some(false),
+        Statement::Commit { chain, .. } => Some(*chain),
+        Statement::Rollback {
+            chain,
+            savepoint: None,
+        } => Some(*chain),
         _ => None,
     });
     match controls.next_back() {
@@ -120,8 +124,13 @@
 fn single(statement: &Statement) -> Kind {
     match statement {
         Statement::StartTransaction { .. } => Kind::Begin,
+        Statement::Commit { chain: true, .. } | Statement::Rollback { chain: true, .. } => {
+            Kind::Script { open_after: true }
+        }
         Statement::Commit { .. } => Kind::Commit,
-        Statement::Rollback { .. } => Kind::Rollback,
+        Statement::Rollback {
+            savepoint: None, ..
+        } => Kind::Rollback,
         Statement::Discard { .. } => Kind::Discard,
         Statement::ShowVariable { variable } if name(variable) == POSITION_SETTING => {
             Kind::ShowPosition
--- a/crates/proxy/src/session/answer.rs
+++ b/crates/proxy/src/session/answer.rs
@@ -10,7 +10,7 @@
 };
 use tokio_postgres::SimpleQueryMessage;
 
-use crate::route::{Plan, POSITION_SETTING};
+use crate::route::{Kind, Plan, POSITION_SETTING};
 
 /// The answer to `SHOW dandelionpitch.position`.
 pub fn position_rows(floor: Option<Position>) -> Response {
@@ -42,6 +42,13 @@
 /// The responses for what a backend sent, with the command tags of `plan`, which
 /// `tokio-postgres` does not hand on.
 pub fn responses(messages: Vec<SimpleQueryMessage>, plan: &Plan) -> Vec<Response> {
+    // A savepoint's rollback and a chained commit carry the tag of an end, but are none; the
+    // caller's driver must not be told that its transaction is over.
+    let ends = match plan.kind {
+        Kind::Commit | Kind::Rollback => true,
+        Kind::Script { .. } => plan.tags.len() > 1,
+        _ => false,
+    };
     let mut responses = Vec::new();
     let mut names: Option<Vec<String>> = None;
     let mut rows = Vec::new();
@@ -61,7 +68,7 @@
             SimpleQueryMessage::CommandComplete(count) => {
                 let tag = tags.next().copied().unwrap_or("OK");
                 let rows = std::mem::take(&mut rows);
-                responses.push(complete(tag, count, names.take(), rows));
+                responses.push(complete(tag, count, names.take(), rows, ends));
             }
             _ => {}
         }
@@ -74,11 +81,12 @@
     count: u64,
     names: Option<Vec<String>>,
     rows: Vec<Vec<Option<String>>>,
+    ends: bool,
 ) -> Response {
     match (tag, names) {
         (_, Some(names)) => text_response(names, rows),
         ("BEGIN", None) => Response::TransactionStart(Tag::new(tag)),
-        ("COMMIT" | "ROLLBACK", None) => Response::TransactionEnd(Tag::new(tag)),
+        ("COMMIT" | "ROLLBACK", None) if ends => Response::TransactionEnd(Tag::new(tag)),
         ("INSERT", None) => {
             Response::Execution(Tag::new(tag).with_oid(0).with_rows(count as usize))
         }
--- a/crates/proxy/src/session/write.rs
+++ b/crates/proxy/src/session/write.rs
@@ -91,7 +91,7 @@
             state.floor = advance(state.floor, position);
         }
         let script = matches!(call.plan.kind, Kind::Script { .. });
-        let may_have_committed = script || call.plan.kind == Kind::Commit;
+        let may_have_committed = script || matches!(call.plan.kind, Kind::Commit | Kind::Unparsed);
         match answer {
             Ok(messages) => {
                 state.keep(&call.plan.values);
