Bench: the replica share after the session has settled

Ruled out: stale views, floors raised later. Change: the bench prints both; the bound stays on the whole. Conclusion: a session that lives longer than the lag reads on replicas.

--- a/crates/e2e/benches/thin_path.rs
+++ b/crates/e2e/benches/thin_path.rs
@@ -12,6 +12,9 @@
 
 /// Statements per measured loop; the loops are bounded in count, not in time.
 const ROUNDS: usize = 2000;
+/// Statements at the start of the mix in which the lookup session's barrier may still be ahead
+/// of the replicas.
+const SETTLING: usize = 400;
 /// Regression bounds: the proxy's p50 and p99 against direct, on loopback.
 const P50_BOUND: f64 = 3.0;
 const P99_BOUND: f64 = 4.0;
@@ -61,6 +64,12 @@
     (reads("replica"), reads("primary"))
 }
 
+/// The replicas' share of the reads between two readings.
+fn share(before: (f64, f64), after: (f64, f64)) -> f64 {
+    let (replica, primary) = (after.0 - before.0, after.1 - before.1);
+    replica / (replica + primary).max(1.0)
+}
+
 #[tokio::main]
 async fn main() {
     let site = Site::start("bench", 1, 20).await;
@@ -76,7 +85,11 @@
     let base = timed(&direct, query).await;
     let proxied = timed(&member, query).await;
     let before = reads(&operator(&site.proxies[0], "/metrics").await);
+    let mut settled = before;
     for round in 0..ROUNDS {
+        if round == SETTLING {
+            settled = reads(&operator(&site.proxies[0], "/metrics").await);
+        }
         if round % 10 == 0 {
             let id = format!("save-{round}");
             let insert = format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'ref')");
@@ -101,9 +114,10 @@
     );
     println!("ratio   p50 {p50:.2} p99 {p99:.2} (bounds {P50_BOUND} / {P99_BOUND})");
     let after = reads(&metrics);
-    let replica = after.0 - before.0;
-    let share = replica / (replica + after.1 - before.1).max(1.0);
+    let share = share(before, after);
+    let rest = self::share(settled, after);
     println!("replica share of the lookup mix's reads {share:.3} (bound {REPLICA_SHARE_BOUND})");
+    println!("after the session's first {SETTLING} statements {rest:.3}");
     assert!(
         p50 <= P50_BOUND && p99 <= P99_BOUND,
         "latency ratio past its bound"
