--- a/crates/core/src/kv.rs
+++ b/crates/core/src/kv.rs
@@ -116,20 +116,11 @@
         Ok(answer.result.ttl)
     }
 
-    /// Watches `key` for writes from `start_revision` on; the stream ends when the KV closes it.
-    pub async fn watch(&self, key: &str, start_revision: u64) -> Result<Watch, Error> {
-        self.watch_range(wire::RangeRequest::key(key), start_revision)
-            .await
-    }
-
-    /// As [`Client::watch`], for every key that starts with `prefix`.
+    /// Watches the keys that start with `prefix` for changes from `start_revision` on; the
+    /// stream ends when the KV closes it.
     pub async fn watch_prefix(&self, prefix: &str, start_revision: u64) -> Result<Watch, Error> {
-        self.watch_range(wire::RangeRequest::prefix(prefix), start_revision)
-            .await
-    }
-
-    async fn watch_range(&self, range: wire::RangeRequest, start: u64) -> Result<Watch, Error> {
-        let request = wire::WatchRequest::new(range, start);
+        let range = wire::RangeRequest::prefix(prefix);
+        let request = wire::WatchRequest::new(range, start_revision);
         let url = format!("{}/v3/watch", self.endpoint);
         let open = self.http.post(url).json(&request).send();
         let answer = tokio::time::timeout(CALL_TIMEOUT, open)
--- a/crates/e2e/benches/failover.rs
+++ b/crates/e2e/benches/failover.rs
@@ -43,9 +43,7 @@
     tokio::time::sleep(AFTER).await;
     let attempts = writer.stop().await;
     let record = site.record().await.expect("a record");
-    let server = record.server.expect("a primary").to_string();
-    let leader = site.servers().iter().position(|s| *s == server).unwrap();
-    let rows = history::read(&site.server(leader).await).await;
+    let rows = site.leader_rows(&record).await;
     let broken = history::check(&attempts, &rows, None);
     assert_eq!(broken, Broken::default(), "a promise was broken");
     history::gap(&attempts, since)
--- a/crates/e2e/tests/duty.rs
+++ b/crates/e2e/tests/duty.rs
@@ -6,8 +6,8 @@
 
 use fixture::{
     connect, eventually,
-    history::{self, Broken, Outcome, Writer},
-    operator, scalar, Layout, Proxy, Site,
+    history::{self, Broken, Writer},
+    insert, operator, scalar, Layout, Proxy, Site,
 };
 
 const WAIT: Duration = Duration::from_secs(20);
@@ -56,10 +56,6 @@
     others.map(|(_, proxy)| proxy).collect()
 }
 
-fn insert(id: &str) -> String {
-    format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'placed')")
-}
-
 /// One proxy of each data centre watches the group, so the loss of a data centre leaves two.
 /// Members read their own writes, from replicas, through proxies that watch nothing.
 #[tokio::test]
@@ -103,24 +99,18 @@
     tokio::time::sleep(CALM).await;
 
     site.fault(1, "kill", 0, "").await;
-    let replaced = eventually(WAIT, || async {
-        let record = site.record().await;
-        record.is_some_and(|record| record.term > 1 && record.server.is_some())
-    })
-    .await;
+    let record = site.replaced(1).await;
     let since = Instant::now();
     tokio::time::sleep(2 * CALM).await;
     let attempts = writer.stop().await;
-    let record = site.record().await.expect("a record");
-    let server = record.server.expect("a primary").to_string();
-    let leader = site.servers().iter().position(|s| *s == server).unwrap();
-    let rows = history::read(&site.server(leader).await).await;
+    let rows = site.leader_rows(&record).await;
 
     assert_eq!(record.term, 2);
     assert_eq!(history::check(&attempts, &rows, None), Broken::default());
-    assert!(replaced);
-    let acked = |a: &&history::Attempt| a.outcome == Outcome::Acked && a.sent > since;
-    assert!(attempts.iter().filter(acked).count() > 10, "writes resumed");
+    assert!(
+        history::acked_after(&attempts, since) > 10,
+        "writes resumed"
+    );
 }
 
 /// A replica freezes. A proxy that does not watch the group cannot know; a lookup it sends
@@ -183,17 +173,14 @@
     tokio::time::sleep(CALM).await;
 
     site.fault(1, "kill", 0, "").await;
-    let replaced = eventually(WAIT, || async {
-        let record = site.record().await;
-        record.is_some_and(|record| record.term > 1 && record.server.is_some())
-    })
-    .await;
+    site.replaced(1).await;
     tokio::time::sleep(2 * CALM).await;
     let since = Instant::now();
     tokio::time::sleep(2 * CALM).await;
     let attempts = writer.stop().await;
 
-    assert!(replaced);
-    let acked = |a: &&history::Attempt| a.outcome == Outcome::Acked && a.sent > since;
-    assert!(attempts.iter().filter(acked).count() > 10, "writes resumed");
+    assert!(
+        history::acked_after(&attempts, since) > 10,
+        "writes resumed"
+    );
 }
--- a/crates/e2e/tests/failover.rs
+++ b/crates/e2e/tests/failover.rs
@@ -8,7 +8,7 @@
 use fixture::{
     connect, eventually,
     history::{self, Attempt, Broken, Outcome, Writer},
-    operator, refusal, scalar, Layout, Site,
+    insert, operator, refusal, scalar, Layout, Site,
 };
 
 const WAIT: Duration = Duration::from_secs(20);
@@ -56,17 +56,6 @@
     leaders
 }
 
-/// Waits until the KV's record names a primary at a term above `term`.
-async fn replaced(site: &Site, term: u64) -> Record {
-    let done = eventually(WAIT, || async {
-        let record = site.record().await;
-        record.is_some_and(|record| record.term > term && record.server.is_some())
-    })
-    .await;
-    assert!(done, "the primary was replaced");
-    site.record().await.expect("a record")
-}
-
 /// Waits until a proxy has claimed a term at which it has not promoted anyone yet.
 async fn claimed(site: &Site) -> bool {
     eventually(WAIT, || async {
@@ -80,8 +69,7 @@
 async fn writes_resume(site: &Site, index: usize, id: &str) {
     let resumed = eventually(WAIT, || async {
         let client = connect(&site.proxies[index], "member", "").await;
-        let query = format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'placed')");
-        client.simple_query(&query).await.is_ok()
+        client.simple_query(&insert(id)).await.is_ok()
     })
     .await;
     assert!(resumed, "writes through proxy {index} resumed");
@@ -94,18 +82,11 @@
         attempts.extend(writer.stop().await);
     }
     let record = site.record().await.expect("a record");
-    let server = record.server.expect("a primary").to_string();
-    let index = site.servers().iter().position(|s| *s == server).unwrap();
-    let rows = history::read(&site.server(index).await).await;
+    let rows = site.leader_rows(&record).await;
     let broken = history::check(&attempts, &rows, Some((record.term, since)));
     (attempts, broken)
 }
 
-fn acked_after(attempts: &[Attempt], since: Instant) -> usize {
-    let acked = |a: &&Attempt| a.outcome == Outcome::Acked && a.sent > since;
-    attempts.iter().filter(acked).count()
-}
-
 /// Members write through two proxies when the primary dies. Both proxies miss it, one claims
 /// term 2 in the KV and promotes the replica that received the most; members wait through the
 /// gap. Each acknowledged write is on the new primary once, each "not run" one is not there.
@@ -114,13 +95,16 @@
     let (site, writers) = site_with_writers("killed", TWO_IN_ONE_DC).await;
 
     site.fault(1, "kill", 0, "").await;
-    let record = replaced(&site, 1).await;
+    let record = site.replaced(1).await;
     let exists = Instant::now();
     tokio::time::sleep(CALM).await;
     let (attempts, broken) = settle(&site, writers, exists).await;
 
     assert_eq!(broken, Broken::default());
-    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+    assert!(
+        history::acked_after(&attempts, exists) > 10,
+        "writes resumed"
+    );
     assert_eq!(record.term, 2, "one promotion was enough");
     assert_eq!(leaders(&site, &[1, 2]).await.len(), 1);
 }
@@ -137,14 +121,17 @@
     tokio::time::sleep(CALM).await;
 
     site.fault(1, "kill", 0, "").await;
-    let record = replaced(&site, 1).await;
+    let record = site.replaced(1).await;
     site.fault(1, "join", 2, "").await;
     let exists = Instant::now();
     tokio::time::sleep(CALM).await;
     let (attempts, broken) = settle(&site, writers, exists).await;
 
     assert_eq!(broken, Broken::default());
-    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+    assert!(
+        history::acked_after(&attempts, exists) > 10,
+        "writes resumed"
+    );
     assert_eq!(record.server.unwrap().to_string(), site.servers()[1]);
 }
 
@@ -158,13 +145,13 @@
     let site = Site::build(&layout).await;
     let member = connect(&site.proxies[0], "member", "").await;
     member
-        .simple_query("INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')")
+        .simple_query(&insert("order-1"))
         .await
         .expect("the write is acknowledged");
     let token = scalar(&member, "SHOW dandelionpitch.position").await;
 
     site.fault(1, "kill", 0, "").await;
-    replaced(&site, 1).await;
+    site.replaced(1).await;
     let options = format!("-c dandelionpitch.position={}", token.expect("a token"));
     let roamed = connect(&site.proxies[1], "member", &options).await;
     let query = "SELECT * FROM ledger WHERE id = 'order-1'";
@@ -182,7 +169,7 @@
 
     site.cut_dc("dc-1", 0, true).await;
     let cut = Instant::now();
-    let record = replaced(&site, 1).await;
+    let record = site.replaced(1).await;
     let exists = Instant::now();
     tokio::time::sleep(LONGER_THAN_TIMEOUT).await;
     let both = leaders(&site, &[0, 1, 2]).await;
@@ -211,10 +198,10 @@
 async fn roaming_to_the_cut_side_reads_nothing_stale() {
     let site = Site::build(&Layout::new("roam-cut", TWO_DCS)).await;
     site.cut_dc("dc-1", 0, true).await;
-    replaced(&site, 1).await;
+    site.replaced(1).await;
     let member = connect(&site.proxies[1], "member", "").await;
     member
-        .simple_query("INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')")
+        .simple_query(&insert("order-1"))
         .await
         .expect("the write is acknowledged");
     let token = scalar(&member, "SHOW dandelionpitch.position").await;
@@ -245,7 +232,7 @@
     let claim = site.record().await.expect("a claim");
     let paused = &site.proxies[claimant(&claim)];
     paused.process.pause(true);
-    let record = replaced(&site, 2).await;
+    let record = site.replaced(2).await;
     paused.process.pause(false);
     tokio::time::sleep(Duration::from_secs(1)).await;
     writes_resume(&site, 0, "through-0").await;
@@ -276,13 +263,16 @@
     site.kv_fault("dc-1", lose).await;
 
     site.fault(1, "kill", 0, "").await;
-    let record = replaced(&site, 1).await;
+    let record = site.replaced(1).await;
     let exists = Instant::now();
     tokio::time::sleep(CALM).await;
     let (attempts, broken) = settle(&site, writers, exists).await;
 
     assert_eq!(broken, Broken::default());
-    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+    assert!(
+        history::acked_after(&attempts, exists) > 10,
+        "writes resumed"
+    );
     assert_eq!(record.term, 2);
 }
 
@@ -298,11 +288,10 @@
 
     site.fault(1, "kill", 0, "").await;
     fixture::without_primary(&site.proxies[0]).await;
-    let query = "INSERT INTO ledger (id, body) VALUES ('order-1', 'placed')";
-    let told = refusal(&member, query).await;
+    let told = refusal(&member, &insert("order-1")).await;
     let while_down = leaders(&site, &[1, 2]).await;
     site.kv_fault("dc-1", serde_json::json!({})).await;
-    let record = replaced(&site, 1).await;
+    let record = site.replaced(1).await;
     writes_resume(&site, 0, "order-2").await;
 
     assert_eq!(told.as_deref(), Some("57P03"));
@@ -329,7 +318,7 @@
     writes_resume(&site, 0, "while-down").await;
     let while_down = site.record().await.expect("the claim");
     site.kv_fault("dc-1", serde_json::json!({})).await;
-    let record = replaced(&site, 1).await;
+    let record = site.replaced(1).await;
 
     assert_eq!((while_down.term, while_down.server), (2, None));
     assert_eq!(record.term, 2);
@@ -348,7 +337,7 @@
     let (site, writers) = site_with_writers("frozen", TWO_IN_ONE_DC).await;
 
     site.fault(1, "freeze", 0, "").await;
-    replaced(&site, 1).await;
+    site.replaced(1).await;
     let exists = Instant::now();
     tokio::time::sleep(CALM).await;
     site.fault(1, "thaw", 0, "").await;
@@ -357,7 +346,10 @@
 
     assert!(stepped_down);
     assert_eq!(broken, Broken::default());
-    assert!(acked_after(&attempts, exists) > 10, "writes resumed");
+    assert!(
+        history::acked_after(&attempts, exists) > 10,
+        "writes resumed"
+    );
 }
 
 /// The primary answers the proxies but reaches no replica, so it can commit nothing. The
@@ -367,7 +359,7 @@
     let site = Site::build(&Layout::new("alone", TWO_IN_ONE_DC)).await;
 
     site.fault(0, "isolate", 0, "").await;
-    let record = replaced(&site, 1).await;
+    let record = site.replaced(1).await;
     writes_resume(&site, 0, "order-1").await;
 
     assert_ne!(record.server.unwrap().to_string(), site.servers()[0]);
@@ -388,7 +380,7 @@
         .simple_query("SELECT dandelionpitch_fence(5)")
         .await
         .expect("the replica holds term 5");
-    let record = replaced(&site, 5).await;
+    let record = site.replaced(5).await;
     writes_resume(&site, 0, "order-1").await;
     let followed = eventually(WAIT, || async {
         scalar(&server, "SELECT * FROM ledger WHERE id = 'order-1'")
@@ -408,7 +400,6 @@
 async fn open_transaction_dies_whole() {
     let site = Site::build(&Layout::new("tx", TWO_IN_ONE_DC)).await;
     let member = connect(&site.proxies[0], "member", "").await;
-    let insert = |id: &str| format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'x')");
     member.simple_query("BEGIN").await.expect("begins");
     member.simple_query(&insert("tx-1")).await.expect("runs");
 
@@ -416,7 +407,7 @@
     let first = refusal(&member, &insert("tx-2")).await;
     let second = refusal(&member, &insert("tx-3")).await;
     let commit = member.simple_query("COMMIT").await;
-    replaced(&site, 1).await;
+    site.replaced(1).await;
     member.simple_query(&insert("alone")).await.expect("runs");
     let rows = history::read(&site.server(1).await).await;
 
--- a/crates/e2e/tests/faults.rs
+++ b/crates/e2e/tests/faults.rs
@@ -7,7 +7,7 @@
 use fixture::{
     connect, dpctl, eventually,
     history::{self, Broken, Outcome, Writer},
-    operator, scalar, Layout, Site,
+    insert, operator, scalar, Layout, Site,
 };
 
 const WAIT: Duration = Duration::from_secs(20);
@@ -16,10 +16,6 @@
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 const TWO_IN_ONE_DC: &[&str] = &["dc-1", "dc-1"];
 
-fn insert(id: &str) -> String {
-    format!("INSERT INTO ledger (id, body) VALUES ('{id}', 'placed')")
-}
-
 /// A member's transaction is open when its proxy is killed. The server sees the connection end
 /// and rolls back; the member, who gets no answer, finds nothing of it through another proxy.
 #[tokio::test]
@@ -260,11 +256,9 @@
     for writer in writers {
         attempts.extend(writer.stop().await);
     }
-    let server = record.server.expect("a primary").to_string();
-    let leader = site.servers().iter().position(|s| *s == server).unwrap();
-    let rows = history::read(&site.server(leader).await).await;
+    let rows = site.leader_rows(&record).await;
 
-    assert_ne!(leader, 0);
+    assert_ne!(site.leader(&record), 0);
     assert_eq!(record.term, 2);
     let broken = history::check(&attempts, &rows, Some((2, since)));
     assert_eq!(broken, Broken::default());
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -21,7 +21,11 @@
     time::{Duration, Instant},
 };
 
-use dandelionpitch_core::{bundle::Bundle, hash::Map, kv};
+use dandelionpitch_core::{
+    bundle::Bundle,
+    hash::{Map, Set},
+    kv,
+};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -126,7 +130,7 @@
         leaving: Vec::new(),
         members: Roster::default(),
         led_by: Map::default(),
-        attempts: Map::default(),
+        attempts: Set::default(),
     };
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -176,7 +180,7 @@
     led_by: Map<String, Leader>,
     watch: Watch,
     /// The groups with a failover attempt under way.
-    attempts: Map<String, ()>,
+    attempts: Set<String>,
 }
 
 impl Control {
@@ -277,7 +281,6 @@
         if let Some(old) = old.filter(|old| old.pool.status().max_size == group.pool_size) {
             return old.clone();
         }
-
         Server {
             address,
             pool: pool::build(address, &group.name, group.pool_size, &self.config),
@@ -397,7 +400,7 @@
         };
         let now = Instant::now();
         for (name, group) in &self.groups {
-            if !group.watched || self.attempts.contains_key(name) {
+            if !group.watched || self.attempts.contains(name) {
                 continue;
             }
             let Some(listed) = bundle.groups.get(name) else {
@@ -405,7 +408,7 @@
             };
             let led_by = self.led_by.get(name).copied();
             if let Some(attempt) = self.watch.observe(listed, group, led_by, now) {
-                self.attempts.insert(name.clone(), ());
+                self.attempts.insert(name.clone());
                 tokio::spawn(report(attempt, self.out.clone()));
             }
         }
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -24,7 +24,7 @@
 
 use super::{
     backoff::{self, Backoff},
-    verdict::{self, Terms, Verdict},
+    verdict::{self, Limits, Verdict},
     Leader,
 };
 use crate::{backend, config::Config, view};
@@ -117,7 +117,8 @@
         }
     }
 
-    /// Judges one group, last seen led by `led_by`; returns an attempt when it is time for this proxy to make one.
+    /// Judges one group, last seen led by `led_by`; returns an attempt when it is time for
+    /// this proxy to make one.
     pub fn observe(
         &mut self,
         group: &bundle::Group,
@@ -127,12 +128,12 @@
     ) -> Option<Attempt> {
         let quorum = group.quorum()?;
         let after = self.config.failover.after;
-        let terms = Terms {
+        let limits = Limits {
             quorum,
             after,
             grace: after + 2 * self.config.backend.status_every,
         };
-        let verdict = verdict::judge(view, led_by.map(|leader| leader.since), terms, now);
+        let verdict = verdict::judge(view, led_by.map(|leader| leader.since), limits, now);
         let first = view.held.is_none();
         let wait = self.wait(&group.name, verdict, first);
         let memory = self.remember(&group.name, now);
--- a/crates/proxy/src/control/verdict.rs
+++ b/crates/proxy/src/control/verdict.rs
@@ -28,7 +28,7 @@
 
 /// What a judgement goes by, besides the statuses.
 #[derive(Clone, Copy, Debug)]
-pub struct Terms {
+pub struct Limits {
     /// How many servers a new term needs.
     pub quorum: usize,
     /// How long those must have missed their primary.
@@ -47,18 +47,18 @@
 /// Failure: right after a promotion the last statuses still tell of the old primary's silence,
 /// and the new one would be replaced in turn. Guard: for `grace` after it was recorded or
 /// first seen, silence is not held against it.
-pub fn judge(group: &Group, led_since: Option<Instant>, terms: Terms, now: Instant) -> Verdict {
+pub fn judge(group: &Group, led_since: Option<Instant>, limits: Limits, now: Instant) -> Verdict {
     if group.claimed(now) {
         return Verdict::Unsure;
     }
     let recorded_at = group.held.as_ref().map(|held| held.seen_at);
     let newest = recorded_at.max(led_since);
-    let settled = newest.is_none_or(|since| now.duration_since(since) >= terms.grace);
+    let settled = newest.is_none_or(|since| now.duration_since(since) >= limits.grace);
     let missing = group
         .fresh(now)
-        .filter(|(_, status)| status.role == Role::Replica && status.silent >= terms.after)
+        .filter(|(_, status)| status.role == Role::Replica && status.silent >= limits.after)
         .count();
-    if missing >= terms.quorum && settled {
+    if missing >= limits.quorum && settled {
         return Verdict::Failed;
     }
     match group
@@ -68,7 +68,7 @@
         None => Verdict::Unsure,
         Some((index, led)) => match group.fresh(now).any(|(_, s)| s.term > led.term) {
             true => Verdict::Outranked,
-            false if group.servers[index].leaving && stay(group, now) >= terms.quorum => {
+            false if group.servers[index].leaving && stay(group, now) >= limits.quorum => {
                 Verdict::Leaving
             }
             false => recorded(group, led.term, group.servers[index].address),
--- a/crates/proxy/src/session/checkout.rs
+++ b/crates/proxy/src/session/checkout.rs
@@ -20,6 +20,17 @@
             .await
     }
 
+    /// As [`Session::checkout`], for a server that may not answer: within `check_limit`.
+    pub(super) async fn checkout_soon(
+        &self,
+        server: &Server,
+        call: Call<'_>,
+    ) -> Option<Connection> {
+        let checkout = self.checkout(server, call);
+        let limited = tokio::time::timeout(self.shared.check_limit, checkout).await;
+        limited.ok()?.ok()
+    }
+
     async fn take(
         &self,
         pool: &Pool,
@@ -54,10 +65,8 @@
     }
 
     async fn ask(&self, server: &Server, call: Call<'_>) -> Option<Status> {
-        let limit = self.shared.check_limit;
-        let checkout = tokio::time::timeout(limit, self.checkout(server, call));
-        let mut connection = checkout.await.ok()?.ok()?;
-        let status = connection.status(limit).await;
+        let mut connection = self.checkout_soon(server, call).await?;
+        let status = connection.status(self.shared.check_limit).await;
         connection.finish(call.deadline).await;
         status
     }
--- a/crates/proxy/src/session/connection.rs
+++ b/crates/proxy/src/session/connection.rs
@@ -191,9 +191,9 @@
                 },
             }
         };
-        let late = || Checked::Fit(Err(Failure::Lost("no answer in time".to_owned())));
         let checked = tokio::time::timeout_at(deadline.into(), checked).await;
-        let checked = checked.unwrap_or_else(|_| late());
+        let checked = checked
+            .unwrap_or_else(|_| Checked::Fit(Err(Failure::Lost("no answer in time".to_owned()))));
         if matches!(
             checked,
             Checked::Silent | Checked::Fit(Err(Failure::Lost(_)))
--- a/crates/proxy/src/session/read.rs
+++ b/crates/proxy/src/session/read.rs
@@ -59,14 +59,13 @@
             let replica = status.role == Role::Replica;
             replica && status.position.covers(floor) && age <= call.caller.max_staleness
         };
-        let limit = self.shared.check_limit;
         for index in route::unwatched(group, Instant::now()) {
             let server = &group.servers[index];
-            let checkout = tokio::time::timeout(limit, self.checkout(server, call));
-            let Ok(Ok(mut replica)) = checkout.await else {
+            let Some(mut replica) = self.checkout_soon(server, call).await else {
                 server.rest.start();
                 continue;
             };
+            let limit = self.shared.check_limit;
             let checked = replica
                 .run_checked(call.query, limit, call.deadline, fit)
                 .await;
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -5,13 +5,13 @@
 use dandelionpitch_core::{position::Position, primary::Record};
 use dandelionpitch_proxy::{
     config::Config,
-    control::verdict::{judge, Terms, Verdict},
+    control::verdict::{judge, Limits, Verdict},
     pool,
     view::{Group, Held, Latest, Role, Server, Status},
 };
 use yare::parameterized;
 
-const TERMS: Terms = Terms {
+const LIMITS: Limits = Limits {
     quorum: 2,
     after: Duration::from_millis(300),
     grace: Duration::from_millis(400),
@@ -72,7 +72,7 @@
 fn failed(statuses: [Option<Status>; 3], held: Option<Held>, led: Duration) -> bool {
     let now = Instant::now();
     let led_since = now.checked_sub(led);
-    judge(&group(statuses, held), led_since, TERMS, now) == Verdict::Failed
+    judge(&group(statuses, held), led_since, LIMITS, now) == Verdict::Failed
 }
 
 /// The primary is out of this proxy's sight. It has failed if both replicas miss it; one
--- a/crates/standin/src/group/fault.rs
+++ b/crates/standin/src/group/fault.rs
@@ -1,6 +1,6 @@
 //! The faults an experiment can switch on in a stand-in group.
 
-use dandelionpitch_core::hash::Map;
+use dandelionpitch_core::hash::{Map, Set};
 
 /// One fault, as `dandelionpitch_fault(kind, server[, detail])` names it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,7 +77,7 @@
 /// The faults in force between callers and servers.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
-    cuts: Map<(usize, String), ()>,
+    cuts: Set<(usize, String)>,
     slow_fence: Map<usize, u64>,
     /// How often each server's connections were silenced; a connection from before the last
     /// time stays silent.
@@ -88,14 +88,14 @@
     /// Cuts or heals the way from callers in `dc` to `server`.
     pub fn set_cut(&mut self, server: usize, dc: String, cut: bool) {
         match cut {
-            true => self.cuts.insert((server, dc), ()),
+            true => self.cuts.insert((server, dc)),
             false => self.cuts.remove(&(server, dc)),
         };
     }
 
     /// Whether callers in `dc` get no answer from `server`.
     pub fn cut(&self, server: usize, dc: &str) -> bool {
-        self.cuts.contains_key(&(server, dc.to_owned()))
+        self.cuts.contains(&(server, dc.to_owned()))
     }
 
     /// Silences the connections `server` has now.
