--- a/crates/core/src/logging.rs
+++ b/crates/core/src/logging.rs
@@ -21,7 +21,9 @@
         })
         .level(level)
         .level_for("rocket", LevelFilter::Warn)
-        .level_for("_", LevelFilter::Warn)
+        // Rocket's notes on each request, such as the readiness probe of a stopping proxy.
+        .level_for("_", LevelFilter::Error)
+        .level_for("launch", LevelFilter::Error)
         .level_for("hyper", LevelFilter::Warn)
         .level_for("reqwest", LevelFilter::Warn)
         .level_for("tokio_postgres", LevelFilter::Warn)
--- a/crates/proxy/src/line/member.rs
+++ b/crates/proxy/src/line/member.rs
@@ -48,7 +48,8 @@
             };
             renew_at = clock::now() + pause;
         }
-        if let (Some(lease), true) = (lease, control.duty.borrow().is_free(clock::now())) {
+        let free = control.duty.borrow().is_free(clock::now());
+        if let (Some(lease), true) = (lease, free) {
             let share = backoff::share(&(&control.name, clock::now().millis()));
             tokio::time::sleep(SPREAD.mul_f64(share)).await;
             if let Err(error) = claim(&control, lease).await {
