--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -5,7 +5,7 @@
 
 use dandelionpitch_core::position::Position;
 
-use crate::time::Moment;
+use crate::{registry::Role, takeover::Status, time::Moment};
 
 /// How long a replica's word that it obeys a primary counts, from the moment it was asked.
 ///
@@ -115,6 +115,32 @@
     }
 }
 
+/// What a server's word says about a primary of `term`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// It is a replica that follows this primary.
+    Obeys,
+    /// It follows, or is held for, a later term: the primary is or will be superseded.
+    Supersedes,
+    /// It has not heard of this primary, so it says nothing about it.
+    Nothing,
+}
+
+/// Reads the status of a server other than the primary.
+///
+/// Failure: a server that was cut off comes back in its old term; taken for a follower it would
+/// confirm a primary that it does not know, taken for a rival it would cost the true primary its
+/// lease. Guard: only a replica of the very same term speaks for it.
+pub fn word(status: &Status, term: u64) -> Word {
+    if status.term > term || status.held > term {
+        return Word::Supersedes;
+    }
+    match status.role == Role::Replica && status.term == term {
+        true => Word::Obeys,
+        false => Word::Nothing,
+    }
+}
+
 /// What a read must see to be served.
 pub fn required(
     since: Moment,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod duty;
 pub mod freshness;
+pub mod isolation;
 pub mod placement;
 pub mod refusal;
 pub mod registry;
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -22,6 +22,10 @@
 /// the time that a stretch of slow application takes.
 pub const STALLED_AFTER: Duration = Duration::from_millis(900);
 
+/// How long the same may last before the replicas are asked more often: longer than the pause
+/// between two questions to one of them in a calm group.
+const SUSPECT_AFTER: Duration = Duration::from_millis(550);
+
 /// Two holders may not replace the same primary shortly after each other; a holder that sees a
 /// replacement by another one waits this long, more than any lease of the duty.
 pub const TURN_GAP: Duration = Duration::from_secs(5);
@@ -96,7 +100,9 @@
 pub struct Memory {
     /// The server that was last seen leading.
     pub leader: Option<String>,
-    stalled_since: Option<Moment>,
+    /// A position of the primary's log that no replica has been seen to have received, and since
+    /// when the primary has it.
+    ahead: Option<(Moment, Position)>,
     leaderless_since: Option<Moment>,
     held_since: Option<Moment>,
 }
@@ -110,7 +116,7 @@
             self.leaderless_since = None;
             return self.judge_led(member, status, members, now);
         }
-        self.stalled_since = None;
+        self.ahead = None;
         if members.iter().any(|member| member.sight == Sight::Unknown) {
             return Verdict::Unsure;
         }
@@ -157,9 +163,8 @@
         if leader.leaving && stay {
             return replace(Cause::Leaving);
         }
-        let behind = replicas().all(|(_, status)| status.received < led.received);
-        let stalled = behind && replicas().next().is_some();
-        if lasting(&mut self.stalled_since, stalled, now) >= STALLED_AFTER && stay {
+        let received = replicas().map(|(_, status)| status.received).max();
+        if self.ahead_for(led.received, received, now) >= STALLED_AFTER && stay {
             return replace(Cause::Stalled);
         }
         let held = replicas().any(|(_, status)| status.held > led.term);
@@ -169,6 +174,26 @@
         Verdict::Led
     }
 
+    /// For how long no replica is known to have received what the primary had. Replicas are asked
+    /// less often than the primary, so their answers are held against what it had at the start, not
+    /// against what it has now.
+    fn ahead_for(&mut self, led: Position, received: Option<Position>, now: Moment) -> Duration {
+        let caught_up = |position: Position| received.is_none_or(|received| received >= position);
+        if self.ahead.is_some_and(|(_, position)| caught_up(position)) {
+            self.ahead = None;
+        }
+        if self.ahead.is_none() && !caught_up(led) {
+            self.ahead = Some((now, led));
+        }
+        self.ahead.map_or(Duration::ZERO, |(since, _)| now.since(since))
+    }
+
+    /// Whether the group is to be looked at more closely.
+    pub fn suspects(&self, now: Moment) -> bool {
+        let ahead = self.ahead.is_some_and(|(since, _)| now.since(since) > SUSPECT_AFTER);
+        ahead || self.leaderless_since.is_some() || self.held_since.is_some()
+    }
+
     /// Notes that an attempt has just ended: what was seen before it says nothing any more.
     pub fn attempted(&mut self) {
         let leader = self.leader.take();
@@ -217,23 +242,31 @@
     pub received: Position,
 }
 
-/// The server to promote, or `None` if no safe choice exists.
+/// How many members must be held as replicas before one of them may be promoted.
 ///
-/// `others` are all members but the old primary; `fenced` are those of them that are held, and
-/// `stepped_down` the old primary if it obeyed.
+/// An acknowledged commit is on its primary and on `sync_replicas` members more. With all but
+/// `sync_replicas` members held, whichever those others are, one of the held has the commit, and
+/// the others are too few to acknowledge another: a primary among them lacks a replica. Without
+/// synchronous replicas every member must be held.
+pub fn quorum(members: usize, sync_replicas: u32) -> usize {
+    members.saturating_sub(sync_replicas as usize).max(1)
+}
+
+/// The server to promote, or `None` if no safe choice exists.
 ///
-/// Safe are two cases. The old primary stepped down: its log holds every acknowledged commit, so a
-/// server that has as much, or the old primary itself, will do. Or all other members are held:
-/// each acknowledged commit is in the log of one of them, so the longest log has them all.
+/// `fenced` are the members that are held as replicas, and `stepped_down` the old primary if it
+/// obeyed. Safe are two cases: a [`quorum`] is held, and the longest of their logs has every
+/// acknowledged commit; or the old primary stepped down, and its own log has them all, so a server
+/// that has as much, or the old primary itself, will do.
 pub fn choose<'a>(
-    others: usize,
+    quorum: usize,
     fenced: &'a [Fenced],
     stepped_down: Option<&'a Fenced>,
 ) -> Option<&'a Fenced> {
     let best = fenced
         .iter()
         .max_by_key(|fenced| (fenced.received, !fenced.leaving, &fenced.id));
-    if fenced.len() >= others && best.is_some() {
+    if fenced.len() >= quorum && best.is_some() {
         return best;
     }
     let old = stepped_down?;
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -11,6 +11,7 @@
 pub mod failover;
 pub mod follow;
 pub mod group;
+pub mod isolation;
 pub mod journal;
 pub mod member;
 pub mod observe;
@@ -22,8 +23,9 @@
 pub mod transaction;
 pub mod view;
 
-use std::{rc::Rc, sync::Arc};
+use std::{cell::RefCell, rc::Rc, sync::Arc};
 
+use dandelionpitch_engine::isolation::Isolation;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet};
 
 use self::{session::Shared, view::View};
@@ -50,15 +52,36 @@
     let (publish, view) = watch::channel(Arc::new(View::default()));
     let metrics = Metrics::default();
     let stop = stop::Stop::new(line.grace);
-    let operator = control::spawn(&config, &line, metrics.clone(), publish, stop.token())?;
+    let (isolation, isolated) = watch::channel(Isolation::default());
+    let endpoint = operator::Context {
+        id: config.id.clone(),
+        dc: config.dc.clone(),
+        view: view.clone(),
+        isolated: isolated.clone(),
+        stopping: stop.token(),
+        metrics: metrics.clone(),
+    };
+    let operator = control::spawn(&config, &line, publish, endpoint)?;
     crate::daemon::announce(listen, operator);
     journal::process("start", &config.id, &listen.to_string());
-    let shared = Rc::new(Shared::new(&config, view.clone(), metrics, stop.clone()));
+    let suspicion = isolation::Suspicion::default();
+    let shared = Rc::new(Shared {
+        dc: config.dc.clone(),
+        view: view.clone(),
+        groups: RefCell::default(),
+        metrics,
+        stop: stop.clone(),
+        isolated,
+        suspicion: suspicion.clone(),
+        open: Rc::default(),
+    });
+    let looking = isolation::run(shared.clone(), suspicion, isolation);
+    tokio::task::spawn_local(looking);
     tokio::task::spawn_local(shared.clone().follow(view));
     tokio::task::spawn_local(stop::watch_settings(config.clone()));
     accept(&listener, &shared, &stop).await?;
     drop(listener);
-    stop.drained(shared.open_sessions()).await;
+    stop.drained(shared.open.clone()).await;
     journal::process("stop", &config.id, &listen.to_string());
     journal::flush();
     Ok(())
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -13,7 +13,11 @@
 };
 use dandelionpitch_platform::{backend::Order, Error};
 
-use super::{clock, pool::Pool};
+use super::{
+    clock,
+    isolation::{self, Suspicion},
+    pool::Pool,
+};
 
 /// What a statement is first taken to last on a server: the mean of the measured ones.
 const FIRST_LATENCY: Duration = Duration::from_millis(30);
@@ -24,6 +28,12 @@
 /// How long a server may take to say how it stands.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a machine needs to accept a connection, with two round trips between data centres.
+const REACH_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How long a machine that accepted a connection counts as there.
+const REACH_HOLDS: Duration = Duration::from_millis(200);
+
 /// The urgency of the proxy's own questions: they go before all statements, which wait for them.
 pub const MOST_URGENT: u32 = 0;
 
@@ -36,11 +46,14 @@
     pub missing: Cell<bool>,
     latency: Cell<Mean>,
     avoid_until: Cell<Moment>,
+    /// When its machine last accepted a connection made to find out whether it is there.
+    reached: Cell<Moment>,
+    suspicion: Suspicion,
 }
 
 impl Backend {
     /// A server that nothing is known of yet.
-    pub fn new(entry: &Entry, limit: usize) -> Rc<Self> {
+    pub fn new(entry: &Entry, limit: usize, suspicion: Suspicion) -> Rc<Self> {
         Rc::new(Self {
             server: entry.server.clone(),
             pool: Pool::new(entry.server.clone(), limit),
@@ -48,6 +61,8 @@
             missing: Cell::new(entry.missing_since.is_some()),
             latency: Cell::new(Mean::new(FIRST_LATENCY)),
             avoid_until: Cell::default(),
+            reached: Cell::default(),
+            suspicion,
         })
     }
 
@@ -63,6 +78,30 @@
         self.latency.get().value()
     }
 
+    /// Whether the server's machine is there, so that waiting for an answer makes sense.
+    ///
+    /// Failure: a connection to a machine that lost its power or its network stays silent, and
+    /// whoever waits on it learns nothing until a timeout. Guard: after a while without an answer
+    /// the machine is asked for a new connection, which its kernel accepts however busy it is.
+    pub async fn reachable(&self) -> bool {
+        let asked = clock::now();
+        if asked.since(self.reached.get()) < REACH_HOLDS {
+            return true;
+        }
+        let reached = isolation::connects(self, REACH_TIMEOUT).await;
+        match reached {
+            true => self.reached.set(asked),
+            false => self.unreachable(),
+        }
+        reached
+    }
+
+    /// Notes that the server could not be reached.
+    pub fn unreachable(&self) {
+        self.avoid();
+        self.suspicion.notify_one();
+    }
+
     /// Leaves the server alone for a while: it did not answer.
     pub fn avoid(&self) {
         self.avoid_until.set(clock::now() + AVOID);
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -51,20 +51,13 @@
 pub fn spawn(
     config: &Config,
     line: &Line,
-    metrics: Metrics,
     publish: watch::Sender<Arc<View>>,
-    stopping: CancellationToken,
+    endpoint: operator::Context,
 ) -> Result<SocketAddr, Error> {
     let started = clock::now().millis();
     let store = Store::new(&config.kv)?;
-    let endpoint = operator::build(
-        config.operator_listen,
-        &config.id,
-        &config.dc,
-        publish.subscribe(),
-        stopping.clone(),
-        metrics.clone(),
-    );
+    let (metrics, stopping) = (endpoint.metrics.clone(), endpoint.stopping.clone());
+    let endpoint = operator::build(config.operator_listen, endpoint);
     let promoter = dandelionpitch_platform::promoter::Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
     let address = config.operator_listen;
@@ -128,6 +121,13 @@
         services.cloned().collect()
     }
 
+    /// How many replicas a commit of the group waits for.
+    pub fn sync_replicas(&self, service: &str) -> u32 {
+        let catalog = self.catalog.borrow();
+        let service = catalog.as_ref().and_then(|catalog| catalog.services.get(service));
+        service.map_or(0, |service| service.sync_replicas)
+    }
+
     /// Takes everything that is in the store.
     pub fn replace(&self, items: &[Item]) {
         let now = clock::now();
--- a/crates/proxy/src/line/failover.rs
+++ b/crates/proxy/src/line/failover.rs
@@ -16,6 +16,7 @@
     store::{Change, Item, Write},
 };
 use derive_more::Display;
+use futures::{stream::FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -83,8 +84,8 @@
 /// Why an attempt did not promote a server.
 #[derive(Debug, Display)]
 enum Stopped {
-    #[display("no safe choice among {fenced} held of {others}")]
-    NoChoice { fenced: usize, others: usize },
+    #[display("only {fenced} of {quorum} members are held")]
+    NoChoice { fenced: usize, quorum: usize },
     #[display("the duty is no longer held")]
     NoDuty,
     #[display("the store did not take the record: {_0}")]
@@ -160,7 +161,6 @@
             return;
         }
         let watchers = self.watchers_of(&entries);
-        watchers.iter().for_each(|watcher| watcher.tick(now));
         let members: Vec<Member> = entries
             .iter()
             .zip(&watchers)
@@ -170,9 +170,11 @@
                 sight: watcher.sight(),
             })
             .collect();
-        depose_old(&members, &watchers);
         let mut groups = self.groups.borrow_mut();
         let watched = groups.entry(service.to_owned()).or_default();
+        let calm = takeover::leader(&members).is_some() && !watched.memory.suspects(now);
+        watchers.iter().for_each(|watcher| watcher.tick(now, calm));
+        depose_old(&members, &watchers);
         if watched.trying || now < watched.not_before {
             return;
         }
@@ -269,14 +271,14 @@
     }
 
     async fn replace(&self, term: u64) -> Result<String, Stopped> {
-        let (fenced, stepped_down) = self.fence(term).await;
+        let sync_replicas = self.control.sync_replicas(&self.service);
+        let quorum = takeover::quorum(self.members.len(), sync_replicas);
+        let (fenced, stepped_down) = self.fence(term, quorum).await;
         let held_at = clock::now();
-        let others = self.members.iter().filter(|m| Some(&m.id) != self.old.as_ref());
-        let others = others.count();
-        let Some(chosen) = takeover::choose(others, &fenced, stepped_down.as_ref()) else {
+        let Some(chosen) = takeover::choose(quorum, &fenced, stepped_down.as_ref()) else {
             self.resume(&fenced).await;
             let fenced = fenced.len();
-            return Err(Stopped::NoChoice { fenced, others });
+            return Err(Stopped::NoChoice { fenced, quorum });
         };
         let wait = clock::now().until(held_at + PROMOTION_WAIT);
         tokio::time::sleep(wait).await;
@@ -287,8 +289,9 @@
         Ok(chosen.id.clone())
     }
 
-    /// Holds every other member and tells the old primary to step down, all at once.
-    async fn fence(&self, term: u64) -> (Vec<Fenced>, Option<Fenced>) {
+    /// Holds every other member and tells the old primary to step down, all at once. A member that
+    /// is out of sight is not waited for once the others suffice.
+    async fn fence(&self, term: u64, quorum: usize) -> (Vec<Fenced>, Option<Fenced>) {
         let orders = self.members.iter().zip(&self.watchers).map(|(member, watcher)| {
             let is_old = Some(&member.id) == self.old.as_ref();
             let order = match is_old {
@@ -297,9 +300,13 @@
             };
             async move { (member, is_old, watcher.order(order, ORDER_TIMEOUT).await) }
         });
+        let mut orders: FuturesUnordered<_> = orders.collect();
         let mut fenced = Vec::new();
         let mut stepped_down = None;
-        for (member, is_old, answer) in futures::future::join_all(orders).await {
+        let seen = |member: &&Member| matches!(member.sight, Sight::Answered(_));
+        let mut awaited = self.members.iter().filter(seen).count();
+        while let Some((member, is_old, answer)) = orders.next().await {
+            awaited -= usize::from(seen(&member));
             let status = match answer {
                 Ok(status) => status,
                 Err(error) => {
@@ -321,6 +328,9 @@
                 false if status.held >= term && status.role == Role::Replica => fenced.push(one),
                 false => {}
             }
+            if fenced.len() >= quorum && awaited == 0 {
+                break;
+            }
         }
         (fenced, stepped_down)
     }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -13,7 +13,7 @@
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     catalog::Service,
-    freshness::{self, Lease, Mark, Marks, LEADER_LEASE},
+    freshness::{self, Lease, Mark, Marks, Word, LEADER_LEASE},
     placement,
     registry::{Entry, Role},
     share,
@@ -23,7 +23,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use super::{backend::Backend, clock, journal};
+use super::{backend::Backend, clock, isolation::Suspicion, journal};
 
 /// The least time between two searches for the primary.
 const SEARCH_GAP: Duration = Duration::from_millis(150);
@@ -63,6 +63,7 @@
 pub struct Group {
     pub name: String,
     dc: String,
+    suspicion: Suspicion,
     servers: RefCell<Vec<Rc<Backend>>>,
     leader: RefCell<Option<Leader>>,
     marks: RefCell<Marks>,
@@ -78,10 +79,11 @@
 
 impl Group {
     /// A group that nothing is known of.
-    pub fn new(name: &str, dc: &str) -> Rc<Self> {
+    pub fn new(name: &str, dc: &str, suspicion: Suspicion) -> Rc<Self> {
         Rc::new(Self {
             name: name.to_owned(),
             dc: dc.to_owned(),
+            suspicion,
             servers: RefCell::default(),
             leader: RefCell::default(),
             marks: RefCell::default(),
@@ -117,7 +119,7 @@
                 }
                 None => {
                     changed = true;
-                    servers.push(Backend::new(entry, limit));
+                    servers.push(Backend::new(entry, limit, self.suspicion.clone()));
                 }
             }
         }
@@ -292,29 +294,31 @@
             let Ok(status) = replica.status().await else {
                 continue;
             };
-            let obeys = status.role == Role::Replica
-                && status.term <= leader.term
-                && status.held <= leader.term;
-            if obeys && self.led_by(&leader.backend) {
-                self.confirmed(asked);
+            // Meanwhile another search may have found another primary.
+            if !self.led_by(&leader.backend) {
                 return;
             }
-            if !obeys {
-                journal::write(
-                    "superseded",
-                    json!({ "service": self.name, "server": leader.backend.server.id,
-                        "term": leader.term, "by": replica.server.id, "its_term": status.term,
-                        "held": status.held }),
-                );
-                self.revoke();
-                if status.term > leader.term {
-                    self.depose(&leader.backend);
-                }
-                return;
+            match freshness::word(&status, leader.term) {
+                Word::Obeys => return self.confirmed(asked),
+                Word::Supersedes => return self.superseded(&leader, &replica, &status),
+                Word::Nothing => {}
             }
         }
     }
 
+    fn superseded(&self, leader: &Leader, by: &Rc<Backend>, status: &Status) {
+        journal::write(
+            "superseded",
+            json!({ "service": self.name, "server": leader.backend.server.id,
+                "term": leader.term, "by": by.server.id, "its_term": status.term,
+                "held": status.held }),
+        );
+        self.revoke();
+        if status.term > leader.term {
+            self.depose(&leader.backend);
+        }
+    }
+
     fn confirmed(&self, asked: Moment) {
         let mut lease = self.lease.get();
         lease.confirm(asked);
--- /dev/null
+++ b/crates/proxy/src/line/isolation.rs
@@ -0,0 +1,69 @@
+//! Finds out whether this proxy is cut off with its data centre, once a server could not be reached.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use dandelionpitch_engine::isolation::Isolation;
+use futures::{stream::FuturesUnordered, StreamExt};
+use serde_json::json;
+use tokio::{
+    net::TcpStream,
+    sync::{watch, Notify},
+};
+
+use super::{backend::Backend, clock, journal, session::Shared};
+
+/// How long a live machine in another data centre needs to accept a connection.
+const REACH_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The pause between two rounds.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What is known, for those who only read it.
+pub type Receiver = watch::Receiver<Isolation>;
+
+/// Where servers that could not be reached are reported.
+pub type Suspicion = Arc<Notify>;
+
+/// Looks outside whenever there is a suspicion, and goes on until something is reached.
+pub async fn run(shared: Rc<Shared>, suspicion: Suspicion, publish: watch::Sender<Isolation>) {
+    loop {
+        suspicion.notified().await;
+        loop {
+            let reached = reaches_out(&shared).await;
+            let was = *publish.borrow();
+            publish.send_modify(|isolation| isolation.note(reached, clock::now()));
+            if was.certain(clock::now()) == reached {
+                journal::write("isolation", json!({ "outside_reached": reached }));
+            }
+            if reached {
+                break;
+            }
+            tokio::time::sleep(AGAIN).await;
+        }
+    }
+}
+
+/// Whether any server outside the own data centre accepts a connection; `true` if there is none.
+async fn reaches_out(shared: &Shared) -> bool {
+    let outside = shared.servers_outside();
+    if outside.is_empty() {
+        return true;
+    }
+    let mut attempts: FuturesUnordered<_> = outside
+        .iter()
+        .map(|backend| connects(backend, REACH_TIMEOUT))
+        .collect();
+    while let Some(reached) = attempts.next().await {
+        if reached {
+            return true;
+        }
+    }
+    false
+}
+
+/// Whether the server's machine accepts a connection in time. The kernel does that, however busy
+/// the server is.
+pub async fn connects(backend: &Backend, limit: Duration) -> bool {
+    let connect = TcpStream::connect(backend.server.address);
+    matches!(tokio::time::timeout(limit, connect).await, Ok(Ok(_)))
+}
--- a/crates/proxy/src/line/observe.rs
+++ b/crates/proxy/src/line/observe.rs
@@ -10,7 +10,7 @@
 
 use dandelionpitch_engine::{
     refusal::Code,
-    registry::Server,
+    registry::{Role, Server},
     takeover::{Sight, Status, ASK_EVERY},
     time::Moment,
 };
@@ -20,11 +20,16 @@
 };
 use tokio::net::TcpStream;
 
-/// How long a server may take to answer. A status waits behind the statements before it.
-const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a server may take to answer before its machine is asked for a new connection. A status
+/// waits behind the statements before it.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How long a live machine needs to accept a connection, whatever its server is busy with.
-const REACH_TIMEOUT: Duration = Duration::from_millis(250);
+const REACH_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A replica that answered is asked this often: only primaries have to be missed within half a
+/// second, and each question is priced.
+const ASK_REPLICAS_EVERY: Duration = Duration::from_millis(500);
 
 /// How long a server that accepts connections may owe an answer before it counts as lost: longer
 /// than a full queue of a server that turned five times slower.
@@ -64,9 +69,17 @@
         self.sight.get()
     }
 
-    /// Asks the server if it is time to.
-    pub fn tick(self: &Rc<Self>, now: Moment) {
-        if self.busy.get() || now.since(self.asked.get()) < ASK_EVERY {
+    /// Asks the server if it is time to; less often while its group is `calm`.
+    pub fn tick(self: &Rc<Self>, now: Moment, calm: bool) {
+        let every = match self.sight.get() {
+            Sight::Answered(Status {
+                role: Role::Replica,
+                held: 0,
+                ..
+            }) if calm => ASK_REPLICAS_EVERY,
+            _ => ASK_EVERY,
+        };
+        if self.busy.get() || now.since(self.asked.get()) < every {
             return;
         }
         self.busy.set(true);
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use super::{journal, view::View};
+use super::{clock, isolation, journal, view::View};
 use crate::{metrics::Metrics, operator};
 
 /// What `GET /status` answers.
@@ -34,20 +34,23 @@
     pub missing: bool,
 }
 
-struct Context {
-    id: String,
-    dc: String,
-    view: watch::Receiver<Arc<View>>,
-    stopping: CancellationToken,
-    metrics: Metrics,
+/// What the endpoint reads.
+pub struct Context {
+    pub id: String,
+    pub dc: String,
+    pub view: watch::Receiver<Arc<View>>,
+    pub isolated: isolation::Receiver,
+    pub stopping: CancellationToken,
+    pub metrics: Metrics,
 }
 
-/// Whether the balancer should send new callers: a configuration is in force and the process is
-/// not stopping. A proxy cut off from the store stays ready and serves what it can.
+/// Whether the balancer should send new callers: a configuration is in force, the process is not
+/// stopping and not cut off with its data centre. A proxy that has lost only the store stays ready.
 #[get("/ready")]
 fn ready(context: &State<Context>) -> Status {
     let serves = context.view.borrow().catalog.is_some();
-    match serves && !context.stopping.is_cancelled() {
+    let isolated = context.isolated.borrow().certain(clock::now());
+    match serves && !isolated && !context.stopping.is_cancelled() {
         true => Status::Ok,
         false => Status::ServiceUnavailable,
     }
@@ -79,21 +82,7 @@
 }
 
 /// Builds the endpoint; it serves once launched.
-pub fn build(
-    address: SocketAddr,
-    id: &str,
-    dc: &str,
-    view: watch::Receiver<Arc<View>>,
-    stopping: CancellationToken,
-    metrics: Metrics,
-) -> rocket::Rocket<rocket::Build> {
-    let context = Context {
-        id: id.to_owned(),
-        dc: dc.to_owned(),
-        view,
-        stopping,
-        metrics,
-    };
+pub fn build(address: SocketAddr, context: Context) -> rocket::Rocket<rocket::Build> {
     rocket::custom(operator::figment(address))
         .manage(context)
         .mount("/", routes![ready, status, metrics])
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -61,6 +61,16 @@
 }
 
 impl Connection {
+    /// How much it takes to make its values those wanted: nothing, setting some, or clearing all.
+    fn effort(&self, wanted: &Values) -> u8 {
+        let foreign = || self.values.keys().any(|name| !wanted.contains_key(name));
+        match (self.unclear, &self.values == wanted) {
+            (false, true) => 0,
+            (false, false) if !foreign() => 1,
+            _ => 2,
+        }
+    }
+
     fn new(link: Link) -> Self {
         Self {
             link,
@@ -198,12 +208,12 @@
 
     fn take_idle(&self, values: &Values) -> Option<Box<Connection>> {
         let mut state = self.state.borrow_mut();
-        while !state.idle.is_empty() {
-            let fit = |connection: &Connection| {
-                !connection.unclear && connection.values == *values
+        loop {
+            let effort = |(index, connection): &(usize, &Connection)| {
+                (connection.effort(values), std::cmp::Reverse(*index))
             };
-            let last = state.idle.len() - 1;
-            let index = state.idle.iter().rposition(fit).unwrap_or(last);
+            let easiest = state.idle.iter().enumerate().min_by_key(effort);
+            let Some((index, _)) = easiest else { break };
             let connection = state.idle.remove(index);
             if connection.link.at_rest() {
                 return Some(Box::new(connection));
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -27,18 +27,25 @@
 /// The pause before a statement that was not run is offered again.
 const OFFER_AGAIN: Duration = Duration::from_millis(15);
 
-/// A read is given up on one server, and asked of another, after this many times its usual length:
-/// the answer was lost, or the server hangs.
-const PATIENCE: u32 = 6;
+/// After this many times the usual length without an answer, the server's machine is asked whether
+/// it is still there.
+const LOOK_AFTER: u32 = 3;
 
-/// The shortest time a read is given on one server: longer than the longest usual work (82 ms)
-/// behind a full set of slots.
-const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// The shortest wait before that: longer than nine in ten statements take.
+const LEAST_LOOK: Duration = Duration::from_millis(120);
+
+/// A read is given up on a server that is there, and asked of another, after this part of the
+/// route's timeout: its answer was lost, or it hangs. Longer than the longest usual work.
+const READ_PATIENCE: f64 = 0.4;
 
 /// The time at which refused callers are to come back if nothing better is known: that of a
 /// failover.
 const COME_BACK: Duration = Duration::from_millis(500);
 
+/// The time at which callers of a proxy that is cut off are to come back: by then the balancer
+/// sends them elsewhere.
+pub const CUT_OFF: Duration = Duration::from_millis(2_000);
+
 /// One statement on its way.
 pub struct Call<'a> {
     pub id: &'a str,
@@ -48,6 +55,8 @@
     pub route: &'a Route,
     /// When its first bytes were read.
     pub arrived: Moment,
+    /// Whether this proxy was cut off with its data centre then.
+    pub isolated: bool,
 }
 
 /// What went wrong with a statement on one server.
@@ -144,7 +153,7 @@
                 Err(failure) => tried.note(&backend, failure),
             }
         }
-        if tried.over() {
+        if tried.over() || call.isolated {
             break;
         }
         tokio::time::sleep(OFFER_AGAIN).await;
@@ -211,7 +220,7 @@
         if group.confirm(call.arrived).await && group.led_by(&leader.backend) {
             return Ok(vec![leader.backend]);
         }
-        if call.left() < call.route.timeout / 2 {
+        if call.isolated || call.left() < call.route.timeout / 2 {
             return Err(call.busy("the primary is not proved to lead", COME_BACK));
         }
         tokio::time::sleep(OFFER_AGAIN).await;
@@ -227,7 +236,7 @@
             }
         }
         // The rest of the time is for the work.
-        if call.left() < call.route.timeout / 4 {
+        if call.isolated || call.left() < call.route.timeout / 4 {
             return None;
         }
         tokio::time::sleep(OFFER_AGAIN).await;
@@ -242,10 +251,9 @@
     after: Option<Position>,
 ) -> Result<Success, Failure> {
     let checkout = checkout(group, backend, session, call).await?;
-    let usual = backend.latency() * PATIENCE;
-    let patience = usual.max(LEAST_PATIENCE).min(call.left());
+    let patience = call.route.timeout.mul_f64(READ_PATIENCE).min(call.left());
     let asked = clock::now();
-    let (answer, checkout) = exchange(checkout, call, after, patience).await;
+    let (answer, checkout) = exchange(checkout, backend, call, after, patience).await;
     let answer = match answer {
         Ok(answer) => answer,
         Err(why) => {
@@ -278,6 +286,10 @@
     session: &mut Session,
     call: &Call<'_>,
 ) -> Result<Success, Refusal> {
+    // Cut off, the primary may be on this side and its replicas on the other: it would never answer.
+    if call.isolated && !group.confirm(call.arrived).await {
+        return Err(call.busy("this data centre is cut off", CUT_OFF));
+    }
     let mut last = call.busy("no primary is known", COME_BACK);
     while let Some(leader) = wait_for_leader(group, call).await {
         let backend = &leader.backend;
@@ -295,7 +307,7 @@
             Err(Failure::Lost(why)) => return Err(Refusal::new(Code::Unknown, why)),
         };
         let asked = clock::now();
-        let (answer, checkout) = exchange(checkout, call, None, call.left()).await;
+        let (answer, checkout) = exchange(checkout, backend, call, None, call.left()).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(why) => {
@@ -342,7 +354,7 @@
         .checkout(session.values(), call.left(), call.urgency());
     let mut checkout = lent.await.map_err(|miss| {
         if miss == Miss::Unreachable {
-            backend.avoid();
+            backend.unreachable();
             group.depose(backend);
         }
         Failure::NotRun(missed(call, miss))
@@ -396,19 +408,41 @@
     Ok(())
 }
 
-/// Sends the statement and reads its answer; without a whole answer within `patience` the
-/// connection is closed, and the reason is returned.
+/// Sends the statement and reads its answer. Without a whole answer within `patience`, or when the
+/// server's machine is not there any more, the connection is closed and the reason returned.
 pub async fn exchange(
     mut checkout: Checkout,
+    backend: &Backend,
     call: &Call<'_>,
     after: Option<Position>,
     patience: Duration,
 ) -> (Result<Answer, String>, Option<Checkout>) {
-    let sent = ask(checkout.connection(), call, after);
-    match tokio::time::timeout(patience, sent).await {
-        Ok(Ok(answer)) => (Ok(answer), Some(checkout)),
-        Ok(Err(error)) => (Err(error.to_string()), None),
-        Err(_) => (Err(format!("no answer within {patience:?}")), None),
+    let result = {
+        let sent = ask(checkout.connection(), call, after);
+        tokio::select! {
+            biased;
+            answer = tokio::time::timeout(patience, sent) => match answer {
+                Ok(Ok(answer)) => Ok(answer),
+                Ok(Err(error)) => Err(error.to_string()),
+                Err(_) => Err(format!("no answer within {patience:?}")),
+            },
+            () = gone(backend) => Err("its server cannot be reached".to_owned()),
+        }
+    };
+    match result {
+        Ok(answer) => (Ok(answer), Some(checkout)),
+        Err(why) => (Err(why), None),
+    }
+}
+
+/// Returns when an answer is overdue and the server's machine is found not to be there.
+async fn gone(backend: &Backend) {
+    loop {
+        let pause = (backend.latency() * LOOK_AFTER).max(LEAST_LOOK);
+        tokio::time::sleep(pause).await;
+        if !backend.reachable().await {
+            return;
+        }
     }
 }
 
--- a/crates/proxy/src/line/session.rs
+++ b/crates/proxy/src/line/session.rs
@@ -33,15 +33,16 @@
 };
 
 use super::{
+    backend::Backend,
     clock,
     group::{Group, Groups},
-    journal,
+    isolation, journal,
     run::{self, Call},
     stop::Stop,
     transaction::{self, Pinned},
     view::View,
 };
-use crate::{config::Config, metrics::Metrics};
+use crate::metrics::Metrics;
 
 /// How long an answer may take to be taken by its caller before the connection counts as lost.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -51,35 +52,41 @@
 
 /// What all sessions of the process share, on the traffic thread.
 pub struct Shared {
-    dc: String,
-    view: watch::Receiver<Arc<View>>,
-    groups: RefCell<Groups>,
+    pub dc: String,
+    pub view: watch::Receiver<Arc<View>>,
+    pub groups: RefCell<Groups>,
     pub metrics: Metrics,
-    stop: Stop,
-    open: Rc<Cell<usize>>,
+    pub stop: Stop,
+    pub isolated: isolation::Receiver,
+    pub suspicion: isolation::Suspicion,
+    /// How many callers are connected.
+    pub open: Rc<Cell<usize>>,
 }
 
 impl Shared {
-    /// The shared state of a process that has seen no view yet.
-    pub fn new(
-        config: &Config,
-        view: watch::Receiver<Arc<View>>,
-        metrics: Metrics,
-        stop: Stop,
-    ) -> Self {
-        Self {
-            dc: config.dc.clone(),
-            view,
-            groups: RefCell::default(),
-            metrics,
-            stop,
-            open: Rc::default(),
-        }
+    /// The servers in other data centres.
+    pub fn servers_outside(&self) -> Vec<Rc<Backend>> {
+        let groups = self.groups.borrow();
+        let servers = groups.values().flat_map(|group| group.servers());
+        servers.filter(|backend| backend.server.dc != self.dc).collect()
+    }
+
+    fn new_group(&self, name: &str) -> Rc<Group> {
+        Group::new(name, &self.dc, self.suspicion.clone())
     }
 
-    /// How many callers are connected, now and later.
-    pub fn open_sessions(&self) -> Rc<Cell<usize>> {
-        self.open.clone()
+    /// Returns when callers at rest are better served elsewhere.
+    async fn released(&self) {
+        let mut isolated = self.isolated.clone();
+        loop {
+            if isolated.borrow_and_update().releases_sessions(clock::now()) {
+                return;
+            }
+            // Each round of looking outside is a change, so the moment is not missed.
+            if isolated.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
     }
 
     /// Brings the groups up to each new view, until the control thread is gone.
@@ -95,7 +102,7 @@
         for (name, entries) in &view.servers {
             let group = groups
                 .entry(name.clone())
-                .or_insert_with(|| Group::new(name, &self.dc));
+                .or_insert_with(|| self.new_group(name));
             let catalog = view.catalog.as_ref();
             let service = catalog.and_then(|catalog| catalog.services.get(name));
             if let Some(service) = service {
@@ -112,7 +119,7 @@
         let mut groups = self.groups.borrow_mut();
         groups
             .entry(name.to_owned())
-            .or_insert_with(|| Group::new(name, &self.dc))
+            .or_insert_with(|| self.new_group(name))
             .clone()
     }
 }
@@ -216,7 +223,8 @@
     /// The next thing to do. At rest in a planned stop, the session ends.
     async fn next(&mut self) -> Next {
         let idle = self.state.phase() == Phase::Idle;
-        let stop = self.shared.stop.clone();
+        let shared = self.shared.clone();
+        let stop = &shared.stop;
         let rest = self.rest_limit();
         tokio::select! {
             biased;
@@ -225,6 +233,7 @@
                 None => Next::Gone,
             },
             () = stop.sessions_end(idle) => Next::Retire,
+            () = shared.released(), if idle => Next::Retire,
             () = tokio::time::sleep(rest), if self.pinned.is_some() => Next::Rested,
         }
     }
@@ -326,6 +335,7 @@
             named: named.as_ref(),
             route: &route,
             arrived,
+            isolated: self.shared.isolated.borrow().certain(arrived),
         };
         let group = self.shared.group(&route.service);
         let result = match self.state.phase() {
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -76,7 +76,7 @@
     for send in 1.. {
         let Pinned { checkout, backend } = held;
         let asked = clock::now();
-        let (answer, checkout) = run::exchange(checkout, call, None, call.left()).await;
+        let (answer, checkout) = run::exchange(checkout, &backend, call, None, call.left()).await;
         let (answer, checkout) = match (answer, checkout) {
             (Ok(answer), Some(checkout)) => (answer, checkout),
             (answer, _) => {
@@ -161,6 +161,9 @@
     call: &Call<'_>,
 ) -> Result<Pinned, Refusal> {
     let mut last = call.busy("no server can take the transaction", SEND_AGAIN);
+    if call.isolated && !transaction.read_only && !group.confirm(transaction.begun).await {
+        return Err(call.busy("this data centre is cut off", run::CUT_OFF));
+    }
     while call.left() > call.route.timeout / 3 {
         let after = match call.route.consistency {
             Consistency::Latest => None,
@@ -231,6 +234,9 @@
                 }
             }
         }
+        if call.isolated {
+            break;
+        }
         tokio::time::sleep(SEND_AGAIN).await;
     }
     Err(last)
