--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -8,11 +8,12 @@
     sync::Arc,
 };
 
-use dandelionpitch_core::hash::{Map, Set};
+use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     catalog::Catalog,
     duty::Duty,
     registry::{Entry, Registry},
+    share::Members,
     time::Moment,
 };
 use dandelionpitch_platform::store::{self, Event, Item, Store, Subject};
@@ -41,7 +42,7 @@
     pub registry: RefCell<Registry>,
     pub records: RefCell<Map<String, failover::Noted>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
-    members: RefCell<Set<String>>,
+    members: RefCell<Members>,
     /// Whether the store answered the last call that follows it.
     pub store_answers: Cell<bool>,
     publish: watch::Sender<Arc<View>>,
@@ -132,7 +133,7 @@
     pub fn replace(&self, items: &[Item]) {
         let now = clock::now();
         let mut servers = Vec::new();
-        let mut members = Set::default();
+        let mut members = Vec::new();
         let mut holder = None;
         for item in items {
             match store::subject(&item.key) {
@@ -143,7 +144,7 @@
                         let name = String::from_utf8_lossy(&item.value).into_owned();
                         holder = Some((name, item.revision));
                     } else if let Some(name) = member::name(key) {
-                        members.insert(name.to_owned());
+                        members.push(name);
                     } else {
                         self.note_record(item, now);
                     }
@@ -152,7 +153,7 @@
             }
         }
         self.registry.borrow_mut().replace(servers, now);
-        *self.members.borrow_mut() = members;
+        self.members.borrow_mut().replace(members.into_iter(), now);
         let holder = holder.as_ref().map(|(name, revision)| (name.as_str(), *revision));
         self.duty.borrow_mut().seen(holder);
         self.publish();
@@ -193,7 +194,7 @@
             }
             Subject::Own(key) => match member::name(key) {
                 Some(name) => {
-                    self.members.borrow_mut().insert(name.to_owned());
+                    self.members.borrow_mut().present(name);
                 }
                 None => self.note_record(item, now),
             },
@@ -210,7 +211,7 @@
             Subject::Own(key) if key == member::DUTY => self.duty.borrow_mut().seen(None),
             Subject::Own(key) => {
                 if let Some(name) = member::name(key) {
-                    self.members.borrow_mut().remove(name);
+                    self.members.borrow_mut().missing(name, now);
                 }
             }
             Subject::Config | Subject::Other => {}
@@ -226,6 +227,10 @@
     /// Drops servers whose entries stayed missing; only called while the store answers.
     pub fn expire(&self) {
         let gone = self.registry.borrow_mut().expire(clock::now());
+        let members = self.members.borrow_mut().count(clock::now());
+        if members != self.publish.borrow().members {
+            self.publish();
+        }
         if !gone.is_empty() {
             journal::write("servers gone", json!({ "ids": gone }));
             self.publish();
@@ -258,7 +263,7 @@
         let view = View {
             catalog,
             servers,
-            members: self.members.borrow().len().max(1),
+            members: self.members.borrow_mut().count(clock::now()),
         };
         self.publish.send_replace(Arc::new(view));
     }
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -15,6 +15,7 @@
     refusal::Code,
     registry::Server,
     session::Values,
+    share,
     statement::Shape,
     time::Moment,
 };
@@ -193,7 +194,11 @@
         }
         if self.may_open() {
             self.state.borrow_mut().open += 1;
-            return self.open(Place::new(self.clone()), left).await;
+            match self.open(Place::new(self.clone()), left).await {
+                // No room for one more: those that are open will be free in a moment.
+                Err(Miss::Full) if self.state.borrow().open > 0 => {}
+                opened => return opened,
+            }
         }
         match self.wait(left, urgency).await? {
             Grant::Connection(checkout) => Ok(checkout),
@@ -203,7 +208,8 @@
 
     fn may_open(&self) -> bool {
         let state = self.state.borrow();
-        state.open < self.limit.get() && !state.closed && clock::now() >= self.rest_until.get()
+        let limit = self.limit.get() + share::BORROWED;
+        state.open < limit && !state.closed && clock::now() >= self.rest_until.get()
     }
 
     fn take_idle(&self, values: &Values) -> Option<Box<Connection>> {
@@ -332,7 +338,7 @@
     /// The next who waits, unless fewer connections are to be open.
     fn next_waiter(&self) -> Option<Waiter> {
         let mut state = self.state.borrow_mut();
-        match state.closed || state.open > self.limit.get() {
+        match state.closed || state.open > self.limit.get() + share::BORROWED {
             true => None,
             false => state.waiting.pop_front(),
         }
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -34,9 +34,12 @@
 /// The shortest wait before that: longer than nine in ten statements take.
 const LEAST_LOOK: Duration = Duration::from_millis(120);
 
-/// A read is given up on a server that is there, and asked of another, after this part of the
-/// route's timeout: its answer was lost, or it hangs. Longer than the longest usual work.
-const READ_PATIENCE: f64 = 0.4;
+/// An answer counts as lost after this many times the usual length of a statement on its server.
+const PATIENCE: u32 = 8;
+
+/// The least part of the route's timeout that an answer is waited for: longer than the longest
+/// usual work (82 ms of 1 s, 410 ms of 3 s) behind a full set of slots.
+const LEAST_PATIENCE: f64 = 0.4;
 
 /// The time at which refused callers are to come back if nothing better is known: that of a
 /// failover.
@@ -251,13 +254,11 @@
     after: Option<Position>,
 ) -> Result<Success, Failure> {
     let checkout = checkout(group, backend, session, call).await?;
-    let patience = call.route.timeout.mul_f64(READ_PATIENCE).min(call.left());
     let asked = clock::now();
-    let (answer, checkout) = exchange(checkout, backend, call, after, patience).await;
+    let (answer, checkout) = exchange(checkout, backend, call, after).await;
     let answer = match answer {
         Ok(answer) => answer,
         Err(why) => {
-            backend.avoid();
             note_failure(group, backend, call, &why);
             return Err(Failure::Lost(why));
         }
@@ -307,12 +308,14 @@
             Err(Failure::Lost(why)) => return Err(Refusal::new(Code::Unknown, why)),
         };
         let asked = clock::now();
-        let (answer, checkout) = exchange(checkout, backend, call, None, call.left()).await;
+        let (answer, checkout) = exchange(checkout, backend, call, None).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(why) => {
                 note_failure(group, backend, call, &why);
-                group.depose(backend);
+                if backend.avoided(clock::now()) {
+                    group.depose(backend);
+                }
                 let why = format!("outcome unknown: {why}");
                 return Err(Refusal::new(Code::Unknown, why));
             }
@@ -408,15 +411,20 @@
     Ok(())
 }
 
-/// Sends the statement and reads its answer. Without a whole answer within `patience`, or when the
-/// server's machine is not there any more, the connection is closed and the reason returned.
+/// Sends the statement and reads its answer. When the answer counts as lost, or the server's
+/// machine is not there any more, the connection is closed and the reason returned.
+///
+/// Load pattern: a server loses a fifth of its answers for seconds, and each holds one of a handful
+/// of connections until the route's timeout. Giving up after some times the usual length frees it
+/// for others, and lets a transaction be repeated within its caller's deadline.
 pub async fn exchange(
     mut checkout: Checkout,
     backend: &Backend,
     call: &Call<'_>,
     after: Option<Position>,
-    patience: Duration,
 ) -> (Result<Answer, String>, Option<Checkout>) {
+    let least = call.route.timeout.mul_f64(LEAST_PATIENCE);
+    let patience = (backend.latency() * PATIENCE).max(least).min(call.left());
     let result = {
         let sent = ask(checkout.connection(), call, after);
         tokio::select! {
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -76,7 +76,7 @@
     for send in 1.. {
         let Pinned { checkout, backend } = held;
         let asked = clock::now();
-        let (answer, checkout) = run::exchange(checkout, &backend, call, None, call.left()).await;
+        let (answer, checkout) = run::exchange(checkout, &backend, call, None).await;
         let (answer, checkout) = match (answer, checkout) {
             (Ok(answer), Some(checkout)) => (answer, checkout),
             (answer, _) => {
