--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -1,8 +1,8 @@
 //! Whether a statement waits for a connection or is refused at once.
 //!
 //! Load pattern: a burst, or servers lost or slow, makes more statements wait than connections can
-//! serve in time. A statement that will not get its connection before its caller gives up only
-//! delays those behind it, so it is refused on arrival, with the time at which to come back.
+//! serve in time. A statement that will be answered later than its route's target only makes those
+//! behind it late as well, so it is refused on arrival, with the time at which to come back.
 
 use std::time::Duration;
 
@@ -32,7 +32,7 @@
 /// The shortest time a refused caller is told to stay away: below it, it would meet the same queue.
 const SHORTEST_RETURN: Duration = Duration::from_millis(50);
 
-/// Decides for a statement that has `left` until it is of no use any more.
+/// Decides for a statement that should be answered within `left`.
 pub fn decide(queue: Queue, left: Duration) -> Verdict {
     let ahead = (queue.waiting + 1) as f64 / queue.connections.max(1) as f64;
     let expected = queue.hold.mul_f64(ahead);
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -11,8 +11,7 @@
 ///
 /// A promoter first makes the replicas deaf to the old primary and then waits at least
 /// [`PROMOTION_WAIT`], so no commit can be acknowledged elsewhere while such a word counts.
-/// 300 ms keeps confirmations to a few a second and group, and is hidden in the 600 ms that the
-/// platform needs for a promotion.
+/// 300 ms keeps the questions to a few a second and group.
 pub const LEADER_LEASE: Duration = Duration::from_millis(300);
 
 /// How long a promoter waits after the replicas obey it: the lease, and 50 ms for the time between
@@ -85,33 +84,81 @@
     }
 }
 
-/// The proof that a server leads its group.
+/// What the other members said when they were asked, all after `asked`, about the primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Poll {
+    pub asked: Moment,
+    /// How many obey it.
+    pub obey: usize,
+    /// How many members there are besides it.
+    pub others: usize,
+    /// How many replicas a commit of the group waits for.
+    pub sync_replicas: usize,
+}
+
+impl Poll {
+    /// Whether all others obey: none was promoted before, and none is held for a promotion.
+    fn is_complete(&self) -> bool {
+        self.obey == self.others
+    }
+
+    /// Whether one of those that obey would be held if a promotion were under way: a promoter holds
+    /// all but `sync_replicas` members, and the primary is one of the rest.
+    fn meets_promoter(&self) -> bool {
+        self.obey >= self.sync_replicas.max(1)
+    }
+
+    /// Whether one of those that obey would have received whatever a newer primary acknowledged
+    /// before: it needs `sync_replicas` members besides itself.
+    fn meets_commits(&self) -> bool {
+        self.obey >= self.others.saturating_sub(self.sync_replicas).max(1)
+    }
+}
+
+/// The proof that nothing newer than the known primary's log was acknowledged.
+///
+/// Failure: at the moment of a promotion the replicas are held no more, and one that has not heard
+/// of the new primary yet looks as if it obeyed the old one; a lease granted on its word let a read
+/// miss commits of the new primary for 300 ms. Guard: a lease starts only when all other members
+/// obey, and is renewed by fewer only within [`PROMOTION_WAIT`] of the last time, in which no
+/// promotion can have gone from its first hold to its end. On any other word a read is allowed only
+/// if it came before the question: what a newer primary had acknowledged by then, a replica that
+/// answers would have.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Lease {
-    confirmed: Option<Moment>,
+    /// Reads that came no later than this miss nothing.
+    until: Option<Moment>,
+    /// When the last poll was asked that granted or renewed a lease.
+    renewed: Option<Moment>,
 }
 
 impl Lease {
-    /// Notes that a replica, asked at `asked`, obeyed the primary.
-    pub fn confirm(&mut self, asked: Moment) {
-        self.confirmed = self.confirmed.max(Some(asked));
+    /// Takes a poll in which no member spoke for another primary.
+    pub fn confirm(&mut self, poll: Poll) {
+        let renews = self.renewable(poll.asked) && poll.meets_promoter();
+        if poll.is_complete() || renews {
+            self.renewed = self.renewed.max(Some(poll.asked));
+            self.until = self.until.max(Some(poll.asked + LEADER_LEASE));
+        } else if poll.meets_commits() {
+            self.until = self.until.max(Some(poll.asked));
+        }
     }
 
-    /// Whether the primary was certainly leading at `at`: no other server can have acknowledged a
-    /// commit before that moment.
-    pub fn valid(&self, at: Moment) -> bool {
-        self.confirmed
-            .is_some_and(|confirmed| at < confirmed + LEADER_LEASE)
+    /// Whether a poll asked at `asked` needs only some of the members.
+    pub fn renewable(&self, asked: Moment) -> bool {
+        self.renewed
+            .is_some_and(|renewed| asked < renewed + PROMOTION_WAIT)
     }
 
-    /// How long ago the last confirmation was asked for.
-    pub fn age(&self, now: Moment) -> Option<Duration> {
-        self.confirmed.map(|confirmed| now.since(confirmed))
+    /// Whether a read that came at `at` misses nothing on the primary.
+    pub fn valid(&self, at: Moment) -> bool {
+        self.until.is_some_and(|until| at <= until)
     }
 
-    /// Forgets the proof: another server leads, or this one is no longer sure.
-    pub fn revoke(&mut self) {
-        self.confirmed = None;
+    /// Whether the lease is to be renewed before a read has to wait for it.
+    pub fn runs_out(&self, now: Moment) -> bool {
+        self.renewed
+            .is_some_and(|renewed| now.since(renewed) > LEADER_LEASE / 2)
     }
 }
 
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -16,7 +16,7 @@
 use super::{
     clock,
     isolation::{self, Suspicion},
-    pool::Pool,
+    pool::{Pool, Rank, Wish},
 };
 
 /// What a statement is first taken to last on a server: the mean of the measured ones.
@@ -34,8 +34,8 @@
 /// How long a machine that accepted a connection counts as there.
 const REACH_HOLDS: Duration = Duration::from_millis(200);
 
-/// The urgency of the proxy's own questions: they go before all statements, which wait for them.
-pub const MOST_URGENT: u32 = 0;
+/// The priority of the proxy's own questions: they go before all statements, which wait for them.
+const MOST_IMPORTANT: u32 = 0;
 
 /// A backend server.
 pub struct Backend {
@@ -128,7 +128,12 @@
     pub async fn status(&self) -> Result<Status, Error> {
         let ask = async {
             let values = Values::default();
-            let lent = self.pool.checkout(&values, STATUS_TIMEOUT, MOST_URGENT);
+            let deadline = clock::now() + STATUS_TIMEOUT;
+            let rank = Rank {
+                priority: MOST_IMPORTANT,
+                due: deadline,
+            };
+            let lent = self.pool.checkout(&values, Wish { rank, deadline });
             let Ok(mut checkout) = lent.await else {
                 return Err(Error::Timeout);
             };
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -13,21 +13,32 @@
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     catalog::Service,
-    freshness::{self, Lease, Mark, Marks, Word, LEADER_LEASE},
+    freshness::{self, Lease, Mark, Marks, Poll, Word},
     placement,
     registry::{Entry, Role},
     share,
     takeover::Status,
     time::Moment,
 };
+use futures::{stream::FuturesUnordered, StreamExt};
 use serde_json::json;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::timeout};
 
 use super::{backend::Backend, clock, isolation::Suspicion, journal};
 
 /// The least time between two searches for the primary.
 const SEARCH_GAP: Duration = Duration::from_millis(150);
 
+/// The least time until replicas are asked again that spoke for another primary: a promotion takes
+/// most of a second.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
+
+/// How long the first answer of a poll is waited for.
+const STATUS_PATIENCE: Duration = Duration::from_millis(400);
+
+/// How long the others are waited for once one has answered: some round trips between data centres.
+const LATE_ANSWER: Duration = Duration::from_millis(25);
+
 /// How long after its first sign of leaving a server may still be given work if nothing else can
 /// take it. Below the platform's bound for it (7 s), with room for what is on its way.
 const LEAVING_USE: Duration = Duration::from_millis(5_000);
@@ -68,6 +79,9 @@
     leader: RefCell<Option<Leader>>,
     marks: RefCell<Marks>,
     lease: Cell<Lease>,
+    sync_replicas: Cell<usize>,
+    /// When a replica last spoke for another primary.
+    denied: Cell<Moment>,
     /// The newest position of the primary whose lease was not yet confirmed.
     unconfirmed: Cell<Option<Mark>>,
     searched: Cell<Moment>,
@@ -88,6 +102,8 @@
             leader: RefCell::default(),
             marks: RefCell::default(),
             lease: Cell::default(),
+            sync_replicas: Cell::default(),
+            denied: Cell::default(),
             unconfirmed: Cell::default(),
             searched: Cell::default(),
             search: Flight::default(),
@@ -100,6 +116,7 @@
     /// Takes the servers of a new view. A change of who is there or of how a server sees itself is
     /// a reason to ask again who leads.
     pub fn update(self: &Rc<Self>, entries: &[Entry], service: &Service, members: usize) {
+        self.sync_replicas.set(service.sync_replicas as usize);
         let limit = share::connections(service.max_connections, members);
         let mut changed = false;
         let old = std::mem::take(&mut *self.servers.borrow_mut());
@@ -246,15 +263,17 @@
         });
     }
 
-    /// Whether the known primary was certainly leading at `at`, asking a replica if needed.
+    /// Whether a read that came at `at` misses nothing on the known primary, asking the replicas if
+    /// needed.
     ///
     /// Failure: the primary is cut off with this data centre, another one was promoted, and a read
     /// here misses what that one acknowledged. Guard: [`Lease`].
     pub async fn confirm(self: &Rc<Self>, at: Moment) -> bool {
-        for _ in 0..2 {
+        // A poll that was already under way when the read came may not be enough.
+        for _ in 0..3 {
             let lease = self.lease.get();
             if lease.valid(at) {
-                if lease.age(clock::now()).is_some_and(|age| age > LEADER_LEASE / 2) {
+                if lease.runs_out(clock::now()) {
                     self.confirm_ahead();
                 }
                 return true;
@@ -272,38 +291,55 @@
         }
         let group = self.clone();
         tokio::task::spawn_local(async move {
+            let wait = clock::now().until(group.denied.get() + ASK_AGAIN);
+            tokio::time::sleep(wait).await;
             group.ask_replicas().await;
             group.confirmation.end();
         });
     }
 
-    /// Asks the replicas, one after the other, until one says that it obeys the primary.
+    /// Asks the replicas whether they obey the primary: all of them, or only as many as needed to
+    /// renew the lease.
     async fn ask_replicas(&self) {
         let Some(leader) = self.known_leader() else {
             return;
         };
-        let now = clock::now();
-        let mut replicas: Vec<Rc<Backend>> = self
-            .servers()
-            .into_iter()
-            .filter(|backend| !Rc::ptr_eq(backend, &leader.backend))
+        let asked = clock::now();
+        let mut replicas = self.servers();
+        replicas.retain(|backend| !Rc::ptr_eq(backend, &leader.backend));
+        let others = replicas.len();
+        let sync_replicas = self.sync_replicas.get();
+        replicas.retain(|backend| !backend.avoided(asked));
+        replicas.sort_by_key(|backend| backend.server.dc != self.dc);
+        if self.lease.get().renewable(asked) {
+            replicas.truncate(sync_replicas.max(1));
+        }
+        let mut obey = 0;
+        let mut answers: FuturesUnordered<_> = replicas
+            .iter()
+            .map(|replica| async move { (replica, replica.status().await) })
             .collect();
-        replicas.sort_by_key(|backend| (backend.avoided(now), backend.server.dc != self.dc));
-        for replica in replicas {
-            let asked = clock::now();
-            let Ok(status) = replica.status().await else {
-                continue;
-            };
+        let mut patience = STATUS_PATIENCE;
+        while let Ok(Some((replica, answer))) = timeout(patience, answers.next()).await {
             // Meanwhile another search may have found another primary.
             if !self.led_by(&leader.backend) {
                 return;
             }
+            let Ok(status) = answer else { continue };
             match freshness::word(&status, leader.term) {
-                Word::Obeys => return self.confirmed(asked),
-                Word::Supersedes => return self.superseded(&leader, &replica, &status),
+                Word::Obeys => obey += 1,
+                Word::Supersedes => return self.superseded(&leader, replica, &status),
                 Word::Nothing => {}
             }
+            patience = LATE_ANSWER;
         }
+        let poll = Poll {
+            asked,
+            obey,
+            others,
+            sync_replicas,
+        };
+        self.confirmed(poll);
     }
 
     fn superseded(&self, leader: &Leader, by: &Rc<Backend>, status: &Status) {
@@ -313,26 +349,45 @@
                 "term": leader.term, "by": by.server.id, "its_term": status.term,
                 "held": status.held }),
         );
+        self.denied.set(clock::now());
         self.revoke();
         if status.term > leader.term {
             self.depose(&leader.backend);
         }
     }
 
-    fn confirmed(&self, asked: Moment) {
+    fn confirmed(&self, poll: Poll) {
         let mut lease = self.lease.get();
-        lease.confirm(asked);
+        lease.confirm(poll);
         self.lease.set(lease);
         if let Some(mark) = self.unconfirmed.take() {
             self.note(mark);
         }
     }
 
-    /// Notes the end of the primary's log, from an answer to a question sent at `asked`.
-    pub fn note_position(&self, backend: &Rc<Backend>, asked: Moment, position: Option<Position>) {
-        if let (true, Some(position)) = (self.led_by(backend), position) {
-            self.note(Mark { asked, position });
+    /// Notes the end of a server's log, from its answer to a question sent at `asked`. Returns
+    /// whether the answer may be the primary's, if the server is known as that.
+    ///
+    /// Failure: the primary was superseded and already follows another, and its answer is taken for
+    /// a primary's. Guard: its log then has entries of a later term.
+    pub fn note_position(
+        &self,
+        backend: &Rc<Backend>,
+        asked: Moment,
+        position: Option<Position>,
+    ) -> bool {
+        let Some(leader) = self.known_leader() else {
+            return true;
+        };
+        let (true, Some(position)) = (Rc::ptr_eq(&leader.backend, backend), position) else {
+            return true;
+        };
+        if position.term > leader.term {
+            self.depose(backend);
+            return false;
         }
+        self.note(Mark { asked, position });
+        true
     }
 
     fn note(&self, mark: Mark) {
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -38,6 +38,23 @@
 /// measured ones.
 const FIRST_HOLD: Duration = Duration::from_millis(30);
 
+/// What decides which of the waiting statements is served next: the more important one, then the
+/// one that should be answered first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// 0 is the most important.
+    pub priority: u32,
+    pub due: Moment,
+}
+
+/// What a statement asks of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    pub rank: Rank,
+    /// When it is of no use any more.
+    pub deadline: Moment,
+}
+
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Miss {
@@ -90,7 +107,7 @@
 }
 
 struct Waiter {
-    urgency: u32,
+    rank: Rank,
     grant: oneshot::Sender<Grant>,
 }
 
@@ -181,14 +198,13 @@
         state.idle.clear();
     }
 
-    /// Lends a connection, preferring one that already has `values`. It is of use only within
-    /// `left`; those with a lower `urgency` number go first.
+    /// Lends a connection, preferring one that already has `values`.
     pub async fn checkout(
         self: &Rc<Self>,
         values: &Values,
-        left: Duration,
-        urgency: u32,
+        wish: Wish,
     ) -> Result<Checkout, Miss> {
+        let left = clock::now().until(wish.deadline);
         if let Some(connection) = self.take_idle(values) {
             return Ok(self.lend(connection));
         }
@@ -200,7 +216,7 @@
                 opened => return opened,
             }
         }
-        match self.wait(left, urgency).await? {
+        match self.wait(wish).await? {
             Grant::Connection(checkout) => Ok(checkout),
             Grant::Room(place) => self.open(place, left).await,
         }
@@ -270,29 +286,32 @@
         Err(miss)
     }
 
-    async fn wait(&self, left: Duration, urgency: u32) -> Result<Grant, Miss> {
+    async fn wait(&self, wish: Wish) -> Result<Grant, Miss> {
         let (grant, granted) = oneshot::channel();
+        let Wish { rank, deadline } = wish;
+        let now = clock::now();
+        let left = now.until(deadline);
         {
             let mut state = self.state.borrow_mut();
             if state.closed || state.open == 0 {
                 return Err(Miss::Unreachable);
             }
-            let before = |waiter: &Waiter| waiter.urgency <= urgency && !waiter.grant.is_closed();
+            let before = |waiter: &Waiter| waiter.rank <= rank && !waiter.grant.is_closed();
             let ahead = state.waiting.iter().filter(|waiter| before(waiter)).count();
             let queue = Queue {
                 waiting: ahead,
                 connections: state.open,
                 hold: self.hold.get().value(),
             };
-            if let Verdict::Refuse { come_back } = admission::decide(queue, left) {
+            if let Verdict::Refuse { come_back } = admission::decide(queue, now.until(rank.due).min(left)) {
                 return Err(Miss::Refused { come_back });
             }
             let place = state
                 .waiting
                 .iter()
-                .position(|waiter| waiter.urgency > urgency)
+                .position(|waiter| waiter.rank > rank)
                 .unwrap_or(state.waiting.len());
-            state.waiting.insert(place, Waiter { urgency, grant });
+            state.waiting.insert(place, Waiter { rank, grant });
         }
         match tokio::time::timeout(left, granted).await {
             Ok(Ok(grant)) => Ok(grant),
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -21,7 +21,7 @@
     clock,
     group::{Group, Leader},
     journal,
-    pool::{Checkout, Connection, Miss},
+    pool::{Checkout, Connection, Miss, Rank, Wish},
 };
 
 /// The pause before a statement that was not run is offered again.
@@ -89,9 +89,14 @@
         self.left().is_zero()
     }
 
-    /// The urgency of its wait for a connection; the proxy's own questions go first.
-    pub fn urgency(&self) -> u32 {
-        self.route.priority + 1
+    /// What it asks of a pool; the proxy's own questions go first.
+    pub fn wish(&self) -> Wish {
+        let rank = Rank {
+            priority: self.route.priority + 1,
+            due: self.arrived + self.route.target,
+        };
+        let deadline = self.deadline();
+        Wish { rank, deadline }
     }
 
     /// Before when a commit must have been acknowledged for the statement to see it.
@@ -264,8 +269,12 @@
         }
     };
     settle(checkout, &answer);
-    group.note_position(backend, asked, answer.position);
+    let trusted = group.note_position(backend, asked, answer.position);
     backend.took(clock::now().since(asked));
+    if after.is_none() && !trusted {
+        let why = "its server does not lead any more";
+        return Err(Failure::NotRun(call.busy(why, OFFER_AGAIN)));
+    }
     answer.result.map_err(|refusal| {
         note_failure(group, backend, call, &refusal.to_string());
         match refusal.code.not_run() {
@@ -352,9 +361,7 @@
     session: &Session,
     call: &Call<'_>,
 ) -> Result<Checkout, Failure> {
-    let lent = backend
-        .pool
-        .checkout(session.values(), call.left(), call.urgency());
+    let lent = backend.pool.checkout(session.values(), call.wish());
     let mut checkout = lent.await.map_err(|miss| {
         if miss == Miss::Unreachable {
             backend.unreachable();
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -206,8 +206,11 @@
             let ask = checkout.connection().link.ask(begin);
             match tokio::time::timeout(call.left(), ask).await {
                 Ok(Ok(answer)) => {
-                    group.note_position(&backend, asked, answer.position);
+                    let trusted = group.note_position(&backend, asked, answer.position);
                     match answer.result {
+                        Ok(_) if after.is_none() && !trusted => {
+                            last = call.busy("its server does not lead any more", SEND_AGAIN);
+                        }
                         Ok(_) if answer.state == State::Open => {
                             return Ok(Pinned { checkout, backend });
                         }
