--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod placement;
 pub mod refusal;
 pub mod registry;
+pub mod roster;
 pub mod session;
 pub mod share;
 pub mod statement;
--- a/crates/engine/src/share.rs
+++ b/crates/engine/src/share.rs
@@ -54,10 +54,6 @@
     }
 }
 
-/// How many connections beyond its share a proxy may open while statements wait for one and the
-/// server has room: callers are spread unevenly over the proxies.
-pub const BORROWED: usize = 2;
-
 /// This proxy's share of a server's `max_connections` among `members` live proxies; at least one.
 ///
 /// Load pattern: callers are spread unevenly, so the share is a ceiling and not a reservation;
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -22,6 +22,10 @@
 /// the time that a stretch of slow application takes.
 pub const STALLED_AFTER: Duration = Duration::from_millis(900);
 
+/// How long replicas may be held under a primary that leads. An attempt of another process that
+/// ended halfway leaves them so; by then its promotion call has been given up.
+const HELD_TOO_LONG: Duration = Duration::from_millis(2_500);
+
 /// How long the same may last before the replicas are asked more often: longer than the pause
 /// between two questions to one of them in a calm group.
 const SUSPECT_AFTER: Duration = Duration::from_millis(550);
@@ -58,6 +62,8 @@
     pub id: String,
     pub leaving: bool,
     pub sight: Sight,
+    /// When the question was sent that `sight` answers.
+    pub asked: Moment,
 }
 
 impl Member {
@@ -76,6 +82,8 @@
     Led,
     /// Too little is known, or it is too early.
     Unsure,
+    /// Replicas are held though nobody replaces their primary: they are to receive again.
+    Resume,
     /// The primary `old`, if there is one, is to be replaced.
     Replace { old: Option<String>, cause: Cause },
 }
@@ -91,8 +99,6 @@
     Leaving,
     /// No server leads.
     Leaderless,
-    /// A replica is held by an attempt that did not come to its end.
-    Unfinished,
 }
 
 /// What is remembered of one group between judgements.
@@ -167,11 +173,11 @@
         if self.ahead_for(led.received, received, now) >= STALLED_AFTER && stay {
             return replace(Cause::Stalled);
         }
-        let held = replicas().any(|(_, status)| status.held > led.term);
-        if lasting(&mut self.held_since, held, now) >= MISSED_AFTER {
-            return replace(Cause::Unfinished);
+        let held = replicas().any(|(_, status)| status.held != 0);
+        match lasting(&mut self.held_since, held, now) >= HELD_TOO_LONG {
+            true => Verdict::Resume,
+            false => Verdict::Led,
         }
-        Verdict::Led
     }
 
     /// For how long no replica is known to have received what the primary had. Replicas are asked
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -219,9 +219,7 @@
     }
 
     fn note_record(&self, item: &Item, now: Moment) {
-        if let Some((service, noted)) = failover::Noted::read(item, now) {
-            self.records.borrow_mut().insert(service, noted);
-        }
+        failover::Noted::read(item, &mut self.records.borrow_mut(), now);
     }
 
     /// Drops servers whose entries stayed missing; only called while the store answers.
--- a/crates/proxy/src/line/failover.rs
+++ b/crates/proxy/src/line/failover.rs
@@ -7,6 +7,7 @@
 use dandelionpitch_engine::{
     freshness::PROMOTION_WAIT,
     registry::{Entry, Role},
+    roster::Roster,
     takeover::{self, Cause, Fenced, Member, Memory, Sight, Status, Verdict, TURN_GAP},
     time::Moment,
 };
@@ -48,36 +49,43 @@
 struct Record {
     holder: String,
     token: u64,
-    term: u64,
+    /// The server promoted last; empty while none was.
     server: String,
+    /// When this was written for a promotion, its number: others wait for a while after it.
+    promotions: u64,
+    /// The servers that count for a promotion, present or vanished.
+    members: Vec<String>,
 }
 
 /// A record and when this process saw it.
 #[derive(Clone, Debug)]
 pub struct Noted {
-    holder: String,
-    pub revision: u64,
-    seen: Moment,
+    record: Record,
+    revision: u64,
+    /// When the last promotion was first seen here.
+    promoted: Moment,
 }
 
 impl Noted {
-    /// Reads a record; `None` if the item is none.
-    pub fn read(item: &Item, now: Moment) -> Option<(String, Self)> {
-        let service = item.key.strip_prefix(RECORDS)?;
-        match serde_json::from_slice::<Record>(&item.value) {
-            Ok(record) => Some((
-                service.to_owned(),
-                Self {
-                    holder: record.holder,
-                    revision: item.revision,
-                    seen: now,
-                },
-            )),
-            Err(error) => {
-                journal::trouble("record", &format!("{}: {error}", item.key));
-                None
-            }
-        }
+    /// Reads a record into `known`, if the item is one.
+    pub fn read(item: &Item, known: &mut Map<String, Self>, now: Moment) {
+        let Some(service) = item.key.strip_prefix(RECORDS) else {
+            return;
+        };
+        let record = match serde_json::from_slice::<Record>(&item.value) {
+            Ok(record) => record,
+            Err(error) => return journal::trouble("record", &format!("{}: {error}", item.key)),
+        };
+        let same = known
+            .get(service)
+            .filter(|old| old.record.promotions == record.promotions);
+        let promoted = same.map_or(now, |old| old.promoted);
+        let noted = Self {
+            record,
+            revision: item.revision,
+            promoted,
+        };
+        known.insert(service.to_owned(), noted);
     }
 }
 
@@ -88,6 +96,8 @@
     NoChoice { fenced: usize, quorum: usize },
     #[display("the duty is no longer held")]
     NoDuty,
+    #[display("the store says that the duty is another's, or the record changed")]
+    Conflict,
     #[display("the store did not take the record: {_0}")]
     Store(String),
     #[display("the platform did not promote: {_0}")]
@@ -95,9 +105,11 @@
 }
 
 /// What is kept of one group.
-#[derive(Default)]
 struct Watched {
     memory: Memory,
+    roster: Roster,
+    /// The roster is being written to the store.
+    writing: bool,
     not_before: Moment,
     trying: bool,
 }
@@ -168,28 +180,37 @@
                 id: entry.server.id.clone(),
                 leaving: entry.server.leaving,
                 sight: watcher.sight(),
+                asked: watcher.answered(),
             })
             .collect();
         let mut groups = self.groups.borrow_mut();
-        let watched = groups.entry(service.to_owned()).or_default();
+        let watched = groups
+            .entry(service.to_owned())
+            .or_insert_with(|| Watched::new(control, service, now));
+        watched.roster.update(&members, now);
+        self.keep_roster(control, service, watched);
         let calm = takeover::leader(&members).is_some() && !watched.memory.suspects(now);
         watchers.iter().for_each(|watcher| watcher.tick(now, calm));
         depose_old(&members, &watchers);
         if watched.trying || now < watched.not_before {
             return;
         }
-        let Verdict::Replace { old, cause } = watched.memory.judge(&members, now) else {
-            return;
+        let (old, cause) = match watched.memory.judge(&members, now) {
+            Verdict::Replace { old, cause } => (old, cause),
+            Verdict::Resume => return resume_held(&members, &watchers),
+            Verdict::Led | Verdict::Unsure => return,
         };
         if !turn_is_ours(control, service, now) {
             return;
         }
         watched.trying = true;
+        let roster = watched.roster.clone();
         drop(groups);
         let attempt = Attempt {
             control: control.clone(),
             service: service.to_owned(),
             members,
+            roster,
             watchers,
             old,
             cause,
@@ -207,6 +228,92 @@
     }
 }
 
+impl Watched {
+    fn new(control: &Control, service: &str, now: Moment) -> Self {
+        let records = control.records.borrow();
+        let recorded = records.get(service).map(|noted| &noted.record.members[..]);
+        Self {
+            memory: Memory::default(),
+            roster: Roster::new(recorded.unwrap_or_default(), now),
+            writing: false,
+            not_before: now,
+            trying: false,
+        }
+    }
+}
+
+impl Failover {
+    /// Writes the roster to the store when it has changed.
+    fn keep_roster(self: &Rc<Self>, control: &Rc<Control>, service: &str, watched: &mut Watched) {
+        let members = watched.roster.ids();
+        let known = control.records.borrow().get(service).cloned();
+        let same = known
+            .as_ref()
+            .is_some_and(|noted| noted.record.members == members);
+        let Some(token) = control.duty.borrow().token(clock::now()) else {
+            return;
+        };
+        if same || watched.writing || watched.trying {
+            return;
+        }
+        watched.writing = true;
+        let (failover, control, service) = (self.clone(), control.clone(), service.to_owned());
+        tokio::task::spawn_local(async move {
+            let record = Record {
+                holder: control.name.clone(),
+                token,
+                server: known.as_ref().map_or(String::new(), |n| n.record.server.clone()),
+                promotions: known.as_ref().map_or(0, |n| n.record.promotions),
+                members,
+            };
+            let revision = known.map_or(0, |noted| noted.revision);
+            if let Err(stopped) = write_record(&control, &service, &record, Some(revision)).await {
+                journal::trouble("roster", &stopped.to_string());
+                tokio::time::sleep(RETRY).await;
+            }
+            if let Some(watched) = failover.groups.borrow_mut().get_mut(&service) {
+                watched.writing = false;
+            }
+        });
+    }
+}
+
+/// Lets replicas that are held for nothing receive again when they are next asked.
+fn resume_held(members: &[Member], watchers: &[Rc<Watcher>]) {
+    for (member, watcher) in members.iter().zip(watchers) {
+        if matches!(member.sight, Sight::Answered(status) if status.held != 0) {
+            watcher.order.set(Some(Order::Resume));
+        }
+    }
+}
+
+/// Writes a group's record, on the condition that this process still holds the duty, and that the
+/// record is at `revision` if one is given.
+///
+/// Failure: the store took the duty away without this process being told, and another holder
+/// promotes as well. Guard: the store itself refuses the record of a holder that is none.
+async fn write_record(
+    control: &Control,
+    service: &str,
+    record: &Record,
+    revision: Option<u64>,
+) -> Result<(), Stopped> {
+    let value = serde_json::to_vec(record).map_err(|error| Stopped::Store(error.to_string()))?;
+    let key = format!("{RECORDS}{service}");
+    let write = Write {
+        key: &key,
+        value: &value,
+        lease: 0,
+    };
+    let mut conditions = vec![(member::DUTY, record.token)];
+    conditions.extend(revision.map(|revision| (key.as_str(), revision)));
+    match control.store().change(&conditions, &[write], &[]).await {
+        Ok(Change::Done { .. }) => Ok(()),
+        Ok(Change::Conflict | Change::LeaseGone) => Err(Stopped::Conflict),
+        Err(error) => Err(Stopped::Store(error.to_string())),
+    }
+}
+
 /// Tells primaries of earlier terms to stop leading when they are next asked.
 fn depose_old(members: &[Member], watchers: &[Rc<Watcher>]) {
     let Some((leader, led)) = takeover::leader(members) else {
@@ -215,7 +322,7 @@
     for (member, watcher) in members.iter().zip(watchers) {
         let leads = matches!(member.sight, Sight::Answered(Status { role: Role::Primary, .. }));
         if leads && member.id != leader.id {
-            watcher.depose.set(Some(led.term));
+            watcher.order.set(Some(Order::StepDown(led.term)));
         }
     }
 }
@@ -224,7 +331,8 @@
 fn turn_is_ours(control: &Control, service: &str, now: Moment) -> bool {
     let records = control.records.borrow();
     records.get(service).is_none_or(|noted| {
-        noted.holder == control.name || now.since(noted.seen) >= TURN_GAP
+        let ours = noted.record.holder == control.name;
+        ours || noted.record.promotions == 0 || now.since(noted.promoted) >= TURN_GAP
     })
 }
 
@@ -233,6 +341,7 @@
     control: Rc<Control>,
     service: String,
     members: Vec<Member>,
+    roster: Roster,
     watchers: Vec<Rc<Watcher>>,
     old: Option<String>,
     cause: Cause,
@@ -272,7 +381,7 @@
 
     async fn replace(&self, term: u64) -> Result<String, Stopped> {
         let sync_replicas = self.control.sync_replicas(&self.service);
-        let quorum = takeover::quorum(self.members.len(), sync_replicas);
+        let quorum = takeover::quorum(self.roster.len(), sync_replicas);
         let (fenced, stepped_down) = self.fence(term, quorum).await;
         let held_at = clock::now();
         let Some(chosen) = takeover::choose(quorum, &fenced, stepped_down.as_ref()) else {
@@ -284,7 +393,7 @@
         tokio::time::sleep(wait).await;
         let duty = self.control.duty.borrow().token(clock::now());
         let token = duty.ok_or(Stopped::NoDuty)?;
-        self.record(term, token, &chosen.id).await?;
+        self.record(token, &chosen.id).await?;
         self.promote(token, &chosen.id).await?;
         Ok(chosen.id.clone())
     }
@@ -350,33 +459,21 @@
         }
     }
 
-    /// Writes the promotion down, on the condition that this process still holds the duty.
-    ///
-    /// Failure: the store took the duty away without this process being told, and another holder
-    /// promotes as well. Guard: the store itself refuses the record of a holder that is none.
-    async fn record(&self, term: u64, token: u64, server: &str) -> Result<(), Stopped> {
+    /// Writes the promotion down before it is called for.
+    async fn record(&self, token: u64, server: &str) -> Result<(), Stopped> {
+        let known = self.control.records.borrow().get(&self.service).cloned();
         let record = Record {
             holder: self.control.name.clone(),
             token,
-            term,
             server: server.to_owned(),
+            promotions: known.map_or(0, |noted| noted.record.promotions) + 1,
+            members: self.roster.ids(),
         };
-        let value = serde_json::to_vec(&record).map_err(|e| Stopped::Store(e.to_string()))?;
-        let key = format!("{RECORDS}{}", self.service);
-        let write = Write {
-            key: &key,
-            value: &value,
-            lease: 0,
-        };
-        let conditions = [(member::DUTY, token)];
-        match self.control.store().change(&conditions, &[write], &[]).await {
-            Ok(Change::Done { .. }) => Ok(()),
-            Ok(Change::Conflict | Change::LeaseGone) => {
-                self.control.duty.borrow_mut().lapsed();
-                Err(Stopped::NoDuty)
-            }
-            Err(error) => Err(Stopped::Store(error.to_string())),
+        let written = write_record(&self.control, &self.service, &record, None).await;
+        if matches!(written, Err(Stopped::Conflict)) {
+            self.control.duty.borrow_mut().lapsed();
         }
+        written
     }
 
     async fn promote(&self, token: u64, server: &str) -> Result<(), Stopped> {
--- a/crates/proxy/src/line/observe.rs
+++ b/crates/proxy/src/line/observe.rs
@@ -20,6 +20,8 @@
 };
 use tokio::net::TcpStream;
 
+use super::clock;
+
 /// How long a server may take to answer before its machine is asked for a new connection. A status
 /// waits behind the statements before it.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
@@ -46,8 +48,8 @@
     answered: Cell<Moment>,
     asked: Cell<Moment>,
     busy: Cell<bool>,
-    /// It leads below this term and is to be told to stop.
-    pub depose: Cell<Option<u64>>,
+    /// What it is to be told when it is next asked.
+    pub order: Cell<Option<Order>>,
 }
 
 impl Watcher {
@@ -57,10 +59,10 @@
             server,
             link: RefCell::default(),
             sight: Cell::new(Sight::Unknown),
-            answered: Cell::default(),
+            answered: Cell::new(clock::now()),
             asked: Cell::default(),
             busy: Cell::default(),
-            depose: Cell::default(),
+            order: Cell::default(),
         })
     }
 
@@ -69,6 +71,11 @@
         self.sight.get()
     }
 
+    /// When it was last asked a question that it answered.
+    pub fn answered(&self) -> Moment {
+        self.answered.get()
+    }
+
     /// Asks the server if it is time to; less often while its group is `calm`.
     pub fn tick(self: &Rc<Self>, now: Moment, calm: bool) {
         let every = match self.sight.get() {
@@ -92,10 +99,7 @@
     }
 
     async fn ask(&self, asked: Moment) {
-        let order = match self.depose.take() {
-            Some(term) => Order::StepDown(term),
-            None => Order::Status,
-        };
+        let order = self.order.take().unwrap_or(Order::Status);
         match self.order(order, ASK_TIMEOUT).await {
             Ok(status) => {
                 self.sight.set(Sight::Answered(status));
@@ -103,8 +107,9 @@
             }
             // It answers, if only to say that it has no time or no room.
             Err(Error::Refused(refusal))
-                if matches!(refusal.code, Code::Busy | Code::TooManyConnections) => {}
-            Err(Error::Timeout) if self.only_slow(asked).await => {}
+                if matches!(refusal.code, Code::Busy | Code::TooManyConnections)
+                    && self.lately(asked) => {}
+            Err(Error::Timeout) if self.lately(asked) && self.accepts().await => {}
             Err(_) => self.lost(asked),
         }
     }
@@ -115,14 +120,18 @@
         }
     }
 
-    /// Whether the server has answered lately and its machine still accepts connections.
+    /// Whether the server's machine still accepts connections.
     ///
     /// Failure: a server under full load answers late, and its group would lose a second of writes
     /// to a failover that helps nobody. Guard: only a machine that accepts nothing is lost at once.
-    async fn only_slow(&self, asked: Moment) -> bool {
-        let lately = asked.since(self.answered.get()) < SLOW_LIMIT;
+    async fn accepts(&self) -> bool {
         let reach = TcpStream::connect(self.server.address);
-        lately && matches!(tokio::time::timeout(REACH_TIMEOUT, reach).await, Ok(Ok(_)))
+        matches!(tokio::time::timeout(REACH_TIMEOUT, reach).await, Ok(Ok(_)))
+    }
+
+    /// Whether the server has answered within [`SLOW_LIMIT`], or is being watched no longer.
+    fn lately(&self, asked: Moment) -> bool {
+        asked.since(self.answered.get()) < SLOW_LIMIT
     }
 
     /// Gives the server an order and returns how it stands after it.
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -15,7 +15,6 @@
     refusal::Code,
     registry::Server,
     session::Values,
-    share,
     statement::Shape,
     time::Moment,
 };
@@ -224,7 +223,7 @@
 
     fn may_open(&self) -> bool {
         let state = self.state.borrow();
-        let limit = self.limit.get() + share::BORROWED;
+        let limit = self.limit.get();
         state.open < limit && !state.closed && clock::now() >= self.rest_until.get()
     }
 
@@ -357,7 +356,7 @@
     /// The next who waits, unless fewer connections are to be open.
     fn next_waiter(&self) -> Option<Waiter> {
         let mut state = self.state.borrow_mut();
-        match state.closed || state.open > self.limit.get() + share::BORROWED {
+        match state.closed || state.open > self.limit.get() {
             true => None,
             false => state.waiting.pop_front(),
         }
