--- /dev/null
+++ b/crates/engine/tests/control.rs
@@ -0,0 +1,152 @@
+//! Decisions about the surroundings: servers come and go, the duty, a data centre cut off, versions.
+
+use std::time::Duration;
+
+use dandelionpitch_engine::{
+    catalog::Catalog,
+    duty::{Duty, LEASE_TTL},
+    isolation::{Isolation, CERTAIN_AFTER, NOTICED_AFTER},
+    registry::{Registry, Role, Server, RETURN_LIMIT},
+    time::Moment,
+};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_boot(Duration::from_millis(100_000 + millis))
+}
+
+fn server(id: &str) -> Server {
+    Server {
+        id: id.to_owned(),
+        service: "ledger".to_owned(),
+        address: ([127, 0, 0, 1], 5000).into(),
+        dc: "dc-1".to_owned(),
+        slots: 5,
+        role: Role::Replica,
+        leaving: false,
+    }
+}
+
+fn registry(ids: &[&str]) -> Registry {
+    let mut registry = Registry::default();
+    for id in ids {
+        registry.put(server(id), at(0));
+    }
+    registry
+}
+
+/// The store was down, all entries lapsed, and on its return the list is empty for two seconds.
+/// Traffic must go on to the servers meanwhile.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_they_are_back() {
+    let mut registry = registry(&["a", "b"]);
+    registry.replace(Vec::new(), at(1_000));
+
+    let gone = registry.expire(at(3_000));
+    registry.replace(vec![server("a")], at(3_100));
+    let later = registry.expire(at(1_000) + RETURN_LIMIT);
+
+    assert!(gone.is_empty());
+    assert_eq!(later, ["b"]);
+    assert_eq!(registry.len(), 1);
+}
+
+/// The store goes out of reach again while entries are missing: time in which nothing could be read
+/// does not count against them.
+#[test]
+fn outage_starts_the_return_period_anew() {
+    let mut registry = registry(&["a"]);
+    registry.missing("a", at(0));
+
+    registry.forgive(at(9_000));
+
+    assert!(registry.expire(at(10_000)).is_empty());
+}
+
+/// A server that leaves is remembered as leaving since the first sign.
+#[test]
+fn leaving_is_counted_from_the_first_sign() {
+    let mut registry = registry(&[]);
+    let leaving = Server {
+        leaving: true,
+        ..server("a")
+    };
+    registry.put(leaving.clone(), at(0));
+    let primary = Server {
+        role: Role::Primary,
+        ..leaving
+    };
+    registry.put(primary, at(500));
+
+    assert_eq!(registry.of("ledger")[0].leaving_since, Some(at(0)));
+}
+
+/// A stale read of the store brings an older version after a newer one was in force.
+#[test]
+fn older_version_never_replaces_a_newer_one() {
+    let version = |version| Catalog {
+        version,
+        ..Catalog::default()
+    };
+
+    assert!(version(1).replaces(None));
+    assert!(version(7).replaces(Some(&version(3))));
+    assert!(!version(3).replaces(Some(&version(7))));
+    assert!(!version(7).replaces(Some(&version(7))));
+}
+
+/// The holder of the duty is suspended; it wakes after its lease has ended and another process has
+/// promoted. It must not act on its old token.
+#[test]
+fn suspended_holder_has_no_token() {
+    let mut duty = Duty::default();
+    duty.renewed(at(0));
+    duty.won("a", 7);
+
+    let before = duty.token(at(1_000));
+    let after = duty.token(at(0) + LEASE_TTL);
+
+    assert_eq!((before, after), (Some(7), None));
+}
+
+/// The store takes the key away without a word, and another process writes it: the first sees it.
+#[test]
+fn holder_whose_key_is_rewritten_has_no_token() {
+    let mut duty = Duty::default();
+    duty.renewed(at(0));
+    duty.won("a", 7);
+
+    duty.seen(Some(("b", 9)));
+
+    assert_eq!(duty.token(at(100)), None);
+    assert!(!duty.is_free(at(100)));
+}
+
+#[test]
+fn duty_is_claimed_only_under_a_lease_that_lasts() {
+    let mut duty = Duty::default();
+    let without = duty.is_free(at(0));
+    duty.renewed(at(0));
+
+    assert!(!without);
+    assert!(duty.is_free(at(100)));
+    assert!(!duty.is_free(at(0) + LEASE_TTL));
+}
+
+/// A data centre is cut off: its proxies send new callers away once they are sure, resting ones
+/// once the balancer has noticed, and take them back as soon as anything outside answers.
+#[test]
+fn proxy_that_reaches_nothing_outside_sends_callers_elsewhere() {
+    let mut isolation = Isolation::default();
+    isolation.note(false, at(0));
+    let first = isolation.certain(at(0));
+    isolation.note(false, at(500));
+    let sure = at(0) + CERTAIN_AFTER;
+    let noticed = sure + NOTICED_AFTER;
+
+    assert!(!first);
+    assert!(isolation.certain(sure));
+    assert!(!isolation.releases_sessions(sure));
+    assert!(isolation.releases_sessions(noticed));
+    isolation.note(true, noticed);
+    assert!(!isolation.certain(noticed));
+}
--- /dev/null
+++ b/crates/engine/tests/load.rs
@@ -0,0 +1,154 @@
+//! Load decisions: who waits, who is refused, where a read goes, how connections are shared. Each
+//! test replays the load that its decision answers.
+
+use std::time::Duration;
+
+use dandelionpitch_engine::{
+    admission::{self, Mean, Queue, Verdict},
+    placement::{self, Candidate},
+    share::{self, Members},
+    time::Moment,
+};
+use yare::parameterized;
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_boot(Duration::from_millis(100_000 + millis))
+}
+
+fn replica(pending: usize, latency: u64) -> Candidate {
+    Candidate {
+        pending,
+        connections: 4,
+        latency: millis(latency),
+        primary: false,
+        remote: false,
+    }
+}
+
+/// A burst of 200 statements within 100 ms meets 4 connections that need 30 ms each, with a target
+/// of 400 ms. Whoever waits is answered within the target; the rest hear at once when to come back.
+#[test]
+fn burst_is_admitted_only_as_far_as_the_target_allows() {
+    let (connections, hold, target) = (4, millis(30), millis(400));
+    let mut waiting = 0;
+    let mut slowest = Duration::ZERO;
+    let mut refused = 0;
+
+    for _ in 0..200 {
+        let queue = Queue {
+            waiting,
+            connections,
+            hold,
+        };
+        match admission::decide(queue, target) {
+            Verdict::Wait { .. } => {
+                waiting += 1;
+                let turns = waiting.div_ceil(connections) as u32;
+                slowest = slowest.max(hold * (turns + 1));
+            }
+            Verdict::Refuse { come_back } => {
+                refused += 1;
+                assert!(come_back >= millis(50));
+            }
+        }
+    }
+
+    assert!(slowest <= target, "{slowest:?}");
+    assert!(refused >= 150, "{refused}");
+    assert!(waiting >= 30, "the connections stay busy: {waiting}");
+}
+
+/// What comes too late anyway only delays those behind it.
+#[test]
+fn statement_without_time_left_is_refused() {
+    let queue = Queue {
+        waiting: 0,
+        connections: 1,
+        hold: millis(30),
+    };
+
+    let verdict = admission::decide(queue, Duration::ZERO);
+
+    assert!(matches!(verdict, Verdict::Refuse { .. }));
+}
+
+/// One of two replicas turns five times slower: within ten statements the reads go to the other.
+#[test]
+fn slow_replica_loses_its_reads() {
+    let mut slow = Mean::new(millis(30));
+    for _ in 0..10 {
+        slow.note(millis(150));
+    }
+    let slow = slow.value().as_millis() as u64;
+
+    let first = (0..100).map(|turn| placement::order(&[replica(0, slow), replica(2, 30)], turn)[0]);
+
+    assert_eq!(first.filter(|&index| index == 0).count(), 0);
+}
+
+/// Equal replicas share the reads.
+#[test]
+fn equal_replicas_take_turns() {
+    let replicas = [replica(1, 30), replica(1, 30)];
+
+    let first = (0..100).map(|turn| placement::order(&replicas, turn)[0]);
+
+    assert_eq!(first.filter(|&index| index == 0).count(), 50);
+}
+
+/// Writes have nowhere else to go, so the primary gets reads only when replicas are much worse.
+#[parameterized(
+    idle_primary_and_little_work_on_the_replica = { 0, 2, 1 },
+    idle_primary_and_a_full_replica = { 0, 8, 0 },
+)]
+fn primary_serves_reads_last(primary: usize, replica_pending: usize, expected: usize) {
+    let primary = Candidate {
+        primary: true,
+        ..replica(primary, 30)
+    };
+
+    let order = placement::order(&[primary, replica(replica_pending, 30)], 0);
+
+    assert_eq!(order[0], expected);
+}
+
+/// A replica in the own data centre goes before an equal one elsewhere: bytes between data centres
+/// are priced.
+#[test]
+fn near_replica_goes_first() {
+    let far = Candidate {
+        remote: true,
+        ..replica(0, 30)
+    };
+
+    assert!((0..10).all(|turn| placement::order(&[far, replica(0, 30)], turn)[0] == 1));
+}
+
+#[parameterized(
+    seven_proxies = { 33, 7, 4 },
+    six_proxies = { 34, 6, 5 },
+    more_proxies_than_connections = { 33, 100, 1 },
+    no_proxy_known = { 33, 0, 30 },
+)]
+fn shares(max_connections: u32, members: usize, expected: usize) {
+    assert_eq!(share::connections(max_connections, members), expected);
+}
+
+/// Two of seven proxies lose the store but hold their connections: if the others took their shares,
+/// the servers would refuse connections to all.
+#[test]
+fn proxy_that_lost_the_store_keeps_its_share() {
+    let mut members = Members::default();
+    let names: Vec<String> = (0..7).map(|n| format!("proxy-{n}")).collect();
+    members.replace(names.iter().map(String::as_str), at(0));
+
+    members.missing("proxy-1", at(1_000));
+    members.missing("proxy-2", at(1_000));
+
+    let counts = [at(2_000), at(15_000), at(22_000)].map(|now| members.count(now));
+    assert_eq!(counts, [7, 7, 5]);
+}
--- /dev/null
+++ b/crates/engine/tests/session.rs
@@ -0,0 +1,147 @@
+//! What a session's statements come to.
+
+use std::time::Duration;
+
+use dandelionpitch_core::position::Position;
+use dandelionpitch_engine::{
+    refusal::Code,
+    session::{Effect, Phase, Session, Step},
+    statement::{Shape, Statement},
+    time::Moment,
+};
+use yare::parameterized;
+
+const NOW: Moment = Moment::from_boot(Duration::from_secs(100));
+const BEGIN: Statement<'_> = Statement::Begin { read_only: false };
+const BEGIN_READING: Statement<'_> = Statement::Begin { read_only: true };
+
+fn session(statements: &[Statement<'_>]) -> Session {
+    let mut session = Session::default();
+    for statement in statements {
+        session.step(statement, NOW);
+    }
+    session
+}
+
+fn prepare(name: &str, writes: bool) -> Statement<'_> {
+    let text = "FETCH q1".to_owned();
+    let shape = Shape { writes, text };
+    Statement::Prepare { name, shape }
+}
+
+fn code(step: &Step) -> Option<Code> {
+    match step {
+        Step::Refuse(refusal) => Some(refusal.code),
+        _ => None,
+    }
+}
+
+/// Callers that pause after `BEGIN` take none of the scarce connections.
+#[test]
+fn begin_needs_no_server() {
+    let mut session = Session::default();
+
+    let step = session.step(&BEGIN, NOW);
+
+    assert_eq!(step, Step::Done);
+    assert!(matches!(session.phase(), Phase::Open(_)));
+}
+
+#[parameterized(
+    commit_alone = { &[], Statement::Commit, Code::Syntax },
+    rollback_alone = { &[], Statement::Rollback, Code::Syntax },
+    begin_inside = { &[BEGIN], BEGIN, Code::Syntax },
+    write_in_a_reading_transaction = { &[BEGIN_READING], Statement::Write, Code::Syntax },
+    unknown_name = { &[], Statement::Execute { name: "s", arguments: "" }, Code::NoStatement },
+    unknown_name_dropped = { &[], Statement::Deallocate { name: "s" }, Code::NoStatement },
+    commit_after_a_failure = { &[BEGIN, BEGIN], Statement::Commit, Code::Aborted },
+    read_after_a_failure = { &[BEGIN, BEGIN], Statement::Read, Code::Syntax },
+)]
+fn refusals(before: &[Statement<'_>], statement: Statement<'_>, expected: Code) {
+    let mut session = session(before);
+
+    let step = session.step(&statement, NOW);
+
+    assert_eq!(code(&step), Some(expected));
+}
+
+/// After a failed transaction has been ended, the session is as good as new.
+#[test]
+fn rollback_ends_a_failed_transaction() {
+    let mut session = session(&[BEGIN, BEGIN]);
+
+    let step = session.step(&Statement::Rollback, NOW);
+
+    assert_eq!((step, session.phase()), (Step::Done, Phase::Idle));
+}
+
+/// A caller rests too long inside a transaction, which is rolled back meanwhile. Its next statement
+/// must not run outside of it; it is told that nothing is kept.
+#[test]
+fn statement_after_a_long_rest_is_aborted() {
+    let mut session = session(&[BEGIN]);
+    session.rested();
+
+    let first = session.step(&Statement::Write, NOW);
+    let second = session.step(&Statement::Write, NOW);
+
+    assert_eq!(code(&first), Some(Code::Aborted));
+    assert_eq!(code(&second), Some(Code::Syntax));
+    assert_eq!(session.phase(), Phase::Failed);
+}
+
+/// Names are the session's own: another session's statement of the same name is another one.
+#[test]
+fn prepared_name_runs_the_shape_that_its_session_prepared() {
+    let mut session = session(&[prepare("s", true)]);
+    let execute = Statement::Execute {
+        name: "s",
+        arguments: "1a4 x",
+    };
+
+    let step = session.step(&execute, NOW);
+
+    let Step::Run { effect, named } = step else {
+        panic!("{step:?}")
+    };
+    let named = named.expect("a named statement");
+    assert_eq!(effect, Effect::Write);
+    assert!(named.shape.writes);
+    assert_eq!(named.arguments, "1a4 x");
+}
+
+#[test]
+fn values_stay_with_the_session() {
+    let value = |value| Statement::Set { name: "n", value };
+
+    let session = session(&[value("1"), BEGIN, value("2"), Statement::Rollback]);
+
+    assert_eq!(session.values().get("n").map(String::as_str), Some("2"));
+}
+
+/// A caller cannot fill the proxy's memory with names.
+#[test]
+fn names_are_bounded() {
+    let mut session = Session::default();
+    let names: Vec<String> = (0..1_001).map(|n| format!("n{n}")).collect();
+
+    let steps: Vec<Step> = names
+        .iter()
+        .map(|name| session.step(&Statement::Set { name, value: "1" }, NOW))
+        .collect();
+
+    assert_eq!(code(&steps[1_000]), Some(Code::Syntax));
+    assert_eq!(code(&steps[999]), None);
+}
+
+#[test]
+fn own_commits_raise_the_floor() {
+    let mut session = Session::default();
+    let position = |lsn| Some(Position { term: 1, lsn });
+
+    session.committed(position(20));
+    session.committed(position(10));
+    session.committed(None);
+
+    assert_eq!(session.floor(), position(20));
+}
--- /dev/null
+++ b/crates/engine/tests/takeover.rs
@@ -0,0 +1,238 @@
+//! Whether a primary is replaced, and by which server.
+
+use std::time::Duration;
+
+use dandelionpitch_core::position::Position;
+use dandelionpitch_engine::{
+    registry::Role,
+    roster::Roster,
+    takeover::{self, Cause, Fenced, Member, Memory, Sight, Status, Verdict},
+    time::Moment,
+};
+use yare::parameterized;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_boot(Duration::from_millis(100_000 + millis))
+}
+
+fn status(role: Role, term: u64, lsn: u64) -> Status {
+    Status {
+        role,
+        term,
+        received: Position { term, lsn },
+        held: 0,
+    }
+}
+
+fn member(id: &str, sight: Sight, asked: u64) -> Member {
+    Member {
+        id: id.to_owned(),
+        leaving: false,
+        sight,
+        asked: at(asked),
+    }
+}
+
+fn primary(id: &str, lsn: u64, asked: u64) -> Member {
+    member(id, Sight::Answered(status(Role::Primary, 1, lsn)), asked)
+}
+
+fn replica(id: &str, lsn: u64, asked: u64) -> Member {
+    member(id, Sight::Answered(status(Role::Replica, 1, lsn)), asked)
+}
+
+fn lost(id: &str, since: u64) -> Member {
+    member(id, Sight::Lost { since: at(since) }, since)
+}
+
+fn fenced(id: &str, lsn: u64) -> Fenced {
+    Fenced {
+        id: id.to_owned(),
+        leaving: false,
+        received: Position { term: 1, lsn },
+    }
+}
+
+fn replace(old: &str, cause: Cause) -> Verdict {
+    Verdict::Replace {
+        old: Some(old.to_owned()),
+        cause,
+    }
+}
+
+/// Callers get no writes through: the primary stops answering. It is replaced once it has been
+/// missed for long enough, not at the first lost answer.
+#[test]
+fn silent_primary_is_replaced_after_a_while() {
+    let mut memory = Memory::default();
+    memory.judge(&[primary("a", 5, 0), replica("b", 5, 0), replica("c", 5, 0)], at(0));
+    let missing = [lost("a", 100), replica("b", 5, 100), replica("c", 5, 100)];
+
+    let early = memory.judge(&missing, at(300));
+    let later = memory.judge(&missing, at(600));
+
+    assert_eq!(early, Verdict::Unsure);
+    assert_eq!(later, replace("a", Cause::Missing));
+}
+
+/// Another process takes the duty over while the primary is cut off: it has never seen it lead,
+/// and must still replace it.
+#[test]
+fn new_holder_replaces_a_primary_it_never_saw() {
+    let mut memory = Memory::default();
+    let members = [lost("a", 0), replica("b", 5, 0), replica("c", 5, 0)];
+
+    memory.judge(&members, at(0));
+    let verdict = memory.judge(&members, at(600));
+
+    let cause = Cause::Leaderless;
+    assert_eq!(verdict, Verdict::Replace { old: None, cause });
+}
+
+/// Commits hang: the primary writes, and none of its replicas receives anything.
+#[test]
+fn primary_whose_replicas_receive_nothing_is_replaced() {
+    let mut memory = Memory::default();
+    let mut verdict = Verdict::Unsure;
+    for millis in (0..=1_000).step_by(100) {
+        let led = primary("a", 10 + millis, millis);
+        verdict = memory.judge(&[led, replica("b", 5, millis), replica("c", 5, millis)], at(millis));
+    }
+
+    assert_eq!(verdict, replace("a", Cause::Stalled));
+}
+
+/// Replicas are asked less often than the primary, so their answers are always a little older.
+#[test]
+fn replicas_that_follow_with_a_delay_are_no_stall() {
+    let mut memory = Memory::default();
+    for millis in (0..=5_000).step_by(100) {
+        let followed = (millis / 500) * 500;
+        let members = [
+            primary("a", 10 + millis, millis),
+            replica("b", 10 + followed, followed),
+            replica("c", 10 + followed, followed),
+        ];
+
+        assert_eq!(memory.judge(&members, at(millis)), Verdict::Led, "{millis}");
+    }
+}
+
+/// The primary is to be stopped: it is replaced while it still runs.
+#[test]
+fn leaving_primary_is_replaced_at_once() {
+    let mut memory = Memory::default();
+    let mut leaving = primary("a", 5, 0);
+    leaving.leaving = true;
+
+    let verdict = memory.judge(&[leaving, replica("b", 5, 0)], at(0));
+
+    assert_eq!(verdict, replace("a", Cause::Leaving));
+}
+
+/// A replica that receives nothing stays held after its primary was replaced. Replacing the new
+/// primary by it would lose everything acknowledged since.
+#[test]
+fn held_replica_under_a_sound_primary_is_let_go() {
+    let mut memory = Memory::default();
+    let held = Status {
+        held: 3,
+        ..status(Role::Replica, 1, 5)
+    };
+    let members = |asked| {
+        let led = Sight::Answered(status(Role::Primary, 2, 90));
+        let follower = Sight::Answered(status(Role::Replica, 2, 90));
+        [
+            member("a", led, asked),
+            member("b", Sight::Answered(held), asked),
+            member("c", follower, asked),
+        ]
+    };
+
+    memory.judge(&members(0), at(0));
+    let verdict = memory.judge(&members(2_600), at(2_600));
+
+    assert_eq!(verdict, Verdict::Resume);
+}
+
+#[parameterized(
+    both_others_held = { 2, &[("b", 7), ("c", 9)], None, Some("c") },
+    one_of_two_held = { 2, &[("b", 7)], None, None },
+    none_held = { 2, &[], None, None },
+    one_held_and_the_old_one_stepped_down = { 2, &[("b", 9)], Some(9), Some("b") },
+    the_held_one_is_behind = { 2, &[("b", 7)], Some(9), Some("a") },
+)]
+fn choice_of_the_new_primary(
+    quorum: usize,
+    held: &[(&str, u64)],
+    stepped_down: Option<u64>,
+    expected: Option<&str>,
+) {
+    let held: Vec<Fenced> = held.iter().map(|(id, lsn)| fenced(id, *lsn)).collect();
+    let old = stepped_down.map(|lsn| fenced("a", lsn));
+
+    let chosen = takeover::choose(quorum, &held, old.as_ref());
+
+    assert_eq!(chosen.map(|chosen| chosen.id.as_str()), expected);
+}
+
+/// With equal logs a server that stays goes before one that is about to leave.
+#[test]
+fn leaving_server_is_the_last_choice() {
+    let mut leaving = fenced("z", 9);
+    leaving.leaving = true;
+    let held = [fenced("b", 9), leaving];
+
+    let chosen = takeover::choose(2, &held, None);
+
+    assert_eq!(chosen.map(|chosen| chosen.id.as_str()), Some("b"));
+}
+
+#[parameterized(
+    three_one_synchronous = { 3, 1, 2 },
+    four_while_one_is_replaced = { 4, 1, 3 },
+    none_synchronous = { 3, 0, 3 },
+    five_two_synchronous = { 5, 2, 3 },
+)]
+fn quorum(members: usize, sync_replicas: u32, expected: usize) {
+    assert_eq!(takeover::quorum(members, sync_replicas), expected);
+}
+
+/// Acknowledged writes vanish: the primary and the replica that acknowledged them are cut off
+/// together, their entries lapse, and the two servers left look like the whole group.
+#[test]
+fn vanished_servers_still_count() {
+    let mut roster = Roster::default();
+    let all = [primary("a", 20, 0), replica("b", 19, 0), replica("c", 19, 0), replica("d", 20, 0)];
+    roster.update(&all, at(0));
+
+    roster.update(&[replica("b", 19, 5_000), replica("c", 19, 5_000)], at(5_000));
+
+    assert_eq!(roster.len(), 4);
+}
+
+/// A replica leaves for good under a primary that goes on: once another has all that the primary
+/// had after that, the one that left does not matter any more.
+#[test]
+fn vanished_server_is_forgotten_once_others_have_everything() {
+    let mut roster = Roster::default();
+    let all = [primary("a", 20, 0), replica("b", 19, 0), replica("c", 19, 0)];
+    roster.update(&all, at(0));
+    roster.update(&[primary("a", 30, 900), replica("b", 29, 900)], at(1_000));
+    let before = roster.len();
+
+    roster.update(&[primary("a", 31, 1_100), replica("b", 31, 1_200)], at(1_200));
+
+    assert_eq!((before, roster.len()), (3, 2));
+}
+
+/// The failover duty passes on after entries have lapsed: the list in the store is what counts.
+#[test]
+fn new_holder_goes_on_from_the_recorded_members() {
+    let recorded = ["a", "b", "c"].map(str::to_owned);
+    let mut roster = Roster::new(&recorded, at(0));
+
+    roster.update(&[replica("b", 19, 100)], at(100));
+
+    assert_eq!(roster.ids(), recorded);
+}
