--- a/crates/core/src/logging.rs
+++ b/crates/core/src/logging.rs
@@ -20,10 +20,10 @@
             ))
         })
         .level(level)
-        .level_for("rocket", LevelFilter::Warn)
-        // Rocket's notes on each request, such as the readiness probe of a stopping proxy.
+        // Rocket warns of each request that it answers with an error, such as the readiness probe
+        // of a stopping proxy.
+        .level_for("rocket", LevelFilter::Error)
         .level_for("_", LevelFilter::Error)
-        .level_for("launch", LevelFilter::Error)
         .level_for("hyper", LevelFilter::Warn)
         .level_for("reqwest", LevelFilter::Warn)
         .level_for("tokio_postgres", LevelFilter::Warn)
--- /dev/null
+++ b/crates/e2e/tests/line.rs
@@ -0,0 +1,453 @@
+//! The whole path over the line protocol, as separate processes: callers, proxies, the stand-in
+//! platform.
+
+mod fixture;
+
+use std::{io::Read, time::Duration};
+
+use fixture::line::{Answer, Caller, Site, LATEST, SESSION};
+
+/// A failover: noticing, holding the replicas, the wait and the stand-in's 300 ms.
+const FAILOVER_LIMIT: Duration = Duration::from_secs(6);
+
+fn rows(answer: &Answer) -> Vec<&str> {
+    answer.rows.iter().map(String::as_str).collect()
+}
+
+/// Reads `item` until it is there, as replicas apply a little later.
+fn served_by_replica(caller: &mut Caller, item: &str) -> bool {
+    (0..50).any(|_| {
+        let answer = caller.ask(&format!("FETCH {item}"));
+        assert!(answer.done(), "{answer:?}");
+        std::thread::sleep(Duration::from_millis(10));
+        answer.server() != "i-0"
+    })
+}
+
+#[tokio::test]
+async fn statements_are_served_and_signed_by_the_server() {
+    let site = Site::start("served", 1).await;
+    let mut caller = site.caller(0, LATEST);
+
+    let put = caller.ask("PUT a one");
+    let fetch = caller.ask("FETCH a");
+
+    assert_eq!(put.end, "DONE i-0.1");
+    assert_eq!(
+        (rows(&fetch), fetch.end.as_str()),
+        (vec!["one"], "DONE i-0.1")
+    );
+    assert_eq!(fetch.state, "I");
+}
+
+/// A caller writes, and its next read on another proxy must show it, whatever replicas lag.
+#[tokio::test]
+async fn write_is_seen_through_a_second_proxy() {
+    let site = Site::start_with("roams", 2, &["--lag-ms", "400"]).await;
+    let mut first = site.caller(0, LATEST);
+    let mut second = site.caller(1, LATEST);
+
+    for round in 0..10 {
+        assert!(first.ask(&format!("PUT a {round}")).done());
+        let seen = second.ask("FETCH a");
+
+        assert_eq!(rows(&seen), [round.to_string()]);
+    }
+}
+
+/// A session reads its own write though every replica is half a second behind.
+#[tokio::test]
+async fn session_sees_its_own_writes() {
+    let site = Site::start_with("own", 1, &["--lag-ms", "400"]).await;
+    let mut caller = site.caller(0, SESSION);
+
+    for round in 0..10 {
+        assert!(caller.ask(&format!("PUT a {round}")).done());
+
+        assert_eq!(rows(&caller.ask("FETCH a")), [round.to_string()]);
+    }
+}
+
+#[tokio::test]
+async fn reads_with_an_allowance_run_on_replicas() {
+    let site = Site::start("replicas", 1).await;
+    let mut caller = site.caller(0, SESSION);
+    assert!(caller.ask("PUT a one").done());
+
+    assert!(served_by_replica(&mut caller, "a"));
+}
+
+#[tokio::test]
+async fn transaction_keeps_all_or_nothing() {
+    let site = Site::start("transaction", 1).await;
+    let mut caller = site.caller(0, LATEST);
+
+    assert_eq!(caller.ask("BEGIN").state, "T");
+    assert!(caller.ask("PUT a kept").done());
+    assert_eq!(rows(&caller.ask("FETCH a")), ["kept"]);
+    assert_eq!(caller.ask("COMMIT").state, "I");
+    assert!(caller.ask("BEGIN").done());
+    assert!(caller.ask("PUT a dropped").done());
+    assert_eq!(caller.ask("ROLLBACK").state, "I");
+
+    assert_eq!(rows(&caller.ask("FETCH a")), ["kept"]);
+    assert_eq!(site.count("a", "dropped").await, 0);
+}
+
+/// A caller leaves in the middle of a transaction: its writes are gone, its connection is free.
+#[tokio::test]
+async fn caller_that_leaves_inside_a_transaction_keeps_nothing() {
+    let site = Site::start("leaves", 1).await;
+    for _ in 0..20 {
+        let mut caller = site.caller(0, LATEST);
+        assert!(caller.ask("BEGIN").done());
+        assert!(caller.ask("PUT a dropped").done());
+    }
+    let mut other = site.caller(0, LATEST);
+
+    other.ask_until_done("PUT b kept", Duration::from_secs(5));
+
+    assert_eq!(site.count("a", "dropped").await, 0);
+}
+
+/// A caller rests inside a transaction for longer than allowed: the transaction is rolled back, and
+/// its next statement must not run outside of it.
+#[tokio::test]
+async fn rested_transaction_is_rolled_back_and_told_so() {
+    let site = Site::start("rests", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("BEGIN").done());
+    assert!(caller.ask("PUT a dropped").done());
+
+    std::thread::sleep(Duration::from_millis(1_000));
+    let late = caller.ask("PUT a late");
+
+    assert_eq!((late.code(), late.state.as_str()), ("ABORTED", "E"));
+    assert!(caller.ask("ROLLBACK").done());
+    assert_eq!(site.count("a", "late").await, 0);
+}
+
+/// Two sessions share the few connections; neither may see the other's values or names.
+#[tokio::test]
+async fn values_and_names_stay_with_their_session() {
+    let site = Site::start("names", 1).await;
+    let mut callers = [site.caller(0, LATEST), site.caller(0, LATEST)];
+    for (index, caller) in callers.iter_mut().enumerate() {
+        assert!(caller.ask(&format!("SET owner {index}")).done());
+        assert!(caller.ask("PREPARE get FETCH q1").done());
+    }
+    assert!(callers[0].ask("SET only first").done());
+    let mut plain = site.caller(0, LATEST);
+
+    for _ in 0..5 {
+        let first = callers[0].ask("EXEC get a");
+        let second = callers[1].ask("EXEC get a");
+        let bare = plain.ask("FETCH a");
+
+        assert_eq!(rows(&first), ["-", "only=first", "owner=0"]);
+        assert_eq!(rows(&second), ["-", "owner=1"]);
+        assert_eq!(rows(&bare), ["-"]);
+    }
+    assert_eq!(plain.ask("EXEC get a").code(), "NOSTMT");
+}
+
+#[tokio::test]
+async fn unknown_database_is_refused() {
+    let site = Site::start("unknown", 1).await;
+    let mut caller = site.connect(0);
+
+    caller.send("START nothing test");
+
+    assert!(caller.line().starts_with("ERR NODB"));
+    assert_eq!(caller.line(), "");
+}
+
+/// A database is added and another dropped; open sessions follow with their next statement, and a
+/// version put late does not bring the old one back.
+#[tokio::test]
+async fn configuration_is_in_force_and_never_goes_back() {
+    let site = Site::start("config", 2).await;
+    let mut dropped = site.caller(1, SESSION);
+
+    site.configure(5, &[LATEST, "new-db"]).await;
+    let in_force = fixture::eventually(Duration::from_secs(3), || async {
+        let mut caller = site.connect(0);
+        caller.send("START new-db test");
+        caller.line().starts_with("READY")
+    });
+    assert!(in_force.await);
+    let gone = dropped.ask("FETCH a");
+    site.configure(4, &[SESSION]).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    assert_eq!(gone.code(), "NODB");
+    assert!(site.caller(0, "new-db").ask("FETCH a").done());
+}
+
+/// The store forgets its history while the configuration changes: the proxy reads everything anew.
+#[tokio::test]
+async fn configuration_is_followed_across_a_forgotten_history() {
+    let site = Site::start("history", 1).await;
+
+    site.store("down", true).await;
+    site.configure(5, &[LATEST, "new-db"]).await;
+    site.store("forget", true).await;
+    site.store("down", false).await;
+    let in_force = fixture::eventually(Duration::from_secs(5), || async {
+        let mut caller = site.connect(0);
+        caller.send("START new-db test");
+        caller.line().starts_with("READY")
+    });
+
+    assert!(in_force.await);
+}
+
+/// The store is down for good: what is in force stays in force.
+#[tokio::test]
+async fn proxy_serves_on_without_the_store() {
+    let site = Site::start("no-store", 1).await;
+    let mut caller = site.caller(0, LATEST);
+
+    site.store("down", true).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+
+    assert!(caller.ask("PUT a one").done());
+    assert!(site.ready_now(0).await);
+}
+
+/// Callers write all the time while the primary's machine dies. Writes go on at another server, and
+/// every acknowledged one is in its log, once.
+#[tokio::test]
+async fn dead_primary_is_replaced_and_nothing_acknowledged_is_lost() {
+    let site = Site::start("dead", 2).await;
+    let mut caller = site.caller(0, LATEST);
+    let mut acknowledged = Vec::new();
+    for round in 0..20 {
+        if caller.ask(&format!("PUT k{round} v")).done() {
+            acknowledged.push(round);
+        }
+    }
+
+    site.fault(0, "dead", true).await;
+    let gap = caller.ask_until_done("PUT after v", FAILOVER_LIMIT);
+    let group = site.group().await;
+
+    println!("write gap {gap:?}");
+    assert_ne!(group["leader"], 0);
+    for round in acknowledged {
+        assert_eq!(site.count(&format!("k{round}"), "v").await, 1, "k{round}");
+    }
+}
+
+/// The primary is cut off from its replicas and still answers the proxies: a commit there would
+/// never be acknowledged, and a read there would soon be stale.
+#[tokio::test]
+async fn cut_off_primary_is_replaced_and_not_read_any_more() {
+    let site = Site::start("cut", 2).await;
+    let mut writer = site.caller(0, LATEST);
+    assert!(writer.ask("PUT a old").done());
+
+    site.fault(0, "cut", true).await;
+    writer.ask_until_done("PUT a new", FAILOVER_LIMIT * 2);
+    let mut reader = site.caller(1, LATEST);
+    let seen: Vec<Answer> = (0..20).map(|_| reader.ask("FETCH a")).collect();
+
+    for answer in seen.iter().filter(|answer| answer.done()) {
+        assert_eq!(rows(answer), ["new"]);
+    }
+    assert!(seen.iter().any(Answer::done));
+}
+
+/// The primary is to be stopped: another server leads before it is, and no write is in doubt.
+#[tokio::test]
+async fn leaving_primary_is_replaced_without_a_doubtful_write() {
+    let site = Site::start("leaving", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a 0").done());
+
+    site.fault(0, "leaving", true).await;
+    let mut codes = Vec::new();
+    let mut moved = false;
+    for round in 1..200 {
+        let answer = caller.ask(&format!("PUT a {round}"));
+        match answer.done() {
+            true => moved = answer.server() != "i-0",
+            false => codes.push(answer.code().to_owned()),
+        }
+        if moved {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+
+    assert!(moved);
+    assert!(!codes.iter().any(|code| code == "UNKNOWN"), "{codes:?}");
+}
+
+/// The primary takes a write and never answers: whether it is kept is not known, and it is not sent
+/// again.
+#[tokio::test]
+async fn write_without_an_answer_is_not_repeated() {
+    let site = Site::start("doubt", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a 0").done());
+
+    for server in [1, 2] {
+        site.fault(server, "deaf", true).await;
+    }
+    let answer = caller.ask("PUT doubtful v");
+    for server in [1, 2] {
+        site.fault(server, "deaf", false).await;
+    }
+    caller.ask_until_done("PUT a 1", FAILOVER_LIMIT);
+
+    assert!(["UNKNOWN", "BUSY"].contains(&answer.code()), "{answer:?}");
+    assert!(site.count("doubtful", "v").await <= 1);
+}
+
+/// A planned stop: the proxy is not ready at once, an open transaction may end, a resting session is
+/// closed, nothing read is left without an answer.
+#[tokio::test]
+async fn planned_stop_cuts_nothing_off() {
+    let mut site = Site::start("stop", 1).await;
+    let mut open = site.caller(0, LATEST);
+    let mut resting = site.caller(0, LATEST);
+    assert!(open.ask("BEGIN").done());
+    assert!(open.ask("PUT a one").done());
+
+    site.proxies[0].process.terminate();
+    let unready = fixture::eventually(Duration::from_secs(1), || async {
+        !site.ready_now(0).await
+    });
+    assert!(unready.await);
+    let mut late = site.caller(0, LATEST);
+    assert!(
+        late.ask("FETCH b").done(),
+        "callers still come for a moment"
+    );
+    std::thread::sleep(Duration::from_millis(400));
+    let commit = open.ask("COMMIT");
+
+    assert!(commit.done(), "{commit:?}");
+    assert_eq!(resting.line(), "", "closed without a word");
+    assert!(site.proxies[0].process.ended(Duration::from_secs(6)));
+    assert_eq!(site.count("a", "one").await, 1);
+}
+
+/// All proxies are killed at once: with no disk, the store alone brings the service back.
+#[tokio::test]
+async fn proxies_killed_together_come_back_from_the_store() {
+    let mut site = Site::start("all-killed", 2).await;
+    site.configure(3, &[LATEST, "new-db"]).await;
+
+    for proxy in &mut site.proxies {
+        proxy.process.kill();
+    }
+    for index in 0..2 {
+        site.proxies[index] = site.start_proxy(index);
+    }
+
+    assert!(site.is_ready(0).await && site.is_ready(1).await);
+    assert!(site.caller(1, "new-db").ask("PUT a one").done());
+}
+
+/// A proxy dies in the middle of a transaction: nothing of it is kept.
+#[tokio::test]
+async fn proxy_killed_inside_a_transaction_keeps_nothing() {
+    let mut site = Site::start("killed", 2).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("BEGIN").done());
+    assert!(caller.ask("PUT a dropped").done());
+
+    site.proxies[0].process.kill();
+    let other = site.caller(1, LATEST).ask("FETCH a");
+
+    assert_eq!(rows(&other), ["-"]);
+    assert_eq!(site.count("a", "dropped").await, 0);
+}
+
+/// Bytes that are no message end their own session and nobody else's.
+#[tokio::test]
+async fn bad_input_hurts_no_other_session() {
+    let site = Site::start("bad", 1).await;
+    let mut other = site.caller(0, LATEST);
+    let long = format!("QUERY id PUT a {}", "x".repeat(1 << 21));
+
+    for bad in ["NONSENSE", "\u{1}\u{2}", "QUERY", long.as_str()] {
+        let mut caller = site.caller(0, LATEST);
+        caller.send(bad);
+        let _ = caller.line();
+    }
+    let mut half = site.connect(0);
+    half.send("START");
+    drop(half);
+    let unclear = other.ask("MAKE TEA");
+
+    assert_eq!(unclear.code(), "SYNTAX");
+    assert!(other.ask("PUT a one").done());
+}
+
+/// A message of the largest size passes in both directions.
+#[tokio::test]
+async fn message_of_a_megabyte_is_served() {
+    let site = Site::start("large", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    let data = "x".repeat((1 << 20) - 100);
+
+    assert!(caller.ask(&format!("PUT a {data}")).done());
+
+    assert_eq!(rows(&caller.ask("FETCH a")), [data]);
+}
+
+/// Statements sent without waiting are answered in order, each with its own answer.
+#[tokio::test]
+async fn statements_sent_together_are_answered_in_order() {
+    let site = Site::start("together", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    for round in 0..10 {
+        caller.send(&format!("QUERY p{round} PUT a {round}"));
+        caller.send(&format!("QUERY f{round} FETCH a"));
+    }
+
+    for round in 0..10 {
+        assert!(caller.answer().done());
+        assert_eq!(rows(&caller.answer()), [round.to_string()]);
+    }
+}
+
+/// Operators see counters as text.
+#[tokio::test]
+async fn metrics_are_served_as_text() {
+    let site = Site::start("metrics", 1).await;
+    assert!(site.caller(0, LATEST).ask("PUT a one").done());
+
+    let url = format!("http://{}/metrics", site.proxies[0].operator);
+    let answer = reqwest::get(url).await.expect("the proxy answers");
+    let text = answer.text().await.expect("text");
+
+    assert!(text.contains("statements{outcome=\"ok\"} "), "{text}");
+}
+
+/// The settings file names what is wrong with it.
+#[test]
+fn bad_settings_are_refused_by_name() {
+    let path = std::env::temp_dir().join(format!("dp-line-bad-{}.toml", std::process::id()));
+    let text =
+        "id = \"p\"\ndc = \"d\"\nlisten = \"127.0.0.1:0\"\noperator_listen = \"127.0.0.1:0\"\n\
+                kv = \"http://127.0.0.1:1\"\n[line]\npromoter = \"127.0.0.1:1\"\ngrace = \"0s\"\n";
+    std::fs::write(&path, text).expect("settings are written");
+
+    let mut child = std::process::Command::new(fixture::bin("dandelionpitch"))
+        .args(["--config", path.to_str().expect("a text path")])
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let status = child.wait().expect("it ends");
+    let mut said = String::new();
+    let mut stderr = child.stderr.take().expect("stderr is piped");
+    stderr.read_to_string(&mut said).expect("text");
+    let _ = std::fs::remove_file(&path);
+
+    assert_eq!(status.code(), Some(2));
+    assert!(said.contains("line.grace"), "{said}");
+}
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -189,11 +189,7 @@
 }
 
 /// What a read must see to be served.
-pub fn required(
-    since: Moment,
-    marks: &Marks,
-    own: Option<Position>,
-) -> Option<Position> {
+pub fn required(since: Moment, marks: &Marks, own: Option<Position>) -> Option<Position> {
     let mark = marks.floor(since)?;
     Some(own.map_or(mark.position, |own| own.max(mark.position)))
 }
--- a/crates/engine/src/roster.rs
+++ b/crates/engine/src/roster.rs
@@ -42,7 +42,10 @@
         self.present = members.iter().map(|member| member.id.clone()).collect();
         self.present.sort_unstable();
         if let Some((asked, position)) = primary(members) {
-            let held = members.iter().filter(|member| has(member, position)).count();
+            let held = members
+                .iter()
+                .filter(|member| has(member, position))
+                .count();
             // The primary itself and all others but one: then any quorum of the rest has it.
             if held + 1 >= members.len() && held >= 2 {
                 self.vanished.retain(|_, since| asked <= *since);
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -53,7 +53,9 @@
     Unknown,
     Answered(Status),
     /// It has not answered since.
-    Lost { since: Moment },
+    Lost {
+        since: Moment,
+    },
 }
 
 /// One member of a group, as the holder of the duty sees it.
@@ -191,12 +193,15 @@
         if self.ahead.is_none() && !caught_up(led) {
             self.ahead = Some((now, led));
         }
-        self.ahead.map_or(Duration::ZERO, |(since, _)| now.since(since))
+        self.ahead
+            .map_or(Duration::ZERO, |(since, _)| now.since(since))
     }
 
     /// Whether the group is to be looked at more closely.
     pub fn suspects(&self, now: Moment) -> bool {
-        let ahead = self.ahead.is_some_and(|(since, _)| now.since(since) > SUSPECT_AFTER);
+        let ahead = self
+            .ahead
+            .is_some_and(|(since, _)| now.since(since) > SUSPECT_AFTER);
         ahead || self.leaderless_since.is_some() || self.held_since.is_some()
     }
 
--- a/crates/engine/tests/freshness.rs
+++ b/crates/engine/tests/freshness.rs
@@ -106,7 +106,10 @@
 
     lease.confirm(poll(promoted, 1));
 
-    assert!(lease.valid(at(promoted)), "a read that came before the question");
+    assert!(
+        lease.valid(at(promoted)),
+        "a read that came before the question"
+    );
     assert!(!lease.valid(at(promoted + 1)), "a read that came after it");
 }
 
@@ -164,11 +167,6 @@
     back_from_a_cut_in_an_old_term = { Role::Replica, 2, 0, Word::Nothing },
     old_primary_back_from_a_cut = { Role::Primary, 2, 0, Word::Nothing },
 )]
-fn word_of_a_server_about_the_primary_of_term_3(
-    role: Role,
-    term: u64,
-    held: u64,
-    expected: Word,
-) {
+fn word_of_a_server_about_the_primary_of_term_3(role: Role, term: u64, held: u64, expected: Word) {
     assert_eq!(freshness::word(&status(role, term, held), 3), expected);
 }
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -65,7 +65,10 @@
 #[test]
 fn silent_primary_is_replaced_after_a_while() {
     let mut memory = Memory::default();
-    memory.judge(&[primary("a", 5, 0), replica("b", 5, 0), replica("c", 5, 0)], at(0));
+    memory.judge(
+        &[primary("a", 5, 0), replica("b", 5, 0), replica("c", 5, 0)],
+        at(0),
+    );
     let missing = [lost("a", 100), replica("b", 5, 100), replica("c", 5, 100)];
 
     let early = memory.judge(&missing, at(300));
@@ -96,7 +99,10 @@
     let mut verdict = Verdict::Unsure;
     for millis in (0..=1_000).step_by(100) {
         let led = primary("a", 10 + millis, millis);
-        verdict = memory.judge(&[led, replica("b", 5, millis), replica("c", 5, millis)], at(millis));
+        verdict = memory.judge(
+            &[led, replica("b", 5, millis), replica("c", 5, millis)],
+            at(millis),
+        );
     }
 
     assert_eq!(verdict, replace("a", Cause::Stalled));
@@ -203,10 +209,18 @@
 #[test]
 fn vanished_servers_still_count() {
     let mut roster = Roster::default();
-    let all = [primary("a", 20, 0), replica("b", 19, 0), replica("c", 19, 0), replica("d", 20, 0)];
+    let all = [
+        primary("a", 20, 0),
+        replica("b", 19, 0),
+        replica("c", 19, 0),
+        replica("d", 20, 0),
+    ];
     roster.update(&all, at(0));
 
-    roster.update(&[replica("b", 19, 5_000), replica("c", 19, 5_000)], at(5_000));
+    roster.update(
+        &[replica("b", 19, 5_000), replica("c", 19, 5_000)],
+        at(5_000),
+    );
 
     assert_eq!(roster.len(), 4);
 }
@@ -216,12 +230,19 @@
 #[test]
 fn vanished_server_is_forgotten_once_others_have_everything() {
     let mut roster = Roster::default();
-    let all = [primary("a", 20, 0), replica("b", 19, 0), replica("c", 19, 0)];
+    let all = [
+        primary("a", 20, 0),
+        replica("b", 19, 0),
+        replica("c", 19, 0),
+    ];
     roster.update(&all, at(0));
     roster.update(&[primary("a", 30, 900), replica("b", 29, 900)], at(1_000));
     let before = roster.len();
 
-    roster.update(&[primary("a", 31, 1_100), replica("b", 31, 1_200)], at(1_200));
+    roster.update(
+        &[primary("a", 31, 1_100), replica("b", 31, 1_200)],
+        at(1_200),
+    );
 
     assert_eq!((before, roster.len()), (3, 2));
 }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -164,8 +164,21 @@
     /// only read at the start.
     pub fn needs_no_restart(&self, old: &Self) -> bool {
         let line = |config: &Self| config.line.as_ref().map(|line| line.promoter);
-        (&self.id, &self.dc, self.listen, self.operator_listen, &self.kv, line(self))
-            == (&old.id, &old.dc, old.listen, old.operator_listen, &old.kv, line(old))
+        (
+            &self.id,
+            &self.dc,
+            self.listen,
+            self.operator_listen,
+            &self.kv,
+            line(self),
+        ) == (
+            &old.id,
+            &old.dc,
+            old.listen,
+            old.operator_listen,
+            &old.kv,
+            line(old),
+        )
     }
 
     fn grace(&self) -> Duration {
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -62,6 +62,9 @@
         metrics: metrics.clone(),
     };
     let operator = control::spawn(&config, &line, publish, endpoint)?;
+    let operator = operator
+        .await
+        .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
     crate::daemon::announce(listen, operator);
     journal::process("start", &config.id, &listen.to_string());
     let suspicion = isolation::Suspicion::default();
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -18,7 +18,10 @@
 };
 use dandelionpitch_platform::store::{self, Event, Item, Store, Subject};
 use serde_json::json;
-use tokio::{sync::watch, task::LocalSet};
+use tokio::{
+    sync::{oneshot, watch},
+    task::LocalSet,
+};
 use tokio_util::sync::CancellationToken;
 
 use super::{clock, failover, follow, journal, member, operator, view::View};
@@ -54,14 +57,15 @@
     line: &Line,
     publish: watch::Sender<Arc<View>>,
     endpoint: operator::Context,
-) -> Result<SocketAddr, Error> {
+) -> Result<oneshot::Receiver<SocketAddr>, Error> {
     let started = clock::now().millis();
     let store = Store::new(&config.kv)?;
     let (metrics, stopping) = (endpoint.metrics.clone(), endpoint.stopping.clone());
-    let endpoint = operator::build(config.operator_listen, endpoint);
-    let promoter = dandelionpitch_platform::promoter::Promoter::new(&format!("http://{}", line.promoter));
+    let (bound, address) = oneshot::channel();
+    let endpoint = operator::build(config.operator_listen, endpoint, bound);
+    let promoter =
+        dandelionpitch_platform::promoter::Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
-    let address = config.operator_listen;
     let start = move || {
         let control = Rc::new(Control {
             name: format!("{id}@{started}"),
@@ -125,7 +129,9 @@
     /// How many replicas a commit of the group waits for.
     pub fn sync_replicas(&self, service: &str) -> u32 {
         let catalog = self.catalog.borrow();
-        let service = catalog.as_ref().and_then(|catalog| catalog.services.get(service));
+        let service = catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(service));
         service.map_or(0, |service| service.sync_replicas)
     }
 
@@ -154,7 +160,9 @@
         }
         self.registry.borrow_mut().replace(servers, now);
         self.members.borrow_mut().replace(members.into_iter(), now);
-        let holder = holder.as_ref().map(|(name, revision)| (name.as_str(), *revision));
+        let holder = holder
+            .as_ref()
+            .map(|(name, revision)| (name.as_str(), *revision));
         self.duty.borrow_mut().seen(holder);
         self.publish();
     }
--- a/crates/proxy/src/line/failover.rs
+++ b/crates/proxy/src/line/failover.rs
@@ -146,7 +146,9 @@
     /// Drops the watchers of servers that are gone.
     fn forget(&self, control: &Control) {
         let services = control.services();
-        let entries = services.iter().flat_map(|service| control.servers_of(service));
+        let entries = services
+            .iter()
+            .flat_map(|service| control.servers_of(service));
         let present: Set<String> = entries.map(|entry| entry.server.id.clone()).collect();
         self.watchers
             .borrow_mut()
@@ -262,7 +264,9 @@
             let record = Record {
                 holder: control.name.clone(),
                 token,
-                server: known.as_ref().map_or(String::new(), |n| n.record.server.clone()),
+                server: known
+                    .as_ref()
+                    .map_or(String::new(), |n| n.record.server.clone()),
                 promotions: known.as_ref().map_or(0, |n| n.record.promotions),
                 members,
             };
@@ -320,7 +324,13 @@
         return;
     };
     for (member, watcher) in members.iter().zip(watchers) {
-        let leads = matches!(member.sight, Sight::Answered(Status { role: Role::Primary, .. }));
+        let leads = matches!(
+            member.sight,
+            Sight::Answered(Status {
+                role: Role::Primary,
+                ..
+            })
+        );
         if leads && member.id != leader.id {
             watcher.order.set(Some(Order::StepDown(led.term)));
         }
@@ -401,14 +411,18 @@
     /// Holds every other member and tells the old primary to step down, all at once. A member that
     /// is out of sight is not waited for once the others suffice.
     async fn fence(&self, term: u64, quorum: usize) -> (Vec<Fenced>, Option<Fenced>) {
-        let orders = self.members.iter().zip(&self.watchers).map(|(member, watcher)| {
-            let is_old = Some(&member.id) == self.old.as_ref();
-            let order = match is_old {
-                true => Order::StepDown(term),
-                false => Order::Hold(term),
-            };
-            async move { (member, is_old, watcher.order(order, ORDER_TIMEOUT).await) }
-        });
+        let orders = self
+            .members
+            .iter()
+            .zip(&self.watchers)
+            .map(|(member, watcher)| {
+                let is_old = Some(&member.id) == self.old.as_ref();
+                let order = match is_old {
+                    true => Order::StepDown(term),
+                    false => Order::Hold(term),
+                };
+                async move { (member, is_old, watcher.order(order, ORDER_TIMEOUT).await) }
+            });
         let mut orders: FuturesUnordered<_> = orders.collect();
         let mut fenced = Vec::new();
         let mut stepped_down = None;
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -150,7 +150,11 @@
         }
         *self.servers.borrow_mut() = servers;
         let primaries = |entry: &&Entry| entry.server.role == Role::Primary;
-        let leader = self.leader.borrow().as_ref().map(|l| l.backend.server.id.clone());
+        let leader = self
+            .leader
+            .borrow()
+            .as_ref()
+            .map(|l| l.backend.server.id.clone());
         let registered = entries.iter().filter(primaries).map(|e| &e.server.id);
         changed |= !registered.into_iter().any(|id| Some(id) == leader.as_ref());
         if changed {
@@ -398,11 +402,7 @@
     }
 
     /// What a read must see that may miss what was acknowledged after `since`, and must see `own`.
-    pub async fn floor(
-        self: &Rc<Self>,
-        since: Moment,
-        own: Option<Position>,
-    ) -> Option<Position> {
+    pub async fn floor(self: &Rc<Self>, since: Moment, own: Option<Position>) -> Option<Position> {
         for _ in 0..2 {
             let floor = freshness::required(since, &self.marks.borrow(), own);
             if floor.is_some() {
--- a/crates/proxy/src/line/journal.rs
+++ b/crates/proxy/src/line/journal.rs
@@ -110,12 +110,18 @@
 
 /// One line at the start and the stop of the process.
 pub fn process(what: &str, id: &str, listen: &str) {
-    write("process", json!({ "what": what, "id": id, "listen": listen }));
+    write(
+        "process",
+        json!({ "what": what, "id": id, "listen": listen }),
+    );
 }
 
 /// A dependency lost or regained.
 pub fn dependency(name: &str, state: &str, why: &str) {
-    write("dependency", json!({ "name": name, "state": state, "why": why }));
+    write(
+        "dependency",
+        json!({ "name": name, "state": state, "why": why }),
+    );
 }
 
 /// Something that failed and was passed over.
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -4,7 +4,7 @@
 
 use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::{clock, isolation, journal, view::View};
@@ -82,8 +82,13 @@
 }
 
 /// Builds the endpoint; it serves once launched.
-pub fn build(address: SocketAddr, context: Context) -> rocket::Rocket<rocket::Build> {
+pub fn build(
+    address: SocketAddr,
+    context: Context,
+    bound: oneshot::Sender<SocketAddr>,
+) -> rocket::Rocket<rocket::Build> {
     rocket::custom(operator::figment(address))
         .manage(context)
         .mount("/", routes![ready, status, metrics])
+        .attach(operator::tell_bound(bound))
 }
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -198,11 +198,7 @@
     }
 
     /// Lends a connection, preferring one that already has `values`.
-    pub async fn checkout(
-        self: &Rc<Self>,
-        values: &Values,
-        wish: Wish,
-    ) -> Result<Checkout, Miss> {
+    pub async fn checkout(self: &Rc<Self>, values: &Values, wish: Wish) -> Result<Checkout, Miss> {
         let left = clock::now().until(wish.deadline);
         if let Some(connection) = self.take_idle(values) {
             return Ok(self.lend(connection));
@@ -302,7 +298,9 @@
                 connections: state.open,
                 hold: self.hold.get().value(),
             };
-            if let Verdict::Refuse { come_back } = admission::decide(queue, now.until(rank.due).min(left)) {
+            if let Verdict::Refuse { come_back } =
+                admission::decide(queue, now.until(rank.due).min(left))
+            {
                 return Err(Miss::Refused { come_back });
             }
             let place = state
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -110,7 +110,10 @@
     /// A refusal that says when to come back.
     pub fn busy(&self, why: &str, come_back: Duration) -> Refusal {
         let millis = come_back.as_millis();
-        Refusal::new(Code::Busy, format!("not run: {why}; come back in {millis} ms"))
+        Refusal::new(
+            Code::Busy,
+            format!("not run: {why}; come back in {millis} ms"),
+        )
     }
 }
 
@@ -135,11 +138,7 @@
     }
 }
 
-async fn read(
-    group: &Rc<Group>,
-    session: &Session,
-    call: &Call<'_>,
-) -> Result<Success, Refusal> {
+async fn read(group: &Rc<Group>, session: &Session, call: &Call<'_>) -> Result<Success, Refusal> {
     let mut tried = Tried::default();
     while !call.late() {
         let (servers, after) = match call.route.consistency {
@@ -396,7 +395,10 @@
     if !connection.unclear && connection.values == *wanted {
         return Ok(());
     }
-    let foreign = connection.values.keys().any(|name| !wanted.contains_key(name));
+    let foreign = connection
+        .values
+        .keys()
+        .any(|name| !wanted.contains_key(name));
     let mut queries = Vec::new();
     if connection.unclear || foreign {
         queries.push(Query::Reset);
--- a/crates/proxy/src/line/session.rs
+++ b/crates/proxy/src/line/session.rs
@@ -68,7 +68,9 @@
     pub fn servers_outside(&self) -> Vec<Rc<Backend>> {
         let groups = self.groups.borrow();
         let servers = groups.values().flat_map(|group| group.servers());
-        servers.filter(|backend| backend.server.dc != self.dc).collect()
+        servers
+            .filter(|backend| backend.server.dc != self.dc)
+            .collect()
     }
 
     fn new_group(&self, name: &str) -> Rc<Group> {
--- a/crates/proxy/src/line/stop.rs
+++ b/crates/proxy/src/line/stop.rs
@@ -65,7 +65,10 @@
             _ = signal.recv() => {}
             _ = tokio::signal::ctrl_c() => {}
         }
-        journal::write("stopping", serde_json::json!({ "grace_ms": self.grace.as_millis() as u64 }));
+        journal::write(
+            "stopping",
+            serde_json::json!({ "grace_ms": self.grace.as_millis() as u64 }),
+        );
         self.begun.cancel();
         tokio::time::sleep(NOTICE.min(self.grace / 2)).await;
         self.resting.cancel();
@@ -91,7 +94,10 @@
             }
             tokio::time::sleep(LOOK_AGAIN).await;
         }
-        journal::write("drained", serde_json::json!({ "sessions_left": open.get() }));
+        journal::write(
+            "drained",
+            serde_json::json!({ "sessions_left": open.get() }),
+        );
     }
 }
 
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -112,6 +112,20 @@
         .merge(("shutdown.signals", Vec::<String>::new()))
 }
 
+/// Sends the address that the endpoint is bound to once it listens.
+pub fn tell_bound(bound: oneshot::Sender<SocketAddr>) -> rocket::fairing::AdHoc {
+    let bound = std::sync::Mutex::new(Some(bound));
+    rocket::fairing::AdHoc::on_liftoff("bound", move |rocket| {
+        let config = rocket.config();
+        let address = SocketAddr::new(config.address, config.port);
+        if let Some(bound) = bound.lock().unwrap().take() {
+            // Nobody waits for it any more when the daemon stops while it starts.
+            let _ = bound.send(address);
+        }
+        Box::pin(async {})
+    })
+}
+
 /// Serves the operator endpoint; sends the bound address once it listens.
 pub async fn serve(
     address: SocketAddr,
@@ -122,7 +136,6 @@
     stopping: CancellationToken,
     bound: oneshot::Sender<SocketAddr>,
 ) -> Result<(), rocket::Error> {
-    let bound = std::sync::Mutex::new(Some(bound));
     let _ = rocket::custom(figment(address))
         .manage(Context {
             stopping,
@@ -132,14 +145,7 @@
             metrics,
         })
         .mount("/", routes![status, ready, metrics])
-        .attach(rocket::fairing::AdHoc::on_liftoff("bound", move |rocket| {
-            let config = rocket.config();
-            let address = SocketAddr::new(config.address, config.port);
-            if let Some(bound) = bound.lock().unwrap().take() {
-                let _ = bound.send(address);
-            }
-            Box::pin(async {})
-        }))
+        .attach(tell_bound(bound))
         .launch()
         .await?;
     Ok(())
--- /dev/null
+++ b/crates/standin/src/line/http.rs
@@ -0,0 +1,267 @@
+//! The store's and the platform's calls over HTTP, and the experiment's own under `/test`.
+
+use std::{net::IpAddr, time::Duration};
+
+use base64::{engine::general_purpose::STANDARD, Engine};
+use rocket::{
+    delete, get,
+    http::Status,
+    post, put, routes,
+    serde::json::{
+        serde_json::{json, Value},
+        Json,
+    },
+    tokio::{self, time::timeout},
+    State,
+};
+
+use super::{
+    database::Fault,
+    store::{Event, Item, Refused},
+    Shared, SERVICE,
+};
+
+type Answer = (Status, Json<Value>);
+
+/// How often leases are swept.
+const SWEEP_EVERY: Duration = Duration::from_millis(50);
+
+fn item(item: &Item) -> Value {
+    json!({ "key": item.key, "value": STANDARD.encode(&item.value), "rev": item.rev,
+        "created": item.created, "lease": item.lease })
+}
+
+fn event(event: &Event) -> Value {
+    match event {
+        Event::Written(written) => item(written),
+        Event::Removed { key, rev } => json!({ "key": key, "rev": rev, "removed": true }),
+    }
+}
+
+fn status(code: u16) -> Answer {
+    (Status::new(code), Json(json!({})))
+}
+
+/// Runs a call unless the store is down.
+fn call(shared: &Shared, run: impl FnOnce(&mut super::World) -> Answer) -> Answer {
+    shared.change(|world| match world.store.down {
+        true => status(503),
+        false => run(world),
+    })
+}
+
+#[get("/v1/kv-key?<key>")]
+fn key(shared: &State<Shared>, key: &str) -> Answer {
+    call(shared, |world| match world.store.get(key) {
+        Some(found) => (Status::Ok, Json(item(found))),
+        None => status(404),
+    })
+}
+
+#[get("/v1/kv-range?<prefix>")]
+fn range(shared: &State<Shared>, prefix: &str) -> Answer {
+    call(shared, |world| {
+        let items: Vec<Value> = world.store.list(prefix).iter().map(item).collect();
+        let page = json!({ "items": items, "has_more": false, "as_of": world.store.rev });
+        (Status::Ok, Json(page))
+    })
+}
+
+#[get("/v1/kv-watch?<prefix>&<after>&<wait_ms>")]
+async fn watch(shared: &State<Shared>, prefix: &str, after: u64, wait_ms: u64) -> Answer {
+    let look = async {
+        loop {
+            let changed = shared.changed.notified();
+            let found = {
+                let world = shared.world.lock().expect("no change panics");
+                if world.store.down {
+                    return status(503);
+                }
+                let changes = world.store.changes(prefix, after);
+                (changes, world.store.rev)
+            };
+            match found {
+                (None, _) => return status(410),
+                (Some(events), rev) if !events.is_empty() => {
+                    let events: Vec<Value> = events.iter().map(event).collect();
+                    return (Status::Ok, Json(json!({ "events": events, "as_of": rev })));
+                }
+                _ => changed.await,
+            }
+        }
+    };
+    match timeout(Duration::from_millis(wait_ms), look).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            let rev = shared.world.lock().expect("no change panics").store.rev;
+            let as_of = rev.max(after);
+            (Status::Ok, Json(json!({ "events": [], "as_of": as_of })))
+        }
+    }
+}
+
+#[post("/v1/kv-txn", data = "<body>")]
+fn txn(shared: &State<Shared>, body: Json<Value>) -> Answer {
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    let expected: Vec<(String, u64)> = rows("expect_rev")
+        .iter()
+        .map(|row| (text(row, "key"), row["rev"].as_u64().unwrap_or_default()))
+        .collect();
+    let writes: Vec<(String, Vec<u8>, u64)> = rows("writes")
+        .iter()
+        .map(|row| {
+            let value = STANDARD.decode(text(row, "value")).unwrap_or_default();
+            (
+                text(row, "key"),
+                value,
+                row["lease"].as_u64().unwrap_or_default(),
+            )
+        })
+        .collect();
+    let remove: Vec<String> = rows("remove")
+        .iter()
+        .filter_map(|key| key.as_str().map(str::to_owned))
+        .collect();
+    call(shared, |world| {
+        match world.store.change(&expected, &writes, &remove) {
+            Ok(rev) => (Status::Ok, Json(json!({ "rev": rev }))),
+            Err(Refused::Conflict) => status(412),
+            Err(Refused::NoLease) => status(404),
+        }
+    })
+}
+
+#[post("/v1/kv-lease", data = "<body>")]
+fn lease(shared: &State<Shared>, body: Json<Value>) -> Answer {
+    let ttl = body["ttl_ms"].as_u64().unwrap_or(1_000);
+    call(shared, |world| {
+        let lease = world.store.grant(Duration::from_millis(ttl));
+        (Status::Ok, Json(json!({ "lease": lease, "ttl_ms": ttl })))
+    })
+}
+
+#[post("/v1/kv-keep/<lease>")]
+fn keep(shared: &State<Shared>, lease: u64) -> Answer {
+    call(shared, |world| match world.store.renew(lease) {
+        true => status(200),
+        false => status(404),
+    })
+}
+
+#[delete("/v1/kv-lease-end/<lease>")]
+fn end(shared: &State<Shared>, lease: u64) -> Answer {
+    call(shared, |world| {
+        world.store.end(lease);
+        status(200)
+    })
+}
+
+#[post("/promote", data = "<body>")]
+async fn promote(shared: &State<Shared>, body: Json<Value>) -> Status {
+    let found = {
+        let world = shared.world.lock().expect("no change panics");
+        let wanted = |id: &str| body["id"] == json!(id) && body["service"] == json!(SERVICE);
+        let mut servers = world.database.servers.iter();
+        servers.position(|server| wanted(&server.id) && !server.fault.dead)
+    };
+    let Some(index) = found else {
+        return Status::Conflict;
+    };
+    tokio::time::sleep(shared.settings.promote).await;
+    shared.change(|world| world.database.promote(index));
+    Status::Ok
+}
+
+/// Puts a configuration, as the operators do.
+#[put("/test/config", data = "<body>")]
+fn config(shared: &State<Shared>, body: String) {
+    shared.change(|world| world.store.put("op/config", body.into_bytes()));
+}
+
+/// Changes one fault of one server.
+#[put("/test/server/<index>/<fault>/<on>")]
+fn fault(shared: &State<Shared>, index: usize, fault: &str, on: bool) -> Status {
+    shared.change(|world| {
+        let Some(server) = world.database.servers.get_mut(index) else {
+            return Status::NotFound;
+        };
+        let Fault {
+            dead,
+            silent,
+            cut,
+            deaf,
+            leaving,
+        } = &mut server.fault;
+        let flag = match fault {
+            "dead" => dead,
+            "silent" => silent,
+            "cut" => cut,
+            "deaf" => deaf,
+            "leaving" => leaving,
+            _ => return Status::NotFound,
+        };
+        *flag = on;
+        Status::Ok
+    })
+}
+
+/// Takes the store down or brings it back, or makes it forget its history.
+#[put("/test/store/<what>/<on>")]
+fn store(shared: &State<Shared>, what: &str, on: bool) {
+    shared.change(|world| match what {
+        "down" => world.store.down = on,
+        _ => world.store.compact(),
+    });
+}
+
+/// Who leads with the highest term, its log, and how many promotions there were.
+#[get("/test/group")]
+fn group(shared: &State<Shared>) -> Json<Value> {
+    let world = shared.world.lock().expect("no change panics");
+    let servers = &world.database.servers;
+    let leaders = servers
+        .iter()
+        .enumerate()
+        .filter(|(_, server)| server.primary);
+    let leader = leaders.max_by_key(|(_, server)| server.term);
+    let log = leader.map(|(_, server)| {
+        let entries = server.log.iter();
+        entries
+            .map(|entry| json!([entry.item, entry.data]))
+            .collect::<Vec<Value>>()
+    });
+    Json(
+        json!({ "leader": leader.map(|(index, _)| index), "log": log,
+        "promotions": world.database.promotions }),
+    )
+}
+
+/// Serves all calls on one address, printed as the first line of standard output.
+pub async fn serve(host: IpAddr, shared: Shared) -> Result<(), rocket::Error> {
+    let figment = rocket::Config::figment()
+        .merge(("address", host))
+        .merge(("port", 0))
+        .merge(("log_level", "off"));
+    let sweeping = shared.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(SWEEP_EVERY).await;
+            sweeping.change(|world| world.store.sweep());
+        }
+    });
+    rocket::custom(figment)
+        .manage(shared)
+        .mount(
+            "/",
+            routes![key, range, watch, txn, lease, keep, end, promote, config, fault, store, group],
+        )
+        .attach(rocket::fairing::AdHoc::on_liftoff("bound", |rocket| {
+            let config = rocket.config();
+            crate::announce(&format!("{}:{}", config.address, config.port));
+            Box::pin(async {})
+        }))
+        .launch()
+        .await?;
+    Ok(())
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -5,6 +5,7 @@
 
 mod group;
 mod kv;
+mod line;
 mod vms;
 
 use std::{io::Write, net::IpAddr, time::Duration};
@@ -39,6 +40,24 @@
         #[arg(long, default_value = "127.0.0.1")]
         host: IpAddr,
     },
+    /// A platform that speaks the line protocol: a group, its store and its promotion call.
+    Line {
+        /// How many servers; the first is primary.
+        #[arg(long, default_value_t = 3)]
+        servers: usize,
+        /// How late replicas apply what they have received, in milliseconds.
+        #[arg(long, default_value_t = 20)]
+        lag_ms: u64,
+        /// How many replicas must receive a commit before it is acknowledged.
+        #[arg(long, default_value_t = 1)]
+        sync: usize,
+        /// How long a promotion takes, in milliseconds.
+        #[arg(long, default_value_t = 300)]
+        promote_ms: u64,
+        /// The address to listen on.
+        #[arg(long, default_value = "127.0.0.1")]
+        host: IpAddr,
+    },
     /// The platform's list of live and leaving VMs.
     Vms {
         /// The address to listen on; port 0 lets the OS choose.
@@ -84,6 +103,22 @@
             let outcome = group::serve(host, settings).await;
             outcome.map_err(|error| error.to_string())
         }
+        Command::Line {
+            servers,
+            lag_ms,
+            sync,
+            promote_ms,
+            host,
+        } => {
+            let settings = line::Settings {
+                servers: servers.max(1),
+                lag: Duration::from_millis(lag_ms),
+                sync,
+                promote: Duration::from_millis(promote_ms),
+            };
+            let outcome = line::serve(host, settings).await;
+            outcome.map_err(|error| error.to_string())
+        }
         Command::Vms { listen } => vms::serve(listen).await.map_err(|error| error.to_string()),
         Command::Kv { listen, doors } => {
             let outcome = kv::serve(listen, doors.max(1)).await;
