--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -66,6 +66,7 @@
         .await
         .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
     crate::daemon::announce(listen, operator);
+    journal::start();
     journal::process("start", &config.id, &listen.to_string());
     let suspicion = isolation::Suspicion::default();
     let shared = Rc::new(Shared {
--- a/crates/proxy/src/line/journal.rs
+++ b/crates/proxy/src/line/journal.rs
@@ -38,23 +38,42 @@
 struct Journal {
     queue: SyncSender<String>,
     kinds: Mutex<Map<&'static str, Allowance>>,
+    /// Taken by the writing thread.
+    lines: Mutex<Option<Receiver<String>>>,
 }
 
 fn journal() -> &'static Journal {
     static JOURNAL: OnceLock<Journal> = OnceLock::new();
     JOURNAL.get_or_init(|| {
         let (queue, lines) = sync_channel(QUEUE);
-        // Without the thread the lines are dropped and counted; traffic goes on.
-        let _ = std::thread::Builder::new()
-            .name("journal".to_owned())
-            .spawn(move || write_all(&lines));
         Journal {
             queue,
             kinds: Mutex::default(),
+            lines: Mutex::new(Some(lines)),
         }
     })
 }
 
+/// Starts writing; lines from before wait in the queue, so that the addresses, which scripts read,
+/// are the first line on standard output.
+pub fn start() {
+    let Some(lines) = journal()
+        .lines
+        .lock()
+        .ok()
+        .and_then(|mut lines| lines.take())
+    else {
+        return;
+    };
+    let spawned = std::thread::Builder::new()
+        .name("journal".to_owned())
+        .spawn(move || write_all(&lines));
+    if let Err(error) = spawned {
+        // Without the thread lines are dropped and counted; traffic goes on.
+        log::error!(target: "journal", "No thread for the log lines: {error}.");
+    }
+}
+
 fn write_all(lines: &Receiver<String>) {
     while let Ok(line) = lines.recv() {
         let mut out = std::io::stdout().lock();
@@ -98,7 +117,9 @@
             line.insert("left_out".to_owned(), left_out.into());
         }
     }
-    if let Err(TrySendError::Full(_)) = journal.queue.try_send(format!("{line}\n")) {
+    if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
+        journal.queue.try_send(format!("{line}\n"))
+    {
         DROPPED.fetch_add(1, Ordering::Relaxed);
     }
 }
