--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -11,12 +11,12 @@
 ///
 /// A promoter first makes the replicas deaf to the old primary and then waits at least
 /// [`PROMOTION_WAIT`], so no commit can be acknowledged elsewhere while such a word counts.
-/// 300 ms keeps the questions to a few a second and group.
-pub const LEADER_LEASE: Duration = Duration::from_millis(300);
+/// 500 ms keeps the questions to two a second and group; each is priced like a statement.
+pub const LEADER_LEASE: Duration = Duration::from_millis(500);
 
 /// How long a promoter waits after the replicas obey it: the lease, and 50 ms for the time between
 /// asking a replica and its answer being made.
-pub const PROMOTION_WAIT: Duration = Duration::from_millis(350);
+pub const PROMOTION_WAIT: Duration = Duration::from_millis(550);
 
 /// Marks closer together than this replace each other: 20 marks a second of allowance are enough
 /// to find one that is old enough for a replica to have applied it.
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -334,6 +334,7 @@
         match answer.result {
             Ok(success) => {
                 session.committed(answer.position);
+                group.note_commit(backend, asked);
                 return Ok(success);
             }
             Err(refusal) if refusal.code.not_run() => {
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -96,6 +96,7 @@
                     Effect::Commit => {
                         if wrote {
                             session.committed(answer.position);
+                            group.note_commit(&held.backend, asked);
                         }
                         session.ended();
                         if answer.state == State::Idle {
