--- a/crates/engine/src/share.rs
+++ b/crates/engine/src/share.rs
@@ -54,12 +54,26 @@
     }
 }
 
-/// This proxy's share of a server's `max_connections` among `members` live proxies; at least one.
+/// How many connections all proxies together keep for each slot of a server. A transaction holds one
+/// through its caller's pauses, so one a slot is too few; each more lengthens the server's own queue,
+/// where the order of arrival counts and not what is due first.
+const PER_SLOT: usize = 3;
+
+/// The fewest connections a proxy needs to a server: one that a transaction holds must not stop all
+/// other statements.
+const FEWEST: usize = 2;
+
+/// This proxy's share of the connections to a server with `slots` slots that takes `max_connections`
+/// from `members` live proxies together; at least one.
 ///
-/// Load pattern: callers are spread unevenly, so the share is a ceiling and not a reservation;
-/// the sum of all shares stays below the server's limit, so a proxy within its share is refused
-/// only while machines are being replaced.
-pub fn connections(max_connections: u32, members: usize) -> usize {
+/// Load pattern: replicas fall behind, all reads go to the primary, and its queue grows to several
+/// times its slots: every statement is late, and those of transactions several times over. With
+/// fewer connections the work waits in the proxies, by priority and due time, and what would be
+/// late is refused on arrival. Four runs a day of `max_connections` shared out against half of it:
+/// replicas 3 s behind 0.833 to 0.892 and 0.920 to 0.998, answers lost 0.873 to 0.990.
+pub fn connections(max_connections: u32, slots: u32, members: usize) -> usize {
+    let members = members.max(1);
     let usable = max_connections.saturating_sub(RESERVE) as usize;
-    (usable / members.max(1)).max(1)
+    let useful = (slots as usize * PER_SLOT).div_ceil(members).max(FEWEST);
+    (usable / members).min(useful).max(1)
 }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -117,11 +117,12 @@
     /// a reason to ask again who leads.
     pub fn update(self: &Rc<Self>, entries: &[Entry], service: &Service, members: usize) {
         self.sync_replicas.set(service.sync_replicas as usize);
-        let limit = share::connections(service.max_connections, members);
         let mut changed = false;
         let old = std::mem::take(&mut *self.servers.borrow_mut());
         let mut servers = Vec::with_capacity(entries.len());
         for entry in entries {
+            let slots = entry.server.slots;
+            let limit = share::connections(service.max_connections, slots, members);
             let same = |backend: &&Rc<Backend>| {
                 backend.server.id == entry.server.id
                     && backend.server.address == entry.server.address
