--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -138,7 +138,10 @@
     hardly_any_connections = { 2, 5, 7, 1 },
 )]
 fn shares(max_connections: u32, slots: u32, members: usize, expected: usize) {
-    assert_eq!(share::connections(max_connections, slots, members), expected);
+    assert_eq!(
+        share::connections(max_connections, slots, members),
+        expected
+    );
 }
 
 /// Two of seven proxies lose the store but hold their connections: if the others took their shares,
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -5,9 +5,13 @@
 //! [`transaction`] finds the server, [`group`] knows what the server must hold, [`pool`] lends the
 //! connection.
 
+pub mod attempt;
 pub mod backend;
+pub mod call;
 pub mod clock;
+pub mod connection;
 pub mod control;
+pub mod exchange;
 pub mod failover;
 pub mod follow;
 pub mod group;
@@ -17,8 +21,10 @@
 pub mod observe;
 pub mod operator;
 pub mod pool;
+pub mod record;
 pub mod run;
 pub mod session;
+pub mod shared;
 pub mod stop;
 pub mod transaction;
 pub mod view;
@@ -28,7 +34,7 @@
 use dandelionpitch_engine::isolation::Isolation;
 use tokio::{net::TcpListener, sync::watch, task::LocalSet};
 
-use self::{session::Shared, view::View};
+use self::{shared::Shared, view::View};
 use crate::{
     config::{Config, Line},
     error::Error,
--- /dev/null
+++ b/crates/proxy/src/line/call.rs
@@ -0,0 +1,124 @@
+//! One caller's statement on its way, and what can become of it.
+
+use std::time::Duration;
+
+use dandelionpitch_engine::{
+    admission,
+    catalog::{Consistency, Route},
+    refusal::{Code, Refusal},
+    session::{Effect, Named},
+    time::Moment,
+};
+use serde_json::json;
+
+use super::{
+    backend::Backend,
+    clock,
+    group::Group,
+    journal,
+    pool::{Miss, Rank, Wish},
+};
+
+/// The pause before a statement that was not run is offered again.
+pub const OFFER_AGAIN: Duration = Duration::from_millis(15);
+
+/// The time at which refused callers are to come back if nothing better is known: that of a
+/// failover.
+pub const COME_BACK: Duration = Duration::from_millis(500);
+
+/// The time at which callers of a proxy that is cut off are to come back: by then the balancer
+/// sends them elsewhere.
+pub const CUT_OFF: Duration = Duration::from_millis(2_000);
+
+/// One statement on its way.
+pub struct Call<'a> {
+    pub id: &'a str,
+    pub text: &'a str,
+    pub effect: Effect,
+    pub named: Option<&'a Named>,
+    pub route: &'a Route,
+    /// When its first bytes were read.
+    pub arrived: Moment,
+    /// Whether this proxy was cut off with its data centre then.
+    pub isolated: bool,
+}
+
+/// What went wrong with a statement on one server.
+#[derive(Debug)]
+pub enum Failure {
+    /// It has certainly not run there.
+    NotRun(Refusal),
+    /// The server ran it, and answered with a failure.
+    Ran(Refusal),
+    /// It was sent and no whole answer came; the connection is closed.
+    Lost(String),
+}
+
+impl Call<'_> {
+    /// When the statement's time is up.
+    pub fn deadline(&self) -> Moment {
+        self.arrived + self.route.timeout
+    }
+
+    /// How much of its time is left.
+    pub fn left(&self) -> Duration {
+        clock::now().until(self.deadline())
+    }
+
+    /// Whether its time is up.
+    pub fn late(&self) -> bool {
+        self.left().is_zero()
+    }
+
+    /// Whether to go on looking for a server that can take it.
+    pub fn may_look(&self) -> bool {
+        let waited = clock::now().since(self.arrived);
+        !self.isolated && admission::may_look(waited, self.route.target)
+    }
+
+    /// What it asks of a pool; the proxy's own questions go first.
+    pub fn wish(&self) -> Wish {
+        let rank = Rank {
+            priority: self.route.priority + 1,
+            due: self.arrived + self.route.target,
+        };
+        let deadline = self.deadline();
+        Wish { rank, deadline }
+    }
+
+    /// Before when a commit must have been acknowledged for the statement to see it.
+    pub fn since(&self, begun: Moment) -> Moment {
+        match self.route.consistency {
+            Consistency::Latest => begun,
+            Consistency::Bounded(allowance) | Consistency::Session(allowance) => begun - allowance,
+        }
+    }
+
+    /// A refusal that says when to come back.
+    pub fn busy(&self, why: &str, come_back: Duration) -> Refusal {
+        let millis = come_back.as_millis();
+        Refusal::new(
+            Code::Busy,
+            format!("not run: {why}; come back in {millis} ms"),
+        )
+    }
+}
+
+/// The refusal for the last of the connections that could not be had.
+pub fn missed(call: &Call<'_>, miss: Miss) -> Refusal {
+    match miss {
+        Miss::Refused { come_back } => call.busy("too much work is waiting", come_back),
+        Miss::Full => call.busy("the server takes no more connections", COME_BACK),
+        Miss::Unreachable => call.busy("no server can be reached", COME_BACK),
+    }
+}
+
+/// One log line for a statement that a server did not serve.
+pub fn note_failure(group: &Group, backend: &Backend, call: &Call<'_>, why: &str) {
+    journal::write(
+        "attempt",
+        json!({ "id": call.id, "route": call.route.name, "service": group.name,
+            "server": backend.server.id, "effect": format!("{:?}", call.effect),
+            "after_ms": clock::now().since(call.arrived).as_millis() as u64, "why": why }),
+    );
+}
--- /dev/null
+++ b/crates/proxy/src/line/connection.rs
@@ -0,0 +1,120 @@
+//! An open connection to a backend server, and what the sessions before left on it.
+
+use dandelionpitch_core::{hash::Map, position::Position};
+use dandelionpitch_engine::{
+    session::{Named, Session, Values},
+    statement::Shape,
+};
+use dandelionpitch_platform::{
+    backend::{Answer, Link, Query},
+    Error,
+};
+
+use super::call::Call;
+
+/// An open connection and what was left on it.
+#[derive(Debug)]
+pub struct Connection {
+    pub link: Link,
+    /// The session values in force on it.
+    pub values: Values,
+    /// The named statements on it.
+    pub names: Map<Shape, String>,
+    /// It may hold values that are not in `values`.
+    pub unclear: bool,
+}
+
+impl Connection {
+    /// How much it takes to make its values those wanted: nothing, setting some, or clearing all.
+    pub fn effort(&self, wanted: &Values) -> u8 {
+        let foreign = || self.values.keys().any(|name| !wanted.contains_key(name));
+        match (self.unclear, &self.values == wanted) {
+            (false, true) => 0,
+            (false, false) if !foreign() => 1,
+            _ => 2,
+        }
+    }
+
+    /// A connection that nobody has used yet.
+    pub fn new(link: Link) -> Self {
+        Self {
+            link,
+            values: Values::default(),
+            names: Map::default(),
+            unclear: false,
+        }
+    }
+}
+
+/// Makes the connection's values those of the session, in one write.
+///
+/// Failure: a connection still has a value of the session before, and a statement runs under what
+/// its caller never set. Guard: values that the session does not have are cleared first, and
+/// nothing else is sent before all of it is acknowledged.
+pub async fn dress(connection: &mut Connection, session: &Session) -> Result<(), Error> {
+    let wanted = session.values();
+    if !connection.unclear && connection.values == *wanted {
+        return Ok(());
+    }
+    let foreign = connection
+        .values
+        .keys()
+        .any(|name| !wanted.contains_key(name));
+    let mut queries = Vec::new();
+    if connection.unclear || foreign {
+        queries.push(Query::Reset);
+        connection.names.clear();
+        connection.values = Default::default();
+    }
+    for (name, value) in wanted.iter() {
+        if connection.values.get(name) != Some(value) {
+            queries.push(Query::Set { name, value });
+        }
+    }
+    connection.unclear = true;
+    connection.link.send(&queries).await?;
+    for _ in &queries {
+        connection.link.answer().await?.result?;
+    }
+    connection.values = wanted.clone();
+    connection.unclear = false;
+    Ok(())
+}
+
+/// Sends a statement and reads its answer, preparing the named statement first if it has to.
+pub async fn ask(
+    connection: &mut Connection,
+    call: &Call<'_>,
+    after: Option<Position>,
+) -> Result<Answer, Error> {
+    let Call { id, text, .. } = call;
+    let Some(Named { shape, arguments }) = call.named else {
+        let query = match after {
+            Some(after) => Query::After { id, after, text },
+            None => Query::Caller { id, text },
+        };
+        return connection.link.ask(query).await;
+    };
+    let known = connection.names.get(shape).cloned();
+    let name = match &known {
+        Some(name) => name.clone(),
+        None => format!("p{}", connection.names.len() + 1),
+    };
+    let run = Query::Named {
+        id,
+        name: &name,
+        arguments,
+        after,
+    };
+    if known.is_some() {
+        return connection.link.ask(run).await;
+    }
+    let prepare = Query::Prepare { name: &name, shape };
+    connection.link.send(&[prepare, run]).await?;
+    let prepared = connection.link.answer().await?;
+    let answer = connection.link.answer().await?;
+    if prepared.result.is_ok() {
+        connection.names.insert(shape.clone(), name);
+    }
+    Ok(answer)
+}
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -24,7 +24,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{clock, failover, follow, journal, member, operator, view::View};
+use super::{clock, failover, follow, journal, member, operator, record, view::View};
 use crate::{
     config::{Config, Line},
     error::Error,
@@ -43,7 +43,7 @@
     pub promoter: dandelionpitch_platform::promoter::Promoter,
     pub duty: RefCell<Duty>,
     pub registry: RefCell<Registry>,
-    pub records: RefCell<Map<String, failover::Noted>>,
+    pub records: RefCell<Map<String, record::Noted>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     members: RefCell<Members>,
     /// Whether the store answered the last call that follows it.
@@ -227,7 +227,7 @@
     }
 
     fn note_record(&self, item: &Item, now: Moment) {
-        failover::Noted::read(item, &mut self.records.borrow_mut(), now);
+        record::Noted::read(item, &mut self.records.borrow_mut(), now);
     }
 
     /// Drops servers whose entries stayed missing; only called while the store answers.
--- /dev/null
+++ b/crates/proxy/src/line/exchange.rs
@@ -0,0 +1,112 @@
+//! One statement on one connection: the connection is borrowed, made to hold the session's values,
+//! and the answer awaited for as long as that makes sense.
+
+use std::{rc::Rc, time::Duration};
+
+use dandelionpitch_core::position::Position;
+use dandelionpitch_engine::session::Session;
+use dandelionpitch_platform::backend::{Answer, State};
+
+use super::{
+    backend::Backend,
+    call::{missed, Call, Failure, OFFER_AGAIN},
+    connection::{ask, dress},
+    group::Group,
+    pool::{Checkout, Miss},
+};
+
+/// After this many times the usual length without an answer, the server's machine is asked whether
+/// it is still there.
+const LOOK_AFTER: u32 = 3;
+
+/// The shortest wait before that: longer than nine in ten statements take.
+const LEAST_LOOK: Duration = Duration::from_millis(120);
+
+/// An answer counts as lost after this many times the usual length of a statement on its server.
+const PATIENCE: u32 = 8;
+
+/// The least part of the route's timeout that an answer is waited for: longer than the longest
+/// usual work (82 ms of 1 s, 410 ms of 3 s) behind a full set of slots.
+const LEAST_PATIENCE: f64 = 0.4;
+
+/// A connection to `backend` with the session's values in force.
+pub async fn checkout(
+    group: &Rc<Group>,
+    backend: &Rc<Backend>,
+    session: &Session,
+    call: &Call<'_>,
+) -> Result<Checkout, Failure> {
+    let lent = backend.pool.checkout(session.values(), call.wish());
+    let mut checkout = lent.await.map_err(|miss| {
+        if miss == Miss::Unreachable {
+            backend.unreachable();
+            group.depose(backend);
+        }
+        Failure::NotRun(missed(call, miss))
+    })?;
+    let connection = checkout.connection();
+    let dressed = tokio::time::timeout(call.left(), dress(connection, session));
+    match dressed.await {
+        Ok(Ok(())) => Ok(checkout),
+        // Nothing of the caller's was sent.
+        Ok(Err(error)) => {
+            backend.avoid();
+            let why = call.busy(&error.to_string(), OFFER_AGAIN);
+            Err(Failure::NotRun(why))
+        }
+        Err(_) => {
+            backend.avoid();
+            Err(Failure::NotRun(call.busy("its time is up", OFFER_AGAIN)))
+        }
+    }
+}
+
+/// Sends the statement and reads its answer. When the answer counts as lost, or the server's
+/// machine is not there any more, the connection is closed and the reason returned.
+///
+/// Load pattern: a server loses a fifth of its answers for seconds, and each holds one of a handful
+/// of connections until the route's timeout. Giving up after some times the usual length frees it
+/// for others, and lets a transaction be repeated within its caller's deadline.
+pub async fn exchange(
+    mut checkout: Checkout,
+    backend: &Backend,
+    call: &Call<'_>,
+    after: Option<Position>,
+) -> (Result<Answer, String>, Option<Checkout>) {
+    let least = call.route.timeout.mul_f64(LEAST_PATIENCE);
+    let patience = (backend.latency() * PATIENCE).max(least).min(call.left());
+    let result = {
+        let sent = ask(checkout.connection(), call, after);
+        tokio::select! {
+            biased;
+            answer = tokio::time::timeout(patience, sent) => match answer {
+                Ok(Ok(answer)) => Ok(answer),
+                Ok(Err(error)) => Err(error.to_string()),
+                Err(_) => Err(format!("no answer within {patience:?}")),
+            },
+            () = gone(backend) => Err("its server cannot be reached".to_owned()),
+        }
+    };
+    match result {
+        Ok(answer) => (Ok(answer), Some(checkout)),
+        Err(why) => (Err(why), None),
+    }
+}
+
+/// Returns when an answer is overdue and the server's machine is found not to be there.
+async fn gone(backend: &Backend) {
+    loop {
+        let pause = (backend.latency() * LOOK_AFTER).max(LEAST_LOOK);
+        tokio::time::sleep(pause).await;
+        if !backend.reachable().await {
+            return;
+        }
+    }
+}
+
+/// Gives the connection back, unless the server says that a transaction is open on it.
+pub fn settle(checkout: Option<Checkout>, answer: &Answer) {
+    if let (Some(checkout), State::Idle) = (checkout, answer.state) {
+        checkout.release();
+    }
+}
--- a/crates/proxy/src/line/isolation.rs
+++ b/crates/proxy/src/line/isolation.rs
@@ -10,7 +10,7 @@
     sync::{watch, Notify},
 };
 
-use super::{backend::Backend, clock, journal, session::Shared};
+use super::{backend::Backend, clock, journal, shared::Shared};
 
 /// How long a live machine in another data centre needs to accept a connection.
 const REACH_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -9,19 +9,17 @@
     time::Duration,
 };
 
-use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     admission::{self, Mean, Queue, Verdict},
     refusal::Code,
     registry::Server,
     session::Values,
-    statement::Shape,
     time::Moment,
 };
 use dandelionpitch_platform::{backend::Link, Error};
 use tokio::sync::oneshot;
 
-use super::{clock, journal};
+use super::{clock, connection::Connection, journal};
 
 /// How long opening a connection may take. It takes a slot of the server for about 12 ms, behind
 /// whatever waits there.
@@ -65,39 +63,6 @@
     Full,
 }
 
-/// An open connection and what was left on it.
-#[derive(Debug)]
-pub struct Connection {
-    pub link: Link,
-    /// The session values in force on it.
-    pub values: Values,
-    /// The named statements on it.
-    pub names: Map<Shape, String>,
-    /// It may hold values that are not in `values`.
-    pub unclear: bool,
-}
-
-impl Connection {
-    /// How much it takes to make its values those wanted: nothing, setting some, or clearing all.
-    fn effort(&self, wanted: &Values) -> u8 {
-        let foreign = || self.values.keys().any(|name| !wanted.contains_key(name));
-        match (self.unclear, &self.values == wanted) {
-            (false, true) => 0,
-            (false, false) if !foreign() => 1,
-            _ => 2,
-        }
-    }
-
-    fn new(link: Link) -> Self {
-        Self {
-            link,
-            values: Values::default(),
-            names: Map::default(),
-            unclear: false,
-        }
-    }
-}
-
 /// What a waiting statement is given. Both kinds give back what they hold when they are dropped, so
 /// a caller that leaves in that instant takes nothing with it.
 enum Grant {
--- a/crates/proxy/src/line/session.rs
+++ b/crates/proxy/src/line/session.rs
@@ -3,15 +3,10 @@
 //!
 //! [`engine::session`]: dandelionpitch_engine::session
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
-    catalog::{Catalog, Route},
+    catalog::Route,
     refusal::{Code, Refusal},
     session::{self as engine, Phase, Step},
     statement::Statement,
@@ -29,20 +24,14 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
         TcpStream,
     },
-    sync::watch,
 };
 
 use super::{
-    backend::Backend,
-    clock,
-    group::{Group, Groups},
-    isolation, journal,
-    run::{self, Call},
-    stop::Stop,
+    call::Call,
+    clock, journal, run,
+    shared::Shared,
     transaction::{self, Pinned},
-    view::View,
 };
-use crate::metrics::Metrics;
 
 /// How long an answer may take to be taken by its caller before the connection counts as lost.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -50,82 +39,6 @@
 /// How long a caller has for its first message.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// What all sessions of the process share, on the traffic thread.
-pub struct Shared {
-    pub dc: String,
-    pub view: watch::Receiver<Arc<View>>,
-    pub groups: RefCell<Groups>,
-    pub metrics: Metrics,
-    pub stop: Stop,
-    pub isolated: isolation::Receiver,
-    pub suspicion: isolation::Suspicion,
-    /// How many callers are connected.
-    pub open: Rc<Cell<usize>>,
-}
-
-impl Shared {
-    /// The servers in other data centres.
-    pub fn servers_outside(&self) -> Vec<Rc<Backend>> {
-        let groups = self.groups.borrow();
-        let servers = groups.values().flat_map(|group| group.servers());
-        servers
-            .filter(|backend| backend.server.dc != self.dc)
-            .collect()
-    }
-
-    fn new_group(&self, name: &str) -> Rc<Group> {
-        Group::new(name, &self.dc, self.suspicion.clone())
-    }
-
-    /// Returns when callers at rest are better served elsewhere.
-    async fn released(&self) {
-        let mut isolated = self.isolated.clone();
-        loop {
-            if isolated.borrow_and_update().releases_sessions(clock::now()) {
-                return;
-            }
-            // Each round of looking outside is a change, so the moment is not missed.
-            if isolated.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        }
-    }
-
-    /// Brings the groups up to each new view, until the control thread is gone.
-    pub async fn follow(self: Rc<Self>, mut view: watch::Receiver<Arc<View>>) {
-        while view.changed().await.is_ok() {
-            let view = view.borrow_and_update().clone();
-            self.update(&view);
-        }
-    }
-
-    fn update(&self, view: &View) {
-        let mut groups = self.groups.borrow_mut();
-        for (name, entries) in &view.servers {
-            let group = groups
-                .entry(name.clone())
-                .or_insert_with(|| self.new_group(name));
-            let catalog = view.catalog.as_ref();
-            let service = catalog.and_then(|catalog| catalog.services.get(name));
-            if let Some(service) = service {
-                group.update(entries, service, view.members);
-            }
-        }
-    }
-
-    fn catalog(&self) -> Option<Arc<Catalog>> {
-        self.view.borrow().catalog.clone()
-    }
-
-    fn group(&self, name: &str) -> Rc<Group> {
-        let mut groups = self.groups.borrow_mut();
-        groups
-            .entry(name.to_owned())
-            .or_insert_with(|| self.new_group(name))
-            .clone()
-    }
-}
-
 /// Serves a new connection in a task of its own.
 pub fn spawn(stream: TcpStream, shared: Rc<Shared>) {
     tokio::task::spawn_local(async move {
--- /dev/null
+++ b/crates/proxy/src/line/shared.rs
@@ -0,0 +1,98 @@
+//! What all sessions of the process share, on the traffic thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use dandelionpitch_engine::catalog::Catalog;
+use tokio::sync::watch;
+
+use super::{
+    backend::Backend,
+    clock,
+    group::{Group, Groups},
+    isolation,
+    stop::Stop,
+    view::View,
+};
+use crate::metrics::Metrics;
+
+/// What all sessions of the process share, on the traffic thread.
+pub struct Shared {
+    pub dc: String,
+    pub view: watch::Receiver<Arc<View>>,
+    pub groups: RefCell<Groups>,
+    pub metrics: Metrics,
+    pub stop: Stop,
+    pub isolated: isolation::Receiver,
+    pub suspicion: isolation::Suspicion,
+    /// How many callers are connected.
+    pub open: Rc<Cell<usize>>,
+}
+
+impl Shared {
+    /// The servers in other data centres.
+    pub fn servers_outside(&self) -> Vec<Rc<Backend>> {
+        let groups = self.groups.borrow();
+        let servers = groups.values().flat_map(|group| group.servers());
+        servers
+            .filter(|backend| backend.server.dc != self.dc)
+            .collect()
+    }
+
+    fn new_group(&self, name: &str) -> Rc<Group> {
+        Group::new(name, &self.dc, self.suspicion.clone())
+    }
+
+    /// Returns when callers at rest are better served elsewhere.
+    pub async fn released(&self) {
+        let mut isolated = self.isolated.clone();
+        loop {
+            if isolated.borrow_and_update().releases_sessions(clock::now()) {
+                return;
+            }
+            // Each round of looking outside is a change, so the moment is not missed.
+            if isolated.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Brings the groups up to each new view, until the control thread is gone.
+    pub async fn follow(self: Rc<Self>, mut view: watch::Receiver<Arc<View>>) {
+        while view.changed().await.is_ok() {
+            let view = view.borrow_and_update().clone();
+            self.update(&view);
+        }
+    }
+
+    fn update(&self, view: &View) {
+        let mut groups = self.groups.borrow_mut();
+        for (name, entries) in &view.servers {
+            let group = groups
+                .entry(name.clone())
+                .or_insert_with(|| self.new_group(name));
+            let catalog = view.catalog.as_ref();
+            let service = catalog.and_then(|catalog| catalog.services.get(name));
+            if let Some(service) = service {
+                group.update(entries, service, view.members);
+            }
+        }
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.view.borrow().catalog.clone()
+    }
+
+    /// The group of that name, whether servers of it are known or not.
+    pub fn group(&self, name: &str) -> Rc<Group> {
+        let mut groups = self.groups.borrow_mut();
+        groups
+            .entry(name.to_owned())
+            .or_insert_with(|| self.new_group(name))
+            .clone()
+    }
+}
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -11,10 +11,12 @@
 
 use super::{
     backend::Backend,
+    call::{note_failure, Call, Failure, CUT_OFF},
     clock,
+    exchange::{checkout, exchange},
     group::Group,
     pool::Checkout,
-    run::{self, Call, Failure},
+    run,
 };
 
 /// How long a connection may take to roll back before it is closed instead.
@@ -76,12 +78,12 @@
     for send in 1.. {
         let Pinned { checkout, backend } = held;
         let asked = clock::now();
-        let (answer, checkout) = run::exchange(checkout, &backend, call, None).await;
+        let (answer, checkout) = exchange(checkout, &backend, call, None).await;
         let (answer, checkout) = match (answer, checkout) {
             (Ok(answer), Some(checkout)) => (answer, checkout),
             (answer, _) => {
                 let why = answer.err().unwrap_or_default();
-                run::note_failure(group, &backend, call, &why);
+                note_failure(group, &backend, call, &why);
                 fail(session, call);
                 return Err(lost(call.effect, wrote, &why));
             }
@@ -109,7 +111,7 @@
             }
             Err(refusal) => refusal,
         };
-        run::note_failure(group, &held.backend, call, &refusal.to_string());
+        note_failure(group, &held.backend, call, &refusal.to_string());
         let again = refusal.code == Code::Busy && answer.state == State::Open;
         if again && send < SENDS && call.left() > call.route.timeout / 3 {
             tokio::time::sleep(SEND_AGAIN).await;
@@ -163,7 +165,7 @@
 ) -> Result<Pinned, Refusal> {
     let mut last = call.busy("no server can take the transaction", SEND_AGAIN);
     if call.isolated && !transaction.read_only && !group.confirm(transaction.begun).await {
-        return Err(call.busy("this data centre is cut off", run::CUT_OFF));
+        return Err(call.busy("this data centre is cut off", CUT_OFF));
     }
     loop {
         let after = match call.route.consistency {
@@ -188,7 +190,7 @@
             if call.late() {
                 break;
             }
-            let mut checkout = match run::checkout(group, &backend, session, call).await {
+            let mut checkout = match checkout(group, &backend, session, call).await {
                 Ok(checkout) => checkout,
                 Err(Failure::NotRun(refusal) | Failure::Ran(refusal)) => {
                     last = refusal;
@@ -217,7 +219,7 @@
                         }
                         Ok(_) => last = call.busy("the server opened none", SEND_AGAIN),
                         Err(refusal) => {
-                            run::note_failure(group, &backend, call, &refusal.to_string());
+                            note_failure(group, &backend, call, &refusal.to_string());
                             if refusal.code == Code::ReadOnly {
                                 group.depose(&backend);
                             }
