--- a/crates/e2e/tests/line.rs
+++ b/crates/e2e/tests/line.rs
@@ -425,7 +425,16 @@
     let answer = reqwest::get(url).await.expect("the proxy answers");
     let text = answer.text().await.expect("text");
 
-    assert!(text.contains("statements{outcome=\"ok\"} "), "{text}");
+    for expected in [
+        "statements{outcome=\"ok\"} 1",
+        "answers{outcome=\"ok\",route=\"latest-db\"} 1",
+        "latency_seconds_bucket{route=\"latest-db\",le=\"+Inf\"} 1",
+        "connections_opened{service=\"ledger\"} ",
+        "configuration_version{} 1",
+        "log_lines_dropped{} 0",
+    ] {
+        assert!(text.contains(expected), "{expected} is not in\n{text}");
+    }
 }
 
 /// The settings file names what is wrong with it.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -65,6 +65,9 @@
     /// How long after SIGTERM the process is killed.
     #[serde(with = "humantime_serde")]
     pub grace: Duration,
+    /// Where counters are served as text, besides the operators' address.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
 }
 
 fn default_drain_limit() -> Duration {
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -18,6 +18,7 @@
     isolation::{self, Suspicion},
     pool::{Pool, Rank, Wish},
 };
+use crate::metrics::Metrics;
 
 /// What a statement is first taken to last on a server: the mean of the measured ones.
 const FIRST_LATENCY: Duration = Duration::from_millis(30);
@@ -53,10 +54,10 @@
 
 impl Backend {
     /// A server that nothing is known of yet.
-    pub fn new(entry: &Entry, limit: usize, suspicion: Suspicion) -> Rc<Self> {
+    pub fn new(entry: &Entry, limit: usize, suspicion: Suspicion, metrics: Metrics) -> Rc<Self> {
         Rc::new(Self {
             server: entry.server.clone(),
-            pool: Pool::new(entry.server.clone(), limit),
+            pool: Pool::new(entry.server.clone(), limit, metrics),
             leaving_since: Cell::new(entry.leaving_since),
             missing: Cell::new(entry.missing_since.is_some()),
             latency: Cell::new(Mean::new(FIRST_LATENCY)),
--- a/crates/proxy/src/line/call.rs
+++ b/crates/proxy/src/line/call.rs
@@ -115,6 +115,7 @@
 
 /// One log line for a statement that a server did not serve.
 pub fn note_failure(group: &Group, backend: &Backend, call: &Call<'_>, why: &str) {
+    group.metrics.attempt(reason(why));
     journal::write(
         "attempt",
         json!({ "id": call.id, "route": call.route.name, "service": group.name,
@@ -122,3 +123,8 @@
             "after_ms": clock::now().since(call.arrived).as_millis() as u64, "why": why }),
     );
 }
+
+/// The part of an explanation that is the same for all of its kind, for counters.
+fn reason(why: &str) -> &str {
+    why.split(':').next().unwrap_or(why)
+}
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -63,6 +63,9 @@
     let (metrics, stopping) = (endpoint.metrics.clone(), endpoint.stopping.clone());
     let (bound, address) = oneshot::channel();
     let endpoint = operator::build(config.operator_listen, endpoint, bound);
+    let counters = line
+        .metrics
+        .map(|address| operator::metrics_only(address, metrics.clone()));
     let promoter =
         dandelionpitch_platform::promoter::Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
@@ -83,7 +86,7 @@
             store_answers: Cell::new(false),
             publish,
         });
-        run(control, endpoint);
+        run(control, endpoint, counters);
     };
     std::thread::Builder::new()
         .name("control".to_owned())
@@ -92,7 +95,9 @@
     Ok(address)
 }
 
-fn run(control: Rc<Control>, endpoint: rocket::Rocket<rocket::Build>) {
+type Endpoint = rocket::Rocket<rocket::Build>;
+
+fn run(control: Rc<Control>, endpoint: Endpoint, counters: Option<Endpoint>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -101,6 +106,9 @@
         tokio::task::spawn_local(follow::run(control.clone()));
         tokio::task::spawn_local(member::run(control.clone()));
         tokio::task::spawn_local(failover::run(control.clone()));
+        if let Some(counters) = counters {
+            tokio::task::spawn_local(serve_counters(counters));
+        }
         if let Err(error) = endpoint.launch().await {
             journal::trouble("operator endpoint", &error.to_string());
         }
@@ -108,6 +116,13 @@
     });
 }
 
+/// Serves the counters; traffic goes on without them.
+async fn serve_counters(counters: Endpoint) {
+    if let Err(error) = counters.launch().await {
+        journal::trouble("metrics endpoint", &error.to_string());
+    }
+}
+
 impl Control {
     /// A client of the store as it now is.
     pub fn store(&self) -> Store {
@@ -255,6 +270,7 @@
                 "configuration",
                 json!({ "version": catalog.version, "before": before, "routes": catalog.routes.len() }),
             );
+            self.metrics.version(catalog.version);
             *self.catalog.borrow_mut() = Some(Arc::new(catalog));
         }
     }
--- a/crates/proxy/src/line/exchange.rs
+++ b/crates/proxy/src/line/exchange.rs
@@ -82,7 +82,7 @@
             answer = tokio::time::timeout(patience, sent) => match answer {
                 Ok(Ok(answer)) => Ok(answer),
                 Ok(Err(error)) => Err(error.to_string()),
-                Err(_) => Err(format!("no answer within {patience:?}")),
+                Err(_) => Err(format!("no answer in time: {patience:?}")),
             },
             () = gone(backend) => Err("its server cannot be reached".to_owned()),
         }
--- a/crates/proxy/src/line/follow.rs
+++ b/crates/proxy/src/line/follow.rs
@@ -38,6 +38,7 @@
                 control.expire();
             }
             Err(error) => {
+                control.metrics.store_error();
                 if control.store_answers.replace(false) {
                     journal::dependency("store", "lost", &error.to_string());
                 }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 
 use super::{backend::Backend, clock, isolation::Suspicion, journal};
+use crate::metrics::Metrics;
 
 /// The least time between two searches for the primary.
 const SEARCH_GAP: Duration = Duration::from_millis(150);
@@ -65,6 +66,7 @@
     pub name: String,
     dc: String,
     suspicion: Suspicion,
+    pub metrics: Metrics,
     servers: RefCell<Vec<Rc<Backend>>>,
     leader: RefCell<Option<Leader>>,
     marks: RefCell<Marks>,
@@ -83,11 +85,12 @@
 
 impl Group {
     /// A group that nothing is known of.
-    pub fn new(name: &str, dc: &str, suspicion: Suspicion) -> Rc<Self> {
+    pub fn new(name: &str, dc: &str, suspicion: Suspicion, metrics: Metrics) -> Rc<Self> {
         Rc::new(Self {
             name: name.to_owned(),
             dc: dc.to_owned(),
             suspicion,
+            metrics,
             servers: RefCell::default(),
             leader: RefCell::default(),
             marks: RefCell::default(),
@@ -127,7 +130,7 @@
                 }
                 None => {
                     changed = true;
-                    servers.push(Backend::new(entry, limit, self.suspicion.clone()));
+                    servers.push(self.new_backend(entry, limit));
                 }
             }
         }
@@ -153,6 +156,10 @@
         }
     }
 
+    fn new_backend(&self, entry: &Entry, limit: usize) -> Rc<Backend> {
+        Backend::new(entry, limit, self.suspicion.clone(), self.metrics.clone())
+    }
+
     /// All servers.
     pub fn servers(&self) -> Vec<Rc<Backend>> {
         self.servers.borrow().clone()
--- a/crates/proxy/src/line/member.rs
+++ b/crates/proxy/src/line/member.rs
@@ -42,6 +42,7 @@
             let pause = match renew(&control, &mut lease).await {
                 Ok(()) => RENEW_EVERY,
                 Err(error) => {
+                    control.metrics.store_error();
                     journal::trouble("lease", &error.to_string());
                     RETRY
                 }
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -78,9 +78,23 @@
 
 #[get("/metrics")]
 fn metrics(context: &State<Context>) -> String {
+    context.metrics.log_lines_dropped(journal::dropped());
     context.metrics.text()
 }
 
+/// Builds an endpoint that serves nothing but the counters.
+pub fn metrics_only(address: SocketAddr, metrics: Metrics) -> rocket::Rocket<rocket::Build> {
+    rocket::custom(operator::figment(address))
+        .manage(metrics)
+        .mount("/", routes![counters])
+}
+
+#[get("/metrics")]
+fn counters(metrics: &State<Metrics>) -> String {
+    metrics.log_lines_dropped(journal::dropped());
+    metrics.text()
+}
+
 /// Builds the endpoint; it serves once launched.
 pub fn build(
     address: SocketAddr,
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -20,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use super::{clock, connection::Connection, journal};
+use crate::metrics::Metrics;
 
 /// How long opening a connection may take. It takes a slot of the server for about 12 ms, behind
 /// whatever waits there.
@@ -88,11 +89,11 @@
 /// The pool of one server.
 pub struct Pool {
     server: Arc<Server>,
+    metrics: Metrics,
     state: RefCell<State>,
     limit: Cell<usize>,
     hold: Cell<Mean>,
     rest_until: Cell<Moment>,
-    opened: Cell<u64>,
 }
 
 /// A connection on loan. Dropped without [`Checkout::release`], it is closed, which rolls back
@@ -105,14 +106,14 @@
 
 impl Pool {
     /// An empty pool that may open `limit` connections.
-    pub fn new(server: Arc<Server>, limit: usize) -> Rc<Self> {
+    pub fn new(server: Arc<Server>, limit: usize, metrics: Metrics) -> Rc<Self> {
         Rc::new(Self {
             server,
+            metrics,
             state: RefCell::default(),
             limit: Cell::new(limit),
             hold: Cell::new(Mean::new(FIRST_HOLD)),
             rest_until: Cell::default(),
-            opened: Cell::default(),
         })
     }
 
@@ -141,11 +142,6 @@
         now < self.rest_until.get() && self.state.borrow().open == 0
     }
 
-    /// How many connections were opened so far.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     /// Closes idle connections and refuses all who wait: the server is gone.
     pub fn close(&self) {
         let mut state = self.state.borrow_mut();
@@ -224,7 +220,7 @@
         let (miss, why, pause) = match tokio::time::timeout(limit, open).await {
             Ok(Ok(link)) => {
                 place.keep();
-                self.opened.set(self.opened.get() + 1);
+                self.metrics.connection(&server.service);
                 return Ok(self.lend(Box::new(Connection::new(link))));
             }
             Ok(Err(Error::Refused(refusal))) if refusal.code == Code::TooManyConnections => {
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -18,6 +18,7 @@
     exchange::{checkout, exchange, settle},
     group::{Group, Leader},
 };
+use crate::metrics::Target;
 
 /// Runs a read or a write that stands alone.
 pub async fn alone(
@@ -167,6 +168,12 @@
         let why = "its server does not lead any more";
         return Err(Failure::NotRun(call.busy(why, OFFER_AGAIN)));
     }
+    if answer.result.is_ok() {
+        group.metrics.read(match group.led_by(backend) {
+            true => Target::Primary,
+            false => Target::Replica,
+        });
+    }
     answer.result.map_err(|refusal| {
         note_failure(group, backend, call, &refusal.to_string());
         match refusal.code.not_run() {
--- a/crates/proxy/src/line/session.rs
+++ b/crates/proxy/src/line/session.rs
@@ -308,6 +308,21 @@
             }
         }
         metrics.statement(result.is_ok());
+        let outcome = match &result {
+            Ok(_) => "ok".to_owned(),
+            Err(refusal) => refusal.code.to_string(),
+        };
+        let route = self.route.as_ref().map_or("none", |route| &route.name);
+        let seconds = clock::now().since(arrived).as_secs_f64();
+        metrics.answer(route, &outcome, seconds);
+        let target = self.route.as_ref().map(|route| route.target);
+        if result.is_ok() && target.is_some_and(|target| seconds > target.as_secs_f64()) {
+            journal::write(
+                "late",
+                json!({ "id": id, "route": route, "database": self.database,
+                    "after_ms": clock::now().since(arrived).as_millis() as u64 }),
+            );
+        }
     }
 
     /// Writes what is ready; `false` when the caller does not take it.
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -43,7 +43,7 @@
     }
 
     fn new_group(&self, name: &str) -> Rc<Group> {
-        Group::new(name, &self.dc, self.suspicion.clone())
+        Group::new(name, &self.dc, self.suspicion.clone(), self.metrics.clone())
     }
 
     /// Returns when callers at rest are better served elsewhere.
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 
 use opentelemetry::{
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
     KeyValue,
 };
 use opentelemetry_sdk::{
@@ -31,10 +31,21 @@
     statements: Counter<u64>,
     promotions: Counter<u64>,
     pool_wait: Histogram<f64>,
+    answers: Counter<u64>,
+    latency: Histogram<f64>,
+    attempts: Counter<u64>,
+    connections: Counter<u64>,
+    store_errors: Counter<u64>,
+    log_lines_dropped: Gauge<u64>,
+    version: Gauge<u64>,
     reader: Arc<ManualReader>,
     _provider: SdkMeterProvider,
 }
 
+/// The upper bounds of the latency histogram in seconds: fractions and multiples of the targets that
+/// routes usually have (0.2 to 0.8 s).
+const LATENCY_BOUNDS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
 /// Where a read went.
 #[derive(Clone, Copy, Debug)]
 pub enum Target {
@@ -90,6 +101,16 @@
             statements: meter.u64_counter("statements").build(),
             promotions: meter.u64_counter("promotions").build(),
             pool_wait: meter.f64_histogram("pool_wait_seconds").build(),
+            answers: meter.u64_counter("answers").build(),
+            latency: meter
+                .f64_histogram("latency_seconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            attempts: meter.u64_counter("attempts").build(),
+            connections: meter.u64_counter("connections_opened").build(),
+            store_errors: meter.u64_counter("store_errors").build(),
+            log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
+            version: meter.u64_gauge("configuration_version").build(),
             reader,
             _provider: provider,
         }
@@ -131,6 +152,42 @@
         self.promotions.add(1, &[]);
     }
 
+    /// Counts an answer to a caller of `route`, by its outcome (`ok` or the refusal's code), with the
+    /// time it took.
+    pub fn answer(&self, route: &str, outcome: &str, seconds: f64) {
+        let route = KeyValue::new("route", route.to_owned());
+        let outcome = KeyValue::new("outcome", outcome.to_owned());
+        self.answers.add(1, &[route.clone(), outcome]);
+        self.latency.record(seconds, &[route]);
+    }
+
+    /// Counts a statement that a server did not serve, by the reason.
+    pub fn attempt(&self, reason: &str) {
+        self.attempts
+            .add(1, &[KeyValue::new("reason", reason.to_owned())]);
+    }
+
+    /// Counts a connection opened to a server of `service`.
+    pub fn connection(&self, service: &str) {
+        self.connections
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts a call to the platform's store that failed.
+    pub fn store_error(&self) {
+        self.store_errors.add(1, &[]);
+    }
+
+    /// Notes how many log lines were left out because standard output was not read.
+    pub fn log_lines_dropped(&self, lines: u64) {
+        self.log_lines_dropped.record(lines, &[]);
+    }
+
+    /// Notes the version of the configuration in force.
+    pub fn version(&self, version: u64) {
+        self.version.record(version, &[]);
+    }
+
     /// Records how long a statement waited for a pooled connection.
     pub fn pool_wait(&self, seconds: f64) {
         self.pool_wait.record(seconds, &[]);
@@ -179,6 +236,28 @@
         .collect()
 }
 
+/// The counts of a histogram's buckets, each with those below it, as scrapers expect them.
+fn push_buckets(
+    figures: &mut Vec<Figure>,
+    name: &str,
+    base: &[(String, String)],
+    bounds: impl Iterator<Item = f64>,
+    counts: impl Iterator<Item = u64>,
+) {
+    let mut below = 0;
+    let bounds = bounds.map(|bound| bound.to_string());
+    for (bound, count) in bounds.chain(["+Inf".to_owned()]).zip(counts) {
+        below += count;
+        let mut attributes = base.to_vec();
+        attributes.push(("le".to_owned(), bound));
+        figures.push(Figure {
+            name: format!("{name}_bucket"),
+            attributes,
+            value: below as f64,
+        });
+    }
+}
+
 fn push(figures: &mut Vec<Figure>, name: &str, data: &AggregatedMetrics) {
     match data {
         AggregatedMetrics::U64(MetricData::Sum(sum)) => {
@@ -190,9 +269,19 @@
                 });
             }
         }
+        AggregatedMetrics::U64(MetricData::Gauge(gauge)) => {
+            for point in gauge.data_points() {
+                figures.push(Figure {
+                    name: name.to_owned(),
+                    attributes: attributes(point.attributes()),
+                    value: point.value() as f64,
+                });
+            }
+        }
         AggregatedMetrics::F64(MetricData::Histogram(histogram)) => {
             for point in histogram.data_points() {
                 let base = attributes(point.attributes());
+                push_buckets(figures, name, &base, point.bounds(), point.bucket_counts());
                 figures.push(Figure {
                     name: format!("{name}_count"),
                     attributes: base.clone(),
