--- a/crates/e2e/tests/line.rs
+++ b/crates/e2e/tests/line.rs
@@ -427,7 +427,7 @@
 
     for expected in [
         "statements{outcome=\"ok\"} 1",
-        "answers{outcome=\"ok\",route=\"latest-db\"} 1",
+        "answers{route=\"latest-db\",outcome=\"ok\"} 1",
         "latency_seconds_bucket{route=\"latest-db\",le=\"+Inf\"} 1",
         "connections_opened{service=\"ledger\"} ",
         "configuration_version{} 1",
