--- a/crates/engine/src/isolation.rs
+++ b/crates/engine/src/isolation.rs
@@ -12,7 +12,7 @@
 
 /// How long nothing outside the data centre may have been reached before it counts as cut off: two
 /// rounds of questions, so that one lost packet does not do it.
-pub const CERTAIN_AFTER: Duration = Duration::from_millis(350);
+pub const CERTAIN_AFTER: Duration = Duration::from_millis(250);
 
 /// How long after that the balancer sends no new callers any more: it asks once a second and takes
 /// a proxy out after the second miss.
--- a/crates/proxy/src/line/exchange.rs
+++ b/crates/proxy/src/line/exchange.rs
@@ -17,10 +17,14 @@
 
 /// After this many times the usual length without an answer, the server's machine is asked whether
 /// it is still there.
-const LOOK_AFTER: u32 = 3;
+const LOOK_AFTER: u32 = 2;
 
 /// The shortest wait before that: longer than nine in ten statements take.
-const LEAST_LOOK: Duration = Duration::from_millis(120);
+const LEAST_LOOK: Duration = Duration::from_millis(100);
+
+/// The longest wait before that: a cut of the data centre must be noticed however slow its servers
+/// were before.
+const MOST_LOOK: Duration = Duration::from_millis(250);
 
 /// An answer counts as lost after this many times the usual length of a statement on its server.
 const PATIENCE: u32 = 8;
@@ -96,7 +100,7 @@
 /// Returns when an answer is overdue and the server's machine is found not to be there.
 async fn gone(backend: &Backend) {
     loop {
-        let pause = (backend.latency() * LOOK_AFTER).max(LEAST_LOOK);
+        let pause = (backend.latency() * LOOK_AFTER).clamp(LEAST_LOOK, MOST_LOOK);
         tokio::time::sleep(pause).await;
         if !backend.reachable().await {
             return;
--- a/crates/proxy/src/line/isolation.rs
+++ b/crates/proxy/src/line/isolation.rs
@@ -13,7 +13,7 @@
 use super::{backend::Backend, clock, journal, shared::Shared};
 
 /// How long a live machine in another data centre needs to accept a connection.
-const REACH_TIMEOUT: Duration = Duration::from_millis(300);
+const REACH_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The pause between two rounds.
 const AGAIN: Duration = Duration::from_millis(100);
