--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -4,6 +4,8 @@
 
 use clap::{Parser, Subcommand};
 
+use crate::trace::Output;
+
 /// Operate dandelionpitch: check configuration bundles, put them in force, see what runs.
 #[derive(Debug, Parser)]
 #[command(version)]
@@ -41,6 +43,20 @@
         #[arg(long, default_value_t = 10)]
         window: u64,
     },
+    /// Follow one request through log files: its lines, and what the proxy believed before them.
+    Trace {
+        /// The request's id, as the caller sent it.
+        id: String,
+        /// Log files, one a proxy process.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// How much earlier context is shown, in milliseconds.
+        #[arg(long, default_value_t = 5_000)]
+        window: u64,
+        /// How the lines are printed.
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
     /// Show which bundle version each proxy runs, and who leads each group.
     Status {
         /// The platform KV endpoint.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -14,6 +14,7 @@
     burn,
     cli::Command,
     proxy::{self, Heartbeat},
+    trace,
 };
 
 /// Runs one command.
@@ -26,6 +27,12 @@
             objective,
             window,
         } => burn::report(&kv::Client::new(&kv), objective, window).await,
+        Command::Trace {
+            id,
+            files,
+            window,
+            output,
+        } => trace::report(&id, &files, window, output),
         Command::Status { kv } => status(&kv::Client::new(&kv)).await,
     }
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod command;
 mod proxy;
+mod trace;
 
 use clap::Parser;
 
--- /dev/null
+++ b/crates/ctl/src/trace.rs
@@ -0,0 +1,111 @@
+//! Follows one request through the proxies' logs: its own lines, and what each proxy said about its
+//! surroundings shortly before (`docs/OPERATIONS.md`).
+
+use std::{
+    fs::File,
+    io::{BufRead, BufReader},
+    path::PathBuf,
+};
+
+use clap::ValueEnum;
+use serde_json::Value;
+
+/// Lines that explain a request without naming it: what the process believed, and what it had lost.
+const CONTEXT: [&str; 16] = [
+    "process",
+    "stopping",
+    "dependency",
+    "isolation",
+    "leader",
+    "superseded",
+    "configuration",
+    "server",
+    "servers gone",
+    "duty",
+    "lease",
+    "failover",
+    "promoted",
+    "not promoted",
+    "order failed",
+    "connect",
+];
+
+/// How the lines found are printed.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum Output {
+    /// One line of text each.
+    Text,
+    /// The lines as they stand in the logs.
+    Json,
+}
+
+/// One log line.
+struct Line {
+    text: String,
+    at_ms: u64,
+    fields: Value,
+}
+
+/// The lines about request `id` in `files`, with each file's context of `window_ms` before them.
+pub fn report(
+    id: &str,
+    files: &[PathBuf],
+    window_ms: u64,
+    output: Output,
+) -> Result<String, String> {
+    let mut found = Vec::new();
+    for file in files {
+        let lines = read(file)?;
+        let about = lines.iter().filter(|line| line.fields["id"] == id);
+        let times: Vec<u64> = about.map(|line| line.at_ms).collect();
+        let (Some(first), Some(last)) = (times.iter().min(), times.iter().max()) else {
+            continue;
+        };
+        let span = first.saturating_sub(window_ms)..=*last;
+        let wanted = |line: &&Line| {
+            let kind = line.fields["kind"].as_str().unwrap_or_default();
+            let context = CONTEXT.contains(&kind) && span.contains(&line.at_ms);
+            context || line.fields["id"] == id
+        };
+        let lines = lines.iter().filter(wanted);
+        found.extend(lines.map(|line| show(file, line, output)));
+    }
+    match found.is_empty() {
+        true => Err(format!("no line about request {id}")),
+        false => Ok(found.join("\n")),
+    }
+}
+
+/// The log lines of a file; what is no log line, such as the first with the addresses, is left out.
+fn read(file: &PathBuf) -> Result<Vec<Line>, String> {
+    let failed = |error: std::io::Error| format!("cannot read {}: {error}", file.display());
+    let mut lines = Vec::new();
+    for text in BufReader::new(File::open(file).map_err(failed)?).lines() {
+        let text = text.map_err(failed)?;
+        let Ok(fields) = serde_json::from_str::<Value>(&text) else {
+            continue;
+        };
+        if let Some(at_ms) = fields["at_ms"].as_u64() {
+            lines.push(Line {
+                text,
+                at_ms,
+                fields,
+            });
+        }
+    }
+    Ok(lines)
+}
+
+fn show(file: &std::path::Path, line: &Line, output: Output) -> String {
+    let Output::Text = output else {
+        return line.text.clone();
+    };
+    let kind = line.fields["kind"].as_str().unwrap_or_default();
+    let fields = line.fields.as_object().into_iter().flatten();
+    let rest: Vec<String> = fields
+        .filter(|(name, _)| !["at_ms", "kind"].contains(&name.as_str()))
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    let file = file.display();
+    format!("{file} {} {kind}: {}", line.at_ms, rest.join(" "))
+}
--- /dev/null
+++ b/crates/e2e/tests/explain.rs
@@ -0,0 +1,129 @@
+//! A caller complains about one request: its id and the proxies' log lines must be enough to find
+//! the cause (`docs/OPERATIONS.md`).
+
+mod fixture;
+
+use std::{path::PathBuf, time::Duration};
+
+use fixture::line::{Answer, Site, LATEST};
+
+/// Writes what a proxy has logged so far into a file, as operators collect it.
+fn collect(site: &Site, name: &str) -> PathBuf {
+    std::thread::sleep(Duration::from_millis(300));
+    let path = std::env::temp_dir().join(format!("dp-log-{name}-{}", std::process::id()));
+    let lines = site.proxies[0]
+        .process
+        .log
+        .lock()
+        .expect("no writer panics");
+    std::fs::write(&path, lines.join("\n")).expect("the log is written");
+    path
+}
+
+fn trace(id: &str, log: &PathBuf) -> String {
+    let (found, text) = fixture::dpctl(&["trace", id, log.to_str().expect("a text path")]);
+    assert!(found, "{text}");
+    text
+}
+
+/// More callers write than connections serve in time. One is refused at once; its line says that
+/// work was waiting, and when to come back. Of many at once only some get a line of their own.
+#[tokio::test]
+async fn refused_under_load() {
+    let site = Site::start("explain-load", 1).await;
+    let mut holders: Vec<_> = (0..20).map(|_| site.caller(0, LATEST)).collect();
+    for _ in 0..2 {
+        for holder in &mut holders {
+            holder.send("QUERY hold BEGIN");
+            holder.send("QUERY hold PUT a v");
+        }
+        for holder in &mut holders {
+            assert!(holder.answer().done());
+            holder.answer();
+        }
+        std::thread::sleep(Duration::from_millis(1_200));
+        holders.iter_mut().for_each(|holder| {
+            holder.ask("ROLLBACK");
+        });
+    }
+
+    let mut callers: Vec<_> = (0..60).map(|_| site.caller(0, LATEST)).collect();
+    for holder in &mut holders {
+        holder.ask("BEGIN");
+        holder.send("QUERY hold PUT a v");
+    }
+    for (index, caller) in callers.iter_mut().enumerate() {
+        caller.send(&format!("QUERY load{index} PUT b v"));
+    }
+    let answers: Vec<Answer> = callers.iter_mut().map(|caller| caller.answer()).collect();
+    let refused = answers.iter().position(|answer| answer.code() == "BUSY");
+    let refused = refused.expect("one of them is refused");
+    let log = collect(&site, "load");
+    let text = trace(&format!("load{refused}"), &log);
+
+    assert!(text.contains("too much work is waiting"), "{text}");
+    assert!(text.contains("come back in"), "{text}");
+}
+
+/// The primary stops being heard by its replicas, and a write there gets no answer: its outcome is
+/// unknown. The lines name the server, and the failover that followed.
+#[tokio::test]
+async fn outcome_unknown_in_a_failover() {
+    let site = Site::start("explain-unknown", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a v").done());
+
+    site.fault(0, "cut", true).await;
+    caller.send("QUERY doubtful PUT b v");
+    let answer = caller.answer();
+    caller.ask_until_done("PUT c v", Duration::from_secs(10));
+    let log = collect(&site, "unknown");
+    let text = trace("doubtful", &log);
+
+    assert_eq!(answer.code(), "UNKNOWN");
+    assert!(text.contains("server=\"i-0\""), "{text}");
+    assert!(text.contains("no answer in time"), "{text}");
+    let (_, json) = fixture::dpctl(&[
+        "trace",
+        "doubtful",
+        log.to_str().expect("a text path"),
+        "--output",
+        "json",
+    ]);
+    assert!(json.lines().all(|line| line.starts_with('{')), "{json}");
+    let all = std::fs::read_to_string(&log).expect("the log is there");
+    assert!(all.contains("\"kind\":\"promoted\""), "{all}");
+}
+
+/// Nothing proves any more that the primary leads: a read that must see every commit is refused, and
+/// its line says so.
+#[tokio::test]
+async fn unproved_read_is_refused() {
+    let site = Site::start("explain-read", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("FETCH a").done());
+    std::thread::sleep(Duration::from_millis(800));
+
+    for replica in [1, 2] {
+        site.fault(replica, "silent", true).await;
+    }
+    caller.send("QUERY unproved FETCH a");
+    let answer = caller.answer();
+    let log = collect(&site, "read");
+    let text = trace("unproved", &log);
+
+    assert_eq!(answer.code(), "BUSY");
+    assert!(text.contains("not proved to lead"), "{text}");
+}
+
+/// An id that no log has is said to be unknown.
+#[tokio::test]
+async fn unknown_id_is_an_error() {
+    let site = Site::start("explain-none", 1).await;
+    let log = collect(&site, "none");
+
+    let (found, text) = fixture::dpctl(&["trace", "nobody", log.to_str().expect("a text path")]);
+
+    assert!(!found);
+    assert!(text.contains("no line about request nobody"), "{text}");
+}
