--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -146,9 +146,14 @@
             }
             status
         };
-        match tokio::time::timeout(STATUS_TIMEOUT, ask).await {
+        let status = match tokio::time::timeout(STATUS_TIMEOUT, ask).await {
             Ok(status) => status,
             Err(_) => Err(Error::Timeout),
+        };
+        if matches!(status, Err(Error::Timeout)) {
+            // Only for what it notes: a server that is there may just be busy.
+            self.reachable().await;
         }
+        status
     }
 }
--- a/crates/proxy/src/line/exchange.rs
+++ b/crates/proxy/src/line/exchange.rs
@@ -49,20 +49,18 @@
         Failure::NotRun(missed(call, miss))
     })?;
     let connection = checkout.connection();
-    let dressed = tokio::time::timeout(call.left(), dress(connection, session));
-    match dressed.await {
-        Ok(Ok(())) => Ok(checkout),
-        // Nothing of the caller's was sent.
-        Ok(Err(error)) => {
-            backend.avoid();
-            let why = call.busy(&error.to_string(), OFFER_AGAIN);
-            Err(Failure::NotRun(why))
-        }
-        Err(_) => {
-            backend.avoid();
-            Err(Failure::NotRun(call.busy("its time is up", OFFER_AGAIN)))
-        }
-    }
+    let why = tokio::select! {
+        biased;
+        dressed = tokio::time::timeout(call.left(), dress(connection, session)) => match dressed {
+            Ok(Ok(())) => return Ok(checkout),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "its time is up".to_owned(),
+        },
+        () = gone(backend) => "its server cannot be reached".to_owned(),
+    };
+    // Nothing of the caller's was sent.
+    backend.avoid();
+    Err(Failure::NotRun(call.busy(&why, OFFER_AGAIN)))
 }
 
 /// Sends the statement and reads its answer. When the answer counts as lost, or the server's
