--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -21,8 +21,9 @@
     takeover::Status,
     time::Moment,
 };
+use futures::{stream::FuturesUnordered, StreamExt};
 use serde_json::json;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::timeout};
 
 use super::{backend::Backend, clock, isolation::Suspicion, journal};
 use crate::metrics::Metrics;
@@ -30,6 +31,12 @@
 /// The least time between two searches for the primary.
 const SEARCH_GAP: Duration = Duration::from_millis(150);
 
+/// How long a search waits for the next of several answers: longer than a status may take.
+const STATUS_LIMIT: Duration = Duration::from_millis(500);
+
+/// How long a search waits for the last answer: a status behind a queue of usual length.
+const LAST_STATUS: Duration = Duration::from_millis(100);
+
 /// How long after its first sign of leaving a server may still be given work if nothing else can
 /// take it. Below the platform's bound for it (7 s), with room for what is on its way.
 const LEAVING_USE: Duration = Duration::from_millis(5_000);
@@ -224,17 +231,29 @@
         });
     }
 
+    /// The statuses of all servers that answer. The last one is not waited for long: it is the one
+    /// that the search is about, or one that is out of reach.
     async fn statuses(&self) -> Vec<(Rc<Backend>, Status)> {
+        let servers = self.servers();
+        let all_but_one = servers.len().saturating_sub(1);
         let ask = |backend: Rc<Backend>| async move {
-            let status = backend.status().await.ok()?;
-            Some((backend, status))
+            let status = backend.status().await;
+            (backend, status)
         };
-        let asked = self.servers().into_iter().map(ask);
-        futures::future::join_all(asked)
-            .await
-            .into_iter()
-            .flatten()
-            .collect()
+        let mut asked: FuturesUnordered<_> = servers.into_iter().map(ask).collect();
+        let mut found = Vec::new();
+        loop {
+            let patience = match found.len() >= all_but_one {
+                true => LAST_STATUS,
+                false => STATUS_LIMIT,
+            };
+            match timeout(patience, asked.next()).await {
+                Ok(Some((backend, Ok(status)))) => found.push((backend, status)),
+                // Its reason was noted where it was asked.
+                Ok(Some((_, Err(_)))) => {}
+                Ok(None) | Err(_) => return found,
+            }
+        }
     }
 
     fn adopt(&self, statuses: &[(Rc<Backend>, Status)]) {
