--- a/crates/e2e/tests/line.rs
+++ b/crates/e2e/tests/line.rs
@@ -305,6 +305,29 @@
     assert!(site.count("doubtful", "v").await <= 1);
 }
 
+/// The proxy is cut off with the primary: the first write hangs and its outcome is unknown. Writes
+/// that come after it are refused as not run, so that their callers may repeat them elsewhere.
+#[tokio::test]
+async fn writes_behind_one_that_hangs_are_not_run() {
+    let site = Site::start("hangs", 1).await;
+    let mut first = site.caller(0, LATEST);
+    let mut second = site.caller(0, LATEST);
+    assert!(first.ask("PUT a 0").done());
+    site.fault(0, "cut", true).await;
+    for replica in [1, 2] {
+        site.fault(replica, "silent", true).await;
+    }
+
+    first.send("QUERY hangs PUT b v");
+    std::thread::sleep(Duration::from_millis(300));
+    let later = second.ask("PUT c v");
+    let hung = first.answer();
+
+    assert_eq!(hung.code(), "UNKNOWN");
+    assert_eq!(later.code(), "BUSY", "{later:?}");
+    assert_eq!(site.count("c", "v").await, 0);
+}
+
 /// A planned stop: the proxy is not ready at once, an open transaction may end, a resting session is
 /// closed, nothing read is left without an answer.
 #[tokio::test]
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -79,6 +79,8 @@
     marks: RefCell<Marks>,
     lease: Cell<Lease>,
     sync_replicas: Cell<usize>,
+    /// A write to the primary is long without an answer, and none has been answered since.
+    doubted: Cell<bool>,
     /// When a replica last spoke for another primary.
     denied: Cell<Moment>,
     /// The newest position of the primary whose lease was not yet confirmed.
@@ -104,6 +106,7 @@
             lease: Cell::default(),
             sync_replicas: Cell::default(),
             denied: Cell::default(),
+            doubted: Cell::default(),
             unconfirmed: Cell::default(),
             searched: Cell::default(),
             search: Flight::default(),
@@ -205,6 +208,27 @@
         }
     }
 
+    /// Notes that a write to `backend` is long without an answer.
+    pub fn doubt(&self, backend: &Rc<Backend>) {
+        if self.led_by(backend) && !self.doubted.replace(true) {
+            journal::write(
+                "doubt",
+                json!({ "service": self.name, "server": backend.server.id }),
+            );
+            self.revoke();
+        }
+    }
+
+    /// Whether writes need the replicas' word first.
+    ///
+    /// Failure: the primary is cut off with this data centre; every write sent to it hangs, and its
+    /// caller hears that the outcome is unknown and cannot repeat it. Guard: after the first one
+    /// that hangs, a write is sent only if a replica, asked after it came, obeys the primary; else
+    /// its caller hears that nothing was run.
+    pub fn doubted(&self) -> bool {
+        self.doubted.get()
+    }
+
     fn revoke(&self) {
         self.lease.set(Lease::default());
         self.unconfirmed.set(None);
@@ -278,6 +302,7 @@
                 "asked": statuses.len(), "before": known.map(|l| l.backend.server.id.clone()) }),
         );
         self.revoke();
+        self.doubted.set(false);
         *self.leader.borrow_mut() = Some(Leader {
             backend: backend.clone(),
             term: status.term,
--- a/crates/proxy/src/line/group/proof.rs
+++ b/crates/proxy/src/line/group/proof.rs
@@ -124,7 +124,11 @@
     /// Takes an acknowledged commit, sent at `asked`, as the word of the replicas that received it:
     /// they followed the primary and were not held.
     pub fn note_commit(&self, backend: &Rc<Backend>, asked: Moment) {
-        if !self.led_by(backend) || self.sync_replicas.get() == 0 {
+        if !self.led_by(backend) {
+            return;
+        }
+        self.doubted.set(false);
+        if self.sync_replicas.get() == 0 {
             return;
         }
         self.confirmed(Poll {
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -188,6 +188,26 @@
     })
 }
 
+/// Waits for a write's answer, and has the primary doubted when it is overdue.
+pub async fn doubting<T>(
+    group: &Rc<Group>,
+    backend: &Rc<Backend>,
+    sent: impl std::future::Future<Output = T>,
+) -> T {
+    let mut sent = std::pin::pin!(sent);
+    match tokio::time::timeout(OVERDUE.max(backend.latency() * 4), &mut sent).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            group.doubt(backend);
+            sent.await
+        }
+    }
+}
+
+/// When the answer to a write is overdue, at least: longer than the longest usual work (82 ms) and
+/// two round trips to a replica.
+const OVERDUE: std::time::Duration = std::time::Duration::from_millis(150);
+
 /// Runs a write. One that was not run is offered again while its time lasts; one that may have run
 /// is never sent twice.
 async fn write(
@@ -196,7 +216,7 @@
     call: &Call<'_>,
 ) -> Result<Success, Refusal> {
     // Cut off, the primary may be on this side and its replicas on the other: it would never answer.
-    if call.isolated && !group.confirm(call.arrived).await {
+    if (call.isolated || group.doubted()) && !group.confirm(call.arrived).await {
         return Err(call.busy("this data centre is cut off", CUT_OFF));
     }
     let mut last = call.busy("no primary is known", COME_BACK);
@@ -216,7 +236,8 @@
             Err(Failure::Lost(why)) => return Err(Refusal::new(Code::Unknown, why)),
         };
         let asked = clock::now();
-        let (answer, checkout) = exchange(checkout, backend, call, None).await;
+        let sent = exchange(checkout, backend, call, None);
+        let (answer, checkout) = doubting(group, backend, sent).await;
         let answer = match answer {
             Ok(answer) => answer,
             Err(why) => {
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -78,7 +78,11 @@
     for send in 1.. {
         let Pinned { checkout, backend } = held;
         let asked = clock::now();
-        let (answer, checkout) = exchange(checkout, &backend, call, None).await;
+        let sent = exchange(checkout, &backend, call, None);
+        let (answer, checkout) = match call.effect == Effect::Commit && wrote {
+            true => run::doubting(group, &backend, sent).await,
+            false => sent.await,
+        };
         let (answer, checkout) = match (answer, checkout) {
             (Ok(answer), Some(checkout)) => (answer, checkout),
             (answer, _) => {
@@ -164,7 +168,8 @@
     call: &Call<'_>,
 ) -> Result<Pinned, Refusal> {
     let mut last = call.busy("no server can take the transaction", SEND_AGAIN);
-    if call.isolated && !transaction.read_only && !group.confirm(transaction.begun).await {
+    let doubtful = call.isolated || group.doubted();
+    if doubtful && !transaction.read_only && !group.confirm(transaction.begun).await {
         return Err(call.busy("this data centre is cut off", CUT_OFF));
     }
     loop {
