--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -8,7 +8,7 @@
 
 use dandelionpitch_core::position::Position;
 
-use crate::{registry::Role, time::Moment};
+use crate::{freshness::PROMOTION_WAIT, registry::Role, time::Moment};
 
 /// How long a primary may be out of sight before it is replaced. Two missed questions at
 /// [`ASK_EVERY`], and above the time that a restart of the group's own network paths takes.
@@ -30,6 +30,23 @@
 /// between two questions to one of them in a calm group.
 const SUSPECT_AFTER: Duration = Duration::from_millis(550);
 
+/// How long a server may run before its registration is seen: a heartbeat and the list's lag.
+const UNSEEN: Duration = Duration::from_millis(2_100);
+
+/// How long a promoter waits after the members obey it.
+///
+/// Failure: servers are being replaced, the primary is cut off, and a replica that has just come acknowledges
+/// its commits before its registration is seen; the server that is promoted lacks them. Guard: while servers
+/// are being replaced, and unless the old primary stepped down, the promoter waits until any such
+/// replica would be seen, and begins anew with it. The first replacement of a series gives no such
+/// sign; see KNOWN-RED.txt.
+pub fn promotion_wait(replacing: bool, stepped_down: bool) -> Duration {
+    match replacing && !stepped_down {
+        true => PROMOTION_WAIT + UNSEEN,
+        false => PROMOTION_WAIT,
+    }
+}
+
 /// Two holders may not replace the same primary shortly after each other; a holder that sees a
 /// replacement by another one waits this long, more than any lease of the duty.
 pub const TURN_GAP: Duration = Duration::from_secs(5);
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -257,3 +257,16 @@
 
     assert_eq!(roster.ids(), recorded);
 }
+
+/// Servers are being replaced and the primary is cut off: a replica that has just come may have
+/// acknowledged its commits before it is known. A primary that stepped down acknowledges nothing.
+#[parameterized(
+    calm = { false, false, false },
+    replacing = { true, false, true },
+    replacing_but_stepped_down = { true, true, false },
+)]
+fn promoter_waits_for_replicas_not_seen_yet(replacing: bool, stepped_down: bool, longer: bool) {
+    let wait = takeover::promotion_wait(replacing, stepped_down);
+
+    assert_eq!(wait > Duration::from_secs(2), longer);
+}
--- a/crates/proxy/src/line/attempt.rs
+++ b/crates/proxy/src/line/attempt.rs
@@ -3,8 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use dandelionpitch_engine::{
-    freshness::PROMOTION_WAIT,
-    registry::Role,
+    registry::{Entry, Role},
     roster::Roster,
     takeover::{self, Cause, Fenced, Member, Sight},
 };
@@ -81,8 +80,12 @@
             let fenced = fenced.len();
             return Err(Stopped::NoChoice { fenced, quorum });
         };
-        let wait = clock::now().until(held_at + PROMOTION_WAIT);
-        tokio::time::sleep(wait).await;
+        let replacing = self.control.registry.borrow().replacing(held_at);
+        let wait = takeover::promotion_wait(replacing, stepped_down.is_some());
+        tokio::time::sleep(clock::now().until(held_at + wait)).await;
+        if self.has_grown() {
+            return Err(Stopped::Grown);
+        }
         let duty = self.control.duty.borrow().token(clock::now());
         let token = duty.ok_or(Stopped::NoDuty)?;
         self.record(token, &chosen.id).await?;
@@ -90,6 +93,13 @@
         Ok(chosen.id.clone())
     }
 
+    /// Whether a server has come that was not held.
+    fn has_grown(&self) -> bool {
+        let now = self.control.servers_of(&self.service);
+        let known = |entry: &Entry| self.members.iter().any(|m| m.id == entry.server.id);
+        !now.iter().all(known)
+    }
+
     /// Holds every other member and tells the old primary to step down, all at once. A member that
     /// is out of sight is not waited for once the others suffice.
     async fn fence(&self, term: u64, quorum: usize) -> (Vec<Fenced>, Option<Fenced>) {
--- a/crates/proxy/src/line/record.rs
+++ b/crates/proxy/src/line/record.rs
@@ -16,6 +16,8 @@
 pub enum Stopped {
     #[display("only {fenced} of {quorum} members are held")]
     NoChoice { fenced: usize, quorum: usize },
+    #[display("a server has come that is not held")]
+    Grown,
     #[display("the duty is no longer held")]
     NoDuty,
     #[display("the store says that the duty is another's, or the record changed")]
