--- /dev/null
+++ b/crates/e2e/tests/line_faults.rs
@@ -0,0 +1,249 @@
+//! The line protocol under failure, as separate processes: servers, proxies and the store die, hang,
+//! are cut off or stopped while callers work.
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::line::{rows, Answer, Site, LATEST};
+
+/// A failover: noticing, holding the replicas, the wait and the stand-in's 300 ms.
+const FAILOVER_LIMIT: Duration = Duration::from_secs(6);
+
+/// A caller leaves in the middle of a transaction: its writes are gone, its connection is free.
+#[tokio::test]
+async fn caller_that_leaves_inside_a_transaction_keeps_nothing() {
+    let site = Site::start("leaves", 1).await;
+    for _ in 0..20 {
+        let mut caller = site.caller(0, LATEST);
+        assert!(caller.ask("BEGIN").done());
+        assert!(caller.ask("PUT a dropped").done());
+    }
+    let mut other = site.caller(0, LATEST);
+
+    other.ask_until_done("PUT b kept", Duration::from_secs(5));
+
+    assert_eq!(site.count("a", "dropped").await, 0);
+}
+
+/// A caller rests inside a transaction for longer than allowed: the transaction is rolled back, and
+/// its next statement must not run outside of it.
+#[tokio::test]
+async fn rested_transaction_is_rolled_back_and_told_so() {
+    let site = Site::start("rests", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("BEGIN").done());
+    assert!(caller.ask("PUT a dropped").done());
+
+    std::thread::sleep(Duration::from_millis(1_000));
+    let late = caller.ask("PUT a late");
+
+    assert_eq!((late.code(), late.state.as_str()), ("ABORTED", "E"));
+    assert!(caller.ask("ROLLBACK").done());
+    assert_eq!(site.count("a", "late").await, 0);
+}
+
+/// The store forgets its history while the configuration changes: the proxy reads everything anew.
+#[tokio::test]
+async fn configuration_is_followed_across_a_forgotten_history() {
+    let site = Site::start("history", 1).await;
+
+    site.store("down", true).await;
+    site.configure(5, &[LATEST, "new-db"]).await;
+    site.store("forget", true).await;
+    site.store("down", false).await;
+    let in_force = fixture::eventually(Duration::from_secs(5), || async {
+        let mut caller = site.connect(0);
+        caller.send("START new-db test");
+        caller.line().starts_with("READY")
+    });
+
+    assert!(in_force.await);
+}
+
+/// The store is down for good: what is in force stays in force.
+#[tokio::test]
+async fn proxy_serves_on_without_the_store() {
+    let site = Site::start("no-store", 1).await;
+    let mut caller = site.caller(0, LATEST);
+
+    site.store("down", true).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+
+    assert!(caller.ask("PUT a one").done());
+    assert!(site.ready_now(0).await);
+}
+
+/// Callers write all the time while the primary's machine dies. Writes go on at another server, and
+/// every acknowledged one is in its log, once.
+#[tokio::test]
+async fn dead_primary_is_replaced_and_nothing_acknowledged_is_lost() {
+    let site = Site::start("dead", 2).await;
+    let mut caller = site.caller(0, LATEST);
+    let mut acknowledged = Vec::new();
+    for round in 0..20 {
+        if caller.ask(&format!("PUT k{round} v")).done() {
+            acknowledged.push(round);
+        }
+    }
+
+    site.fault(0, "dead", true).await;
+    let gap = caller.ask_until_done("PUT after v", FAILOVER_LIMIT);
+    let group = site.group().await;
+
+    println!("write gap {gap:?}");
+    assert_ne!(group["leader"], 0);
+    for round in acknowledged {
+        assert_eq!(site.count(&format!("k{round}"), "v").await, 1, "k{round}");
+    }
+}
+
+/// The primary is cut off from its replicas and still answers the proxies: a commit there would
+/// never be acknowledged, and a read there would soon be stale.
+#[tokio::test]
+async fn cut_off_primary_is_replaced_and_not_read_any_more() {
+    let site = Site::start("cut", 2).await;
+    let mut writer = site.caller(0, LATEST);
+    assert!(writer.ask("PUT a old").done());
+
+    site.fault(0, "cut", true).await;
+    writer.ask_until_done("PUT a new", FAILOVER_LIMIT * 2);
+    let mut reader = site.caller(1, LATEST);
+    let seen: Vec<Answer> = (0..20).map(|_| reader.ask("FETCH a")).collect();
+
+    for answer in seen.iter().filter(|answer| answer.done()) {
+        assert_eq!(rows(answer), ["new"]);
+    }
+    assert!(seen.iter().any(Answer::done));
+}
+
+/// The primary is to be stopped: another server leads before it is, and no write is in doubt.
+#[tokio::test]
+async fn leaving_primary_is_replaced_without_a_doubtful_write() {
+    let site = Site::start("leaving", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a 0").done());
+
+    site.fault(0, "leaving", true).await;
+    let mut codes = Vec::new();
+    let mut moved = false;
+    for round in 1..200 {
+        let answer = caller.ask(&format!("PUT a {round}"));
+        match answer.done() {
+            true => moved = answer.server() != "i-0",
+            false => codes.push(answer.code().to_owned()),
+        }
+        if moved {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+
+    assert!(moved);
+    assert!(!codes.iter().any(|code| code == "UNKNOWN"), "{codes:?}");
+}
+
+/// The primary takes a write and never answers: whether it is kept is not known, and it is not sent
+/// again.
+#[tokio::test]
+async fn write_without_an_answer_is_not_repeated() {
+    let site = Site::start("doubt", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a 0").done());
+
+    for server in [1, 2] {
+        site.fault(server, "deaf", true).await;
+    }
+    let answer = caller.ask("PUT doubtful v");
+    for server in [1, 2] {
+        site.fault(server, "deaf", false).await;
+    }
+    caller.ask_until_done("PUT a 1", FAILOVER_LIMIT);
+
+    assert!(["UNKNOWN", "BUSY"].contains(&answer.code()), "{answer:?}");
+    assert!(site.count("doubtful", "v").await <= 1);
+}
+
+/// The proxy is cut off with the primary: the first write hangs and its outcome is unknown. Writes
+/// that come after it are refused as not run, so that their callers may repeat them elsewhere.
+#[tokio::test]
+async fn writes_behind_one_that_hangs_are_not_run() {
+    let site = Site::start("hangs", 1).await;
+    let mut first = site.caller(0, LATEST);
+    let mut second = site.caller(0, LATEST);
+    assert!(first.ask("PUT a 0").done());
+    site.fault(0, "cut", true).await;
+    for replica in [1, 2] {
+        site.fault(replica, "silent", true).await;
+    }
+
+    first.send("QUERY hangs PUT b v");
+    std::thread::sleep(Duration::from_millis(300));
+    let later = second.ask("PUT c v");
+    let hung = first.answer();
+
+    assert_eq!(hung.code(), "UNKNOWN");
+    assert_eq!(later.code(), "BUSY", "{later:?}");
+    assert_eq!(site.count("c", "v").await, 0);
+}
+
+/// A planned stop: the proxy is not ready at once, an open transaction may end, a resting session is
+/// closed, nothing read is left without an answer.
+#[tokio::test]
+async fn planned_stop_cuts_nothing_off() {
+    let mut site = Site::start("stop", 1).await;
+    let mut open = site.caller(0, LATEST);
+    let mut resting = site.caller(0, LATEST);
+    assert!(open.ask("BEGIN").done());
+    assert!(open.ask("PUT a one").done());
+
+    site.proxies[0].process.terminate();
+    let unready = fixture::eventually(Duration::from_secs(1), || async {
+        !site.ready_now(0).await
+    });
+    assert!(unready.await);
+    let mut late = site.caller(0, LATEST);
+    assert!(
+        late.ask("FETCH b").done(),
+        "callers still come for a moment"
+    );
+    std::thread::sleep(Duration::from_millis(400));
+    let commit = open.ask("COMMIT");
+
+    assert!(commit.done(), "{commit:?}");
+    assert_eq!(resting.line(), "", "closed without a word");
+    assert!(site.proxies[0].process.ended(Duration::from_secs(6)));
+    assert_eq!(site.count("a", "one").await, 1);
+}
+
+/// All proxies are killed at once: with no disk, the store alone brings the service back.
+#[tokio::test]
+async fn proxies_killed_together_come_back_from_the_store() {
+    let mut site = Site::start("all-killed", 2).await;
+    site.configure(3, &[LATEST, "new-db"]).await;
+
+    for proxy in &mut site.proxies {
+        proxy.process.kill();
+    }
+    for index in 0..2 {
+        site.proxies[index] = site.start_proxy(index);
+    }
+
+    assert!(site.is_ready(0).await && site.is_ready(1).await);
+    assert!(site.caller(1, "new-db").ask("PUT a one").done());
+}
+
+/// A proxy dies in the middle of a transaction: nothing of it is kept.
+#[tokio::test]
+async fn proxy_killed_inside_a_transaction_keeps_nothing() {
+    let mut site = Site::start("killed", 2).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("BEGIN").done());
+    assert!(caller.ask("PUT a dropped").done());
+
+    site.proxies[0].process.kill();
+    let other = site.caller(1, LATEST).ask("FETCH a");
+
+    assert_eq!(rows(&other), ["-"]);
+    assert_eq!(site.count("a", "dropped").await, 0);
+}
