--- a/crates/e2e/tests/line_faults.rs
+++ b/crates/e2e/tests/line_faults.rs
@@ -74,7 +74,7 @@
     assert!(site.ready_now(0).await);
 }
 
-/// Callers write all the time while the primary's machine dies. Writes go on at another server, and
+/// Callers write all the time while the primary's VM dies. Writes go on at another server, and
 /// every acknowledged one is in its log, once.
 #[tokio::test]
 async fn dead_primary_is_replaced_and_nothing_acknowledged_is_lost() {
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -52,8 +52,8 @@
 /// Load pattern: a primary fails, or a data centre is cut off, and for a second or more every
 /// statement finds nobody to serve it. Held until its timeout it is late in any case, and its
 /// caller cannot try elsewhere; refused at once it can, and comes back when there is a primary
-/// again. Four runs a day: mean score of vkb-riga 0.859 held to three quarters of the timeout, 0.878
-/// refused after a fifth of the target.
+/// again. Mean score of days with failures (docs/TRIALS.md, four runs each): 0.859 when held to three
+/// quarters of the timeout, 0.878 when refused after a fifth of the target.
 pub fn may_look(waited: Duration, target: Duration) -> bool {
     waited <= target / LOOKING_PART
 }
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -77,11 +77,6 @@
     pub fn newest(&self) -> Option<Mark> {
         self.marks.back().copied()
     }
-
-    /// Forgets everything.
-    pub fn clear(&mut self) {
-        self.marks.clear();
-    }
 }
 
 /// What the other members said when they were asked, all after `asked`, about the primary.
--- a/crates/engine/src/share.rs
+++ b/crates/engine/src/share.rs
@@ -14,7 +14,7 @@
 /// the store while it holds its connections to the servers.
 ///
 /// Failure: two of seven proxies lose the store, the others share out their connections, and the
-/// server refuses new ones to all. Guard: shares grow only after a cut-off machine is likely to
+/// server refuses new ones to all. Guard: shares grow only after a cut-off VM is likely to
 /// be back or gone.
 const REMEMBERED: Duration = Duration::from_secs(20);
 
@@ -69,8 +69,8 @@
 /// Load pattern: replicas fall behind, all reads go to the primary, and its queue grows to several
 /// times its slots: every statement is late, and those of transactions several times over. With
 /// fewer connections the work waits in the proxies, by priority and due time, and what would be
-/// late is refused on arrival. Four runs a day of `max_connections` shared out against half of it:
-/// replicas 3 s behind 0.833 to 0.892 and 0.920 to 0.998, answers lost 0.873 to 0.990.
+/// late is refused on arrival. Mean score of days with replicas 3 s behind (docs/TRIALS.md, four runs
+/// each), all connections shared out against half of them: 0.833 to 0.892 and 0.920 to 0.998.
 pub fn connections(max_connections: u32, slots: u32, members: usize) -> usize {
     let members = members.max(1);
     let usable = max_connections.saturating_sub(RESERVE) as usize;
--- a/crates/engine/src/time.rs
+++ b/crates/engine/src/time.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-/// A moment on a clock that goes on counting while the machine is suspended.
+/// A moment on a clock that goes on counting while the VM is suspended.
 ///
 /// Failure: a suspended VM wakes and `std::time::Instant` says that no time has passed, so a lease
 /// or a freshness bound that ran out long ago still looks valid. Guard: the daemon fills this from
@@ -14,7 +14,7 @@
 pub struct Moment(Duration);
 
 impl Moment {
-    /// The moment `since_boot` after the machine started.
+    /// The moment `since_boot` after the VM started.
     pub const fn from_boot(since_boot: Duration) -> Self {
         Self(since_boot)
     }
--- a/crates/engine/tests/freshness.rs
+++ b/crates/engine/tests/freshness.rs
@@ -128,7 +128,7 @@
     assert!(!lease.valid(at(last + 1)));
 }
 
-/// A machine is suspended with a valid lease and wakes after another server was promoted.
+/// A VM is suspended with a valid lease and wakes after another server was promoted.
 #[test]
 fn lease_does_not_outlive_a_suspension() {
     let mut lease = Lease::default();
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -29,10 +29,10 @@
 /// How long a server may take to say how it stands.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long a machine needs to accept a connection, with two round trips between data centres.
+/// How long a VM needs to accept a connection, with two round trips between data centres.
 const REACH_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How long a machine that accepted a connection counts as there.
+/// How long a VM that accepted a connection counts as there.
 const REACH_HOLDS: Duration = Duration::from_millis(200);
 
 /// The priority of the proxy's own questions: they go before all statements, which wait for them.
@@ -47,7 +47,7 @@
     pub missing: Cell<bool>,
     latency: Cell<Mean>,
     avoid_until: Cell<Moment>,
-    /// When its machine last accepted a connection made to find out whether it is there.
+    /// When its VM last accepted a connection made to find out whether it is there.
     reached: Cell<Moment>,
     suspicion: Suspicion,
 }
@@ -79,11 +79,11 @@
         self.latency.get().value()
     }
 
-    /// Whether the server's machine is there, so that waiting for an answer makes sense.
+    /// Whether the server's VM is there, so that waiting for an answer makes sense.
     ///
-    /// Failure: a connection to a machine that lost its power or its network stays silent, and
+    /// Failure: a connection to a VM that lost its power or its network stays silent, and
     /// whoever waits on it learns nothing until a timeout. Guard: after a while without an answer
-    /// the machine is asked for a new connection, which its kernel accepts however busy it is.
+    /// the VM is asked for a new connection, which its kernel accepts however busy it is.
     pub async fn reachable(&self) -> bool {
         let asked = clock::now();
         if asked.since(self.reached.get()) < REACH_HOLDS {
--- a/crates/proxy/src/line/clock.rs
+++ b/crates/proxy/src/line/clock.rs
@@ -5,7 +5,7 @@
 use dandelionpitch_engine::time::Moment;
 use nix::time::{clock_gettime, ClockId};
 
-/// The present moment, counting time during which the machine was suspended.
+/// The present moment, counting time during which the VM was suspended.
 pub fn now() -> Moment {
     let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("Linux has a boot-time clock");
     let seconds = u64::try_from(time.tv_sec()).unwrap_or_default();
--- a/crates/proxy/src/line/exchange.rs
+++ b/crates/proxy/src/line/exchange.rs
@@ -15,7 +15,7 @@
     pool::{Checkout, Miss},
 };
 
-/// After this many times the usual length without an answer, the server's machine is asked whether
+/// After this many times the usual length without an answer, the server's VM is asked whether
 /// it is still there.
 const LOOK_AFTER: u32 = 2;
 
@@ -64,7 +64,7 @@
 }
 
 /// Sends the statement and reads its answer. When the answer counts as lost, or the server's
-/// machine is not there any more, the connection is closed and the reason returned.
+/// VM is not there any more, the connection is closed and the reason returned.
 ///
 /// Load pattern: a server loses a fifth of its answers for seconds, and each holds one of a handful
 /// of connections until the route's timeout. Giving up after some times the usual length frees it
@@ -95,7 +95,7 @@
     }
 }
 
-/// Returns when an answer is overdue and the server's machine is found not to be there.
+/// Returns when an answer is overdue and the server's VM is found not to be there.
 async fn gone(backend: &Backend) {
     loop {
         let pause = (backend.latency() * LOOK_AFTER).clamp(LEAST_LOOK, MOST_LOOK);
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -8,7 +8,6 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
@@ -344,11 +343,3 @@
 
 /// The type under which groups are shared on the traffic thread.
 pub type Groups = dandelionpitch_core::hash::Map<String, Rc<Group>>;
-
-/// The configuration's word on a group that it does not name any more but servers still serve.
-pub fn unnamed() -> Arc<Service> {
-    Arc::new(Service {
-        max_connections: 1,
-        sync_replicas: 1,
-    })
-}
--- a/crates/proxy/src/line/isolation.rs
+++ b/crates/proxy/src/line/isolation.rs
@@ -12,7 +12,7 @@
 
 use super::{backend::Backend, clock, journal, shared::Shared};
 
-/// How long a live machine in another data centre needs to accept a connection.
+/// How long a live VM in another data centre needs to accept a connection.
 const REACH_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The pause between two rounds.
@@ -61,7 +61,7 @@
     false
 }
 
-/// Whether the server's machine accepts a connection in time. The kernel does that, however busy
+/// Whether the server's VM accepts a connection in time. The kernel does that, however busy
 /// the server is.
 pub async fn connects(backend: &Backend, limit: Duration) -> bool {
     let connect = TcpStream::connect(backend.server.address);
--- a/crates/proxy/src/line/observe.rs
+++ b/crates/proxy/src/line/observe.rs
@@ -22,11 +22,11 @@
 
 use super::clock;
 
-/// How long a server may take to answer before its machine is asked for a new connection. A status
+/// How long a server may take to answer before its VM is asked for a new connection. A status
 /// waits behind the statements before it.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// How long a live machine needs to accept a connection, whatever its server is busy with.
+/// How long a live VM needs to accept a connection, whatever its server is busy with.
 const REACH_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A replica that answered is asked this often: only primaries have to be missed within half a
@@ -120,10 +120,10 @@
         }
     }
 
-    /// Whether the server's machine still accepts connections.
+    /// Whether the server's VM still accepts connections.
     ///
     /// Failure: a server under full load answers late, and its group would lose a second of writes
-    /// to a failover that helps nobody. Guard: only a machine that accepts nothing is lost at once.
+    /// to a failover that helps nobody. Guard: only a VM that accepts nothing is lost at once.
     async fn accepts(&self) -> bool {
         let reach = TcpStream::connect(self.server.address);
         matches!(tokio::time::timeout(REACH_TIMEOUT, reach).await, Ok(Ok(_)))
