--- a/crates/proxy/src/line/call.rs
+++ b/crates/proxy/src/line/call.rs
@@ -28,7 +28,7 @@
 
 /// The time at which callers of a proxy that is cut off are to come back: by then the balancer
 /// sends them elsewhere.
-pub const CUT_OFF: Duration = Duration::from_millis(2_000);
+const CUT_OFF: Duration = Duration::from_millis(2_000);
 
 /// One statement on its way.
 pub struct Call<'a> {
@@ -94,6 +94,14 @@
         }
     }
 
+    /// The refusal of a write that no replica's word allows.
+    pub fn unconfirmed(&self) -> Refusal {
+        match self.isolated {
+            true => self.busy("this data centre is cut off", CUT_OFF),
+            false => self.busy("no replica confirms the primary", COME_BACK),
+        }
+    }
+
     /// A refusal that says when to come back.
     pub fn busy(&self, why: &str, come_back: Duration) -> Refusal {
         let millis = come_back.as_millis();
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -1,7 +1,7 @@
 //! Runs one statement outside a transaction: reads on any server that holds what they must see,
 //! writes on the primary and at most once.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
@@ -13,13 +13,17 @@
 
 use super::{
     backend::Backend,
-    call::{note_failure, Call, Failure, COME_BACK, CUT_OFF, OFFER_AGAIN},
+    call::{note_failure, Call, Failure, COME_BACK, OFFER_AGAIN},
     clock,
     exchange::{checkout, exchange, settle},
     group::{Group, Leader},
 };
 use crate::metrics::Target;
 
+/// When the answer to a write is overdue, at least: longer than the longest usual work (82 ms) and
+/// two round trips to a replica.
+const OVERDUE: Duration = Duration::from_millis(150);
+
 /// Runs a read or a write that stands alone.
 pub async fn alone(
     group: &Rc<Group>,
@@ -204,10 +208,6 @@
     }
 }
 
-/// When the answer to a write is overdue, at least: longer than the longest usual work (82 ms) and
-/// two round trips to a replica.
-const OVERDUE: std::time::Duration = std::time::Duration::from_millis(150);
-
 /// Runs a write. One that was not run is offered again while its time lasts; one that may have run
 /// is never sent twice.
 async fn write(
@@ -217,7 +217,7 @@
 ) -> Result<Success, Refusal> {
     // Cut off, the primary may be on this side and its replicas on the other: it would never answer.
     if (call.isolated || group.doubted()) && !group.confirm(call.arrived).await {
-        return Err(call.busy("this data centre is cut off", CUT_OFF));
+        return Err(call.unconfirmed());
     }
     let mut last = call.busy("no primary is known", COME_BACK);
     while let Some(leader) = wait_for_leader(group, call).await {
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -11,7 +11,7 @@
 
 use super::{
     backend::Backend,
-    call::{note_failure, Call, Failure, CUT_OFF},
+    call::{note_failure, Call, Failure},
     clock,
     exchange::{checkout, exchange},
     group::Group,
@@ -170,7 +170,7 @@
     let mut last = call.busy("no server can take the transaction", SEND_AGAIN);
     let doubtful = call.isolated || group.doubted();
     if doubtful && !transaction.read_only && !group.confirm(transaction.begun).await {
-        return Err(call.busy("this data centre is cut off", CUT_OFF));
+        return Err(call.unconfirmed());
     }
     loop {
         let after = match call.route.consistency {
