The three known faults of the PostgreSQL side: silent connections, all watchers lost, members after a KV outage

Change: the connection is closed; the record's lease is 9 s, renewed every 3 s; proxies that a list lacks go on counting for 8 s, while a lease that runs out before a proxy's eyes still removes it at once. Cost, computed for 3,400 proxies: renewals 170 to 1,133 a second, 1,473 of the KV's 2,000 reads with the watches (docs/CAPACITY.md). Ruled out: watching by more proxies (bytes of status reads are the tight figure); polling each other (messages between all proxies).

--- a/crates/e2e/tests/duty.rs
+++ b/crates/e2e/tests/duty.rs
@@ -11,6 +11,7 @@
 };
 
 const WAIT: Duration = Duration::from_secs(20);
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
 const CALM: Duration = Duration::from_millis(300);
 const SIX: &[&str] = &["dc-1", "dc-1", "dc-2", "dc-2", "dc-3", "dc-3"];
 
@@ -160,6 +161,25 @@
     assert!(succeeded, "{:?}", self::watchers(&site).await);
 }
 
+/// All three watchers of a group are killed at once, and its primary with them. Nobody is left who
+/// judges it until the watchers' leases have run out; then others do, within the bound of 12 s in which
+/// service must be back.
+#[tokio::test]
+async fn all_watchers_and_the_primary_lost_at_once() {
+    let (mut site, watchers) = site("duty-all-dead").await;
+
+    for &dead in &watchers {
+        site.proxies[dead].process.kill();
+    }
+    site.fault(1, "kill", 0, "").await;
+    let since = Instant::now();
+    let record = site.replaced(1).await;
+    let took = since.elapsed();
+
+    assert_eq!(record.term, 2);
+    assert!(took < RECOVERY_LIMIT, "took {took:?}");
+}
+
 /// A data centre loses the KV, and then the primary dies. The proxy there that does not watch
 /// the group hears nothing of the failover from the KV; it finds the new primary by asking the
 /// servers, and its members' writes go on.
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -140,7 +140,13 @@
                 Change::Nothing => {}
                 Change::Routing => control.publish(),
             },
-            _ = tick.tick() => control.judge(),
+            _ = tick.tick() => {
+                if control.members.expire(Instant::now()) {
+                    control.assign();
+                    control.publish();
+                }
+                control.judge();
+            }
         }
     }
 }
@@ -189,7 +195,7 @@
             Message::Bundle(bundle) => self.apply(bundle),
             Message::Record { group, held } => self.hold(group, held),
             Message::Members(members) => {
-                self.members = members.into_iter().collect();
+                self.members.replace(members, Instant::now());
                 self.assign()
             }
             Message::Member { member, present } => {
--- a/crates/proxy/src/control/duty.rs
+++ b/crates/proxy/src/control/duty.rs
@@ -5,15 +5,22 @@
 //! the live proxies: everyone who knows the same proxies picks the same ones, and a proxy
 //! that comes or goes moves only its own groups.
 
-use std::cmp::Reverse;
+use std::{
+    cmp::Reverse,
+    time::{Duration, Instant},
+};
 
-use dandelionpitch_core::hash::Map;
+use dandelionpitch_core::hash::{Map, Set};
 
-use super::backoff;
+use super::{backoff, heartbeat};
 
 /// How many proxies watch each group; with one dead and one cut off, one is left.
 pub const WATCHERS: usize = 3;
 
+/// How long a proxy that a list lacks still counts: by then every live one has renewed its lease,
+/// and a failed try and its repetition fit in.
+pub const RETURN_LIMIT: Duration = Duration::from_secs(2 * heartbeat::EVERY.as_secs() + 2);
+
 /// One live proxy.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
@@ -34,6 +41,8 @@
 pub struct Roster {
     dcs: Map<String, Vec<Entry>>,
     count: usize,
+    /// Proxies that the last list lacked, and until when they count all the same.
+    missing: Map<Member, Instant>,
 }
 
 impl Roster {
@@ -47,8 +56,34 @@
         self.count == 0
     }
 
+    /// Takes a complete list, as read at `now`. Proxies that it lacks go on counting for
+    /// [`RETURN_LIMIT`].
+    ///
+    /// Failure: the KV was away for longer than its leases last; the first list after its return
+    /// holds the proxies that have renewed by then, and those few would watch every group. Guard:
+    /// only a lease that runs out while the KV answers, or a list much later, removes a proxy.
+    pub fn replace(&mut self, members: Vec<Member>, now: Instant) {
+        let listed: Set<&Member> = members.iter().collect();
+        let known = self.dcs.values().flatten().map(|entry| &entry.member);
+        let lacked = known.filter(|known| !listed.contains(known)).cloned();
+        let lacked: Vec<Member> = lacked.collect();
+        for member in lacked {
+            self.missing.entry(member).or_insert(now + RETURN_LIMIT);
+        }
+        members.into_iter().for_each(|member| self.add(member));
+    }
+
+    /// Drops the proxies that stayed missing; returns whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let gone = self.missing.iter().filter(|(_, until)| now >= **until);
+        let gone: Vec<Member> = gone.map(|(member, _)| member.clone()).collect();
+        gone.iter().for_each(|member| self.remove(member));
+        !gone.is_empty()
+    }
+
     /// Adds a proxy; one that is there already changes nothing.
     pub fn add(&mut self, member: Member) {
+        self.missing.remove(&member);
         let dc = self.dcs.entry(member.dc.clone()).or_default();
         if dc.iter().all(|entry| entry.member != member) {
             let seed = backoff::salt(&member);
@@ -59,6 +94,7 @@
 
     /// Removes a proxy; one that is not there changes nothing.
     pub fn remove(&mut self, member: &Member) {
+        self.missing.remove(member);
         if let Some(dc) = self.dcs.get_mut(&member.dc) {
             let before = dc.len();
             dc.retain(|entry| entry.member != *member);
--- a/crates/proxy/src/control/heartbeat.rs
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -9,11 +9,16 @@
 use serde::Serialize;
 
 /// The lease of the heartbeat record, in seconds.
-const TTL: u64 = 60;
-/// How often the lease is renewed.
-const EVERY: Duration = Duration::from_secs(20);
+///
+/// Failure: all watchers of a group die together, and their records are all that says so; with the
+/// primary dead as well there are no writes until the leases have run out. 9 s leave three for the
+/// failover of the 12 s in which service must be back, and three renewals fit in.
+pub const TTL: u64 = 9;
+/// How often the lease is renewed: 1,133 renewals a second for 3,400 proxies, of the 2,000 reads that
+/// the KV serves (`docs/CAPACITY.md`).
+pub const EVERY: Duration = Duration::from_secs(3);
 /// Pause before another try after the KV failed.
-const RETRY: Duration = Duration::from_secs(3);
+const RETRY: Duration = Duration::from_secs(1);
 
 /// The record, read by `dpctl status`.
 #[derive(Debug, Serialize)]
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -8,7 +8,7 @@
 
 mod answer;
 mod checkout;
-mod connection;
+pub mod connection;
 mod read;
 mod refusal;
 mod write;
--- a/crates/proxy/src/session/connection.rs
+++ b/crates/proxy/src/session/connection.rs
@@ -212,10 +212,17 @@
         status
     }
 
-    /// The server's position, read now.
-    pub async fn position(&self, deadline: Instant) -> Option<Position> {
+    /// The server's position, read now; without an answer the connection is closed.
+    ///
+    /// Failure: the connection has gone silent, and goes back to the pool with an answer still to
+    /// come; the next caller waits behind that for as long as it may. Guard: it is not used again.
+    pub async fn position(&mut self, deadline: Instant) -> Option<Position> {
         let limit = deadline.saturating_duration_since(Instant::now());
-        backend::position(self.object.as_deref()?, limit).await.ok()
+        let position = backend::position(self.object.as_deref()?, limit).await.ok();
+        if position.is_none() {
+            self.close();
+        }
+        position
     }
 
     /// The server's position, once it is confirmed that it leads. A barrier without an answer
--- a/crates/proxy/src/session/read.rs
+++ b/crates/proxy/src/session/read.rs
@@ -152,7 +152,7 @@
         call: Call<'_>,
     ) -> Option<Connection> {
         let index = route::replica(group, Need::Check, call.caller.max_staleness)?;
-        let connection = self.checkout(&group.servers[index], call).await.ok()?;
+        let mut connection = self.checkout(&group.servers[index], call).await.ok()?;
         let applied = connection.position(call.deadline).await?;
         if applied.covers(floor) {
             return Some(connection);
