--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -5,13 +5,14 @@
 //! as with PostgreSQL's `synchronous_standby_names = 'ANY 1 (...)'`. A server that holds a
 //! term refuses entries of any lower one.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+mod member;
+
+use std::time::{Duration, Instant};
 
 use dandelionpitch_core::position::Position;
 
+use self::member::Server;
+
 /// A superseded primary goes on leading until this long after it can reach its successor.
 const STEP_DOWN_AFTER: Duration = Duration::from_secs(1);
 
@@ -92,126 +93,6 @@
     pub silent: Duration,
 }
 
-#[derive(Debug)]
-struct Server {
-    role: Role,
-    term: u64,
-    /// Everything received; the first `applied` entries are in the table.
-    log: Vec<Entry>,
-    applied: usize,
-    table: BTreeMap<String, String>,
-    lag: Duration,
-    heard_at: Instant,
-    /// When this primary first reached a server of a later term.
-    outranked_at: Option<Instant>,
-    up: bool,
-    frozen: bool,
-    isolated: bool,
-}
-
-impl Server {
-    fn new(role: Role, lag: Duration, now: Instant) -> Self {
-        let first = Entry {
-            position: Position { term: 1, lsn: 1 },
-            ops: Vec::new(),
-            at: now,
-        };
-        Self {
-            role,
-            term: 1,
-            log: vec![first],
-            applied: 1,
-            table: BTreeMap::new(),
-            lag,
-            heard_at: now,
-            outranked_at: None,
-            up: true,
-            frozen: false,
-            isolated: false,
-        }
-    }
-
-    fn received(&self) -> Position {
-        self.log
-            .last()
-            .map_or_else(Position::default, |entry| entry.position)
-    }
-
-    fn position(&self) -> Position {
-        match self.applied {
-            0 => Position::default(),
-            count => self.log[count - 1].position,
-        }
-    }
-
-    /// Whether the entry at `position` is in the log; numbers start at 1 without gaps.
-    fn holds(&self, position: Position) -> bool {
-        self.log
-            .get(position.lsn as usize - 1)
-            .is_some_and(|entry| entry.position == position)
-    }
-
-    fn append(&mut self, ops: Vec<Op>) -> Position {
-        let position = Position {
-            term: self.term,
-            lsn: self.received().lsn + 1,
-        };
-        let at = Instant::now();
-        self.log.push(Entry { position, ops, at });
-        position
-    }
-
-    fn apply_all(&mut self) {
-        while self.applied < self.log.len() {
-            self.apply_next();
-        }
-    }
-
-    fn apply_next(&mut self) {
-        for op in &self.log[self.applied].ops {
-            match op {
-                Op::Insert { id, body } | Op::Update { id, body } => {
-                    self.table.insert(id.clone(), body.clone());
-                }
-                Op::Delete { id } => {
-                    self.table.remove(id);
-                }
-            }
-        }
-        self.applied += 1;
-    }
-
-    /// Drops the entries from `keep` on, and rebuilds the table if any was applied.
-    fn rewind(&mut self, keep: usize) {
-        self.log.truncate(keep);
-        if self.applied > keep {
-            self.applied = 0;
-            self.table.clear();
-            while self.applied < keep {
-                self.apply_next();
-            }
-        }
-    }
-
-    /// How many leading entries of this log are the same as in `other`.
-    fn common(&self, other: &[Entry]) -> usize {
-        let mut count = self.log.len().min(other.len());
-        while count > 0 && self.log[count - 1].position != other[count - 1].position {
-            count -= 1;
-        }
-        count
-    }
-
-    fn reachable(&self) -> bool {
-        self.up && !self.frozen && !self.isolated
-    }
-
-    fn step_down(&mut self) {
-        self.role = Role::Replica;
-        self.outranked_at = None;
-    }
-}
-
 /// All servers of one group, behind one lock.
 #[derive(Debug)]
 pub struct Group {
