--- a/crates/proxy/src/line/call.rs
+++ b/crates/proxy/src/line/call.rs
@@ -48,7 +48,7 @@
 pub enum Failure {
     /// It has certainly not run there.
     NotRun(Refusal),
-    /// Nor has it run where too much work waits.
+    /// Too much work waits there, so it was not run.
     Full(Refusal),
     /// The server ran it, and answered with a failure.
     Ran(Refusal),
--- a/crates/proxy/src/line/duty.rs
+++ b/crates/proxy/src/line/duty.rs
@@ -32,8 +32,8 @@
 /// a claim takes some 10 ms.
 const SPREAD: Duration = Duration::from_millis(150);
 
-/// How long a stopping process keeps the duty for an attempt under way: longer than one takes
-/// (550 ms, or 2,650 ms while servers are replaced), and within the grace period.
+/// How long a stopping process keeps the duty for an attempt under way: five times what one takes
+/// (0.6 s), for calls whose answers are lost, and within the grace period.
 const FINISH: Duration = Duration::from_millis(3_000);
 
 /// Keeps the duty or waits for it, until the process stops.
