--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -1,7 +1,22 @@
-//! The hash map used throughout: a fast non-cryptographic hasher behind one alias.
+//! The hash map used throughout: a fast non-cryptographic hasher behind one alias, and the numbers that
+//! every process derives alike from the same key.
+
+use std::hash::{Hash, Hasher};
 
 /// A hash map keyed by values we produce ourselves, so hash flooding is not a concern.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
 
 /// A hash set with the same hasher.
 pub type Set<T> = rustc_hash::FxHashSet<T>;
+
+/// A number spread over all 64 bits, the same each time and in each process for the same key.
+pub fn salt(key: &impl Hash) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A number from zero up to one, the same each time for the same key.
+pub fn share(key: &impl Hash) -> f64 {
+    (salt(key) >> 32) as f64 / f64::from(u32::MAX)
+}
--- /dev/null
+++ b/crates/e2e/tests/handover.rs
@@ -0,0 +1,211 @@
+//! Many proxies before servers that take few connections: most hand their callers' statements to the few
+//! that hold connections, as separate processes and under failure.
+
+mod fixture;
+
+use std::time::{Duration, Instant};
+
+use fixture::line::{rows, Caller, Site, LATEST, SESSION};
+
+/// What the servers take: too few for seven proxies, so that one proxy holds all connections.
+const FEW: usize = 8;
+
+/// How long callers may be without service when the proxy that holds the connections is lost: its
+/// entry lapses after 4 s, and another one that is asked before that serves at once.
+const OWNER_LOST: Duration = Duration::from_secs(2);
+
+/// A site of seven proxies of which one holds the connections; returns it and one that does not.
+async fn site(name: &str) -> (Site, usize, usize) {
+    let site = Site::start_limited(name, 7, FEW, &[]).await;
+    let owner = site.owners(1).await[0];
+    let other = (owner + 1) % 7;
+    (site, owner, other)
+}
+
+/// Callers of all seven proxies work at once. All are served, and no server is ever asked for more
+/// connections than it takes: with connections of their own the proxies would ask for 14 of 8.
+#[tokio::test]
+async fn callers_of_every_proxy_are_served_within_the_connections() {
+    let (site, _, _) = site("within").await;
+    let mut callers: Vec<Caller> = (0..7).map(|proxy| site.caller(proxy, SESSION)).collect();
+
+    for round in 0..20 {
+        for (index, caller) in callers.iter_mut().enumerate() {
+            let data = format!("{index}-{round}");
+            assert!(caller.ask(&format!("PUT item{index} {data}")).done());
+            assert_eq!(rows(&caller.ask(&format!("FETCH item{index}"))), [data]);
+        }
+    }
+
+    assert_eq!(site.group().await["turned_away"], 0);
+}
+
+/// Two sessions' statements go over the same connections between proxies. Neither may see the other's
+/// values, names or transaction.
+#[tokio::test]
+async fn values_names_and_transactions_stay_with_their_session() {
+    let (site, _, other) = site("apart").await;
+    let mut callers = [site.caller(other, LATEST), site.caller(other, LATEST)];
+    for (index, caller) in callers.iter_mut().enumerate() {
+        assert!(caller.ask(&format!("SET owner {index}")).done());
+        assert!(caller.ask("PREPARE get FETCH q1").done());
+    }
+    let mut plain = site.caller(other, LATEST);
+
+    assert!(callers[0].ask("BEGIN").done());
+    assert!(callers[0].ask("PUT a open").done());
+    for _ in 0..5 {
+        assert_eq!(rows(&callers[0].ask("EXEC get a")), ["open", "owner=0"]);
+        assert_eq!(rows(&callers[1].ask("EXEC get a")), ["-", "owner=1"]);
+        assert_eq!(rows(&plain.ask("FETCH a")), ["-"]);
+    }
+    assert_eq!(callers[0].ask("COMMIT").state, "I");
+    assert_eq!(rows(&plain.ask("FETCH a")), ["open"]);
+    assert_eq!(plain.ask("EXEC get a").code(), "NOSTMT");
+}
+
+/// A caller leaves in the middle of a transaction that another proxy runs for it: its writes are gone.
+#[tokio::test]
+async fn caller_that_leaves_inside_a_transaction_keeps_nothing() {
+    let (site, _, other) = site("leaves-handed").await;
+    for _ in 0..20 {
+        let mut caller = site.caller(other, LATEST);
+        assert!(caller.ask("BEGIN").done());
+        assert!(caller.ask("PUT a dropped").done());
+    }
+    let mut next = site.caller(other, LATEST);
+
+    next.ask_until_done("PUT b kept", Duration::from_secs(5));
+
+    assert_eq!(site.count("a", "dropped").await, 0);
+}
+
+/// Writes numbers until `until`; returns those that were acknowledged and those whose outcome is
+/// unknown. A refusal that says "not run" is repeated.
+fn write_numbers(caller: &mut Caller, until: Instant) -> (Vec<String>, Vec<String>) {
+    let (mut kept, mut unknown) = (Vec::new(), Vec::new());
+    for number in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let data = format!("n{number}");
+        let answer = caller.ask(&format!("PUT numbers {data}"));
+        match answer.code() {
+            _ if answer.done() => kept.push(data),
+            "UNKNOWN" => unknown.push(data),
+            "BUSY" => std::thread::sleep(Duration::from_millis(20)),
+            other => panic!("{other}: {answer:?}"),
+        }
+    }
+    (kept, unknown)
+}
+
+/// What is done to the proxy that holds the connections.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Killed,
+    Frozen,
+    Stopped,
+}
+
+/// The proxy that holds the connections is lost while callers of another one write. They are served
+/// again within two seconds, by a proxy that takes its place; what was acknowledged is there once,
+/// and what was refused as not run is not there at all.
+#[yare::parameterized(
+    killed = { Loss::Killed },
+    frozen = { Loss::Frozen },
+    stopped = { Loss::Stopped },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn lost_owner_is_replaced_and_nothing_is_lost_or_doubled(loss: Loss) {
+    let (mut site, owner, other) = site(&format!("lost-{loss:?}")).await;
+    let mut caller = site.caller(other, LATEST);
+    assert!(caller.ask("PUT numbers before").done());
+
+    let begun = Instant::now();
+    match loss {
+        Loss::Killed => site.proxies[owner].process.kill(),
+        Loss::Frozen => site.proxies[owner].process.pause(true),
+        Loss::Stopped => site.proxies[owner].process.terminate(),
+    }
+    let waited = caller.ask_until_done("PUT numbers after", OWNER_LOST * 2);
+    let (kept, unknown) = write_numbers(&mut caller, begun + Duration::from_secs(6));
+    if matches!(loss, Loss::Frozen) {
+        site.proxies[owner].process.pause(false);
+    }
+
+    assert!(waited <= OWNER_LOST, "{waited:?}");
+    assert!(kept.len() > 20, "{} kept", kept.len());
+    for data in &kept {
+        assert_eq!(site.count("numbers", data).await, 1, "{data}");
+    }
+    for data in &unknown {
+        assert!(site.count("numbers", data).await <= 1, "{data}");
+    }
+    assert_eq!(site.group().await["turned_away"], 0);
+}
+
+/// A planned stop of the proxy that holds the connections: it goes on serving the others until they know,
+/// so a caller elsewhere notices nothing.
+#[tokio::test]
+async fn planned_stop_of_the_owner_cuts_nothing() {
+    let (site, owner, other) = site("planned").await;
+    let mut caller = site.caller(other, LATEST);
+    assert!(caller.ask("PUT a before").done());
+
+    site.proxies[owner].process.terminate();
+    let until = Instant::now() + Duration::from_secs(4);
+    let mut refused = Vec::new();
+    for number in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let answer = caller.ask(&format!("PUT a n{number}"));
+        if !answer.done() {
+            refused.push(answer);
+        }
+    }
+
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
+/// The store is away and the proxies' entries lapse. Those who knew each other go on as before.
+#[tokio::test]
+async fn lapsed_entries_change_nothing_while_the_store_is_away() {
+    let (site, _, other) = site("lapsed").await;
+    let mut caller = site.caller(other, LATEST);
+
+    site.store("down", true).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let during = caller.ask("PUT a during");
+    site.store("down", false).await;
+    let until = Instant::now() + Duration::from_secs(4);
+    let (kept, unknown) = write_numbers(&mut caller, until);
+
+    assert!(during.done(), "{during:?}");
+    assert!(kept.len() > 20 && unknown.is_empty(), "{unknown:?}");
+    assert_eq!(site.group().await["turned_away"], 0);
+}
+
+/// A refused statement is found in the logs of both proxies under its id.
+#[tokio::test]
+async fn refusal_is_explained_by_both_proxies() {
+    let (site, owner, other) = site("explained").await;
+    let mut caller = site.caller(other, LATEST);
+    assert!(caller.ask("PUT a v").done());
+    std::thread::sleep(Duration::from_millis(800));
+
+    for replica in [1, 2] {
+        site.fault(replica, "silent", true).await;
+    }
+    caller.send("QUERY unproved FETCH a");
+    let answer = caller.answer();
+
+    assert_eq!(answer.code(), "BUSY");
+    let both = fixture::eventually(Duration::from_secs(5), || async {
+        [owner, other]
+            .iter()
+            .all(|index| site.logged(*index, "unproved"))
+    });
+    assert!(both.await);
+}
--- a/crates/e2e/tests/line_faults.rs
+++ b/crates/e2e/tests/line_faults.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use fixture::line::{rows, Answer, Site, LATEST};
+use fixture::line::{rows, Answer, Site, LATEST, SESSION};
 
 /// A failover: noticing, holding the replicas, the wait and the stand-in's 300 ms.
 const FAILOVER_LIMIT: Duration = Duration::from_secs(6);
@@ -322,3 +322,79 @@
     assert_eq!(rows(&other), ["-"]);
     assert_eq!(site.count("a", "dropped").await, 0);
 }
+
+/// A caller hears that its commit is kept, as replica 1 has it; replica 2 is behind. Replica 1 crashes
+/// behind a cut and starts again under its id with nothing, and the primary is lost. Replica 1 and
+/// replica 2 are two of three, but neither has the commit: nobody may be promoted until the
+/// primary, which has it, is back.
+#[tokio::test]
+async fn empty_replica_under_an_old_id_is_no_reason_to_promote() {
+    let site = Site::start("empty", 2).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a first").done());
+    site.fault(2, "deaf", true).await;
+    tokio::time::sleep(ROSTER_FOLLOWS).await;
+    assert!(caller.ask("PUT a kept").done());
+
+    site.fault(1, "cut", true).await;
+    site.restart(1).await;
+    site.fault(0, "dead", true).await;
+    tokio::time::sleep(FAILOVER_LIMIT).await;
+    let promotions = site.group().await["promotions"].clone();
+    site.fault(1, "cut", false).await;
+    site.fault(2, "deaf", false).await;
+    site.fault(0, "dead", false).await;
+    let mut after = site.caller(0, LATEST);
+    after.ask_until_done("PUT b after", FAILOVER_LIMIT);
+
+    assert_eq!(promotions, 0);
+    assert_eq!(site.count("a", "kept").await, 1);
+}
+
+/// A replica starts again under its id between two reads. The pooled connections lead to its earlier
+/// life: they are not used any more, and the caller's read is served all the same.
+#[tokio::test]
+async fn connections_to_an_earlier_life_are_not_used() {
+    let site = Site::start("lives", 1).await;
+    let mut caller = site.caller(0, SESSION);
+    assert!(caller.ask("PUT a one").done());
+    for _ in 0..10 {
+        assert!(caller.ask("FETCH a").done());
+    }
+
+    for server in [1, 2] {
+        site.restart(server).await;
+        for _ in 0..10 {
+            assert_eq!(rows(&caller.ask("FETCH a")), ["one"]);
+        }
+    }
+}
+
+/// Another writer puts entries among the registrations: bytes that are none, fields of another type, a
+/// state that no server is in. The servers go on being used, and each entry is named once in the log.
+#[tokio::test]
+async fn entries_of_another_writer_are_passed_over() {
+    let site = Site::start("foreign", 1).await;
+    let entry = |state: &str| {
+        format!(
+            "{{\"service\":\"ledger\",\"addr\":\"127.0.0.1:9\",\"zone\":\"dc-1\",\"version\":\"v1\",\
+             \"slots\":50,\"state\":{state},\"cold_left_ms\":0,\"db_role\":\"primary\",\"seq\":1}}"
+        )
+    };
+
+    site.entry("odd-bytes", "\u{0}not an entry").await;
+    site.entry("odd-state", &entry("\"asleep\"")).await;
+    site.entry("odd-type", &entry("7")).await;
+    let mut caller = site.caller(0, SESSION);
+    let noted = fixture::eventually(Duration::from_secs(5), || async {
+        let odd = ["odd-bytes", "odd-state", "odd-type"];
+        odd.iter()
+            .all(|id| site.logged(0, &format!("registration of {id}")))
+    });
+
+    assert!(noted.await);
+    for round in 0..20 {
+        assert!(caller.ask(&format!("PUT a {round}")).done());
+        assert_eq!(rows(&caller.ask("FETCH a")), [round.to_string()]);
+    }
+}
--- /dev/null
+++ b/crates/engine/src/ownership.rs
@@ -0,0 +1,165 @@
+//! Which proxies hold the connections of a database group.
+//!
+//! Load pattern: many proxies before servers that take few connections. If each held its own, 75
+//! proxies would ask for 150 connections of 49: servers reset thousands of them a minute, most
+//! statements found none, and each proxy asked every group for itself what its reads must see.
+//! So a few proxies of each data centre own a group's connections, and the others hand their
+//! statements to one of them (`docs/DESIGN.md`, "Many proxies"). The group's work then waits in few
+//! queues, and the questions to its servers grow with its owners. Share of a calm day's requests that
+//! were served before 75 proxies: 0.67 with connections of their own.
+//!
+//! Who owns is a matter of rendezvous hashing over the live proxies: those who know the same proxies
+//! pick the same owners. Two that disagree for a moment hand to different ones, and any proxy serves
+//! what it is handed.
+
+use std::{cmp::Ordering, net::SocketAddr};
+
+use dandelionpitch_core::hash;
+
+use crate::share;
+
+/// How many connections to each server an owner has at least: some are held by transactions through
+/// their callers' pauses, and one of those must not stop all other statements.
+const CONNECTIONS_EACH: usize = 3;
+
+/// The part of a server's connections that owners use at most. The rest is room for connections of
+/// owners that are gone: those of a VM that lost its power count for three seconds more.
+const USED_PART: usize = 2;
+
+/// Processor time that one statement of another proxy takes, in seconds: two messages read and
+/// written on each side.
+const STATEMENT_CORE_SECONDS: f64 = 0.4e-3;
+
+/// Bits that one statement of another proxy moves over the VM's link: an answer of 2 KB comes in and
+/// goes out.
+const STATEMENT_BITS: f64 = 32_000.0;
+
+/// How many statements a second a VM can run for others; what is weighed is only one VM against
+/// another.
+pub fn capacity(cores: f64, link_mbps: f64) -> f64 {
+    let processor = cores / STATEMENT_CORE_SECONDS;
+    let link = link_mbps * 1e6 / STATEMENT_BITS;
+    processor.min(link).max(1.0)
+}
+
+/// A live proxy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    pub id: String,
+    pub dc: String,
+    /// Where other proxies hand statements to it.
+    pub address: SocketAddr,
+    /// Its weight among others, as of [`capacity`].
+    pub capacity: f64,
+}
+
+/// How many connections a group's servers take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    pub max_connections: u32,
+    pub slots: u32,
+}
+
+/// Who holds the connections of a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holding {
+    /// Every proxy.
+    Everyone { members: usize },
+    /// So many proxies of each of so many data centres.
+    Owners { per_dc: usize, dcs: usize },
+}
+
+impl Holding {
+    /// Decides for `members` proxies in `dcs` data centres. Every proxy holds its own connections as
+    /// long as there are enough for all: a statement then takes one hop less.
+    pub fn new(members: usize, dcs: usize, room: Room) -> Self {
+        if members * share::FEWEST <= share::usable(room.max_connections) {
+            return Self::Everyone { members };
+        }
+        let dcs = dcs.max(1);
+        let owners = budget(room) / CONNECTIONS_EACH;
+        let per_dc = owners.div_ceil(dcs).max(1);
+        Self::Owners { per_dc, dcs }
+    }
+
+    /// How many connections a proxy that holds some may open to a server.
+    pub fn connections(self, room: Room) -> usize {
+        match self {
+            Self::Everyone { members } => {
+                share::connections(room.max_connections, room.slots, members)
+            }
+            Self::Owners { per_dc, dcs } => {
+                let useful = budget(room).div_ceil(per_dc * dcs);
+                let most = share::usable(room.max_connections) / (per_dc * dcs);
+                useful.max(CONNECTIONS_EACH).min(most).max(1)
+            }
+        }
+    }
+}
+
+/// How many connections to one server all owners together use.
+fn budget(room: Room) -> usize {
+    let useful = room.slots as usize * share::PER_SLOT;
+    useful.min(share::usable(room.max_connections) / USED_PART)
+}
+
+/// What one proxy does with statements for a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// Run them on its own connections.
+    Own,
+    /// Hand them to one of these proxies, the first that takes them: those of its data centre, those of
+    /// others, then those that are next in its own if all owners are gone.
+    HandOver { near: Vec<String>, far: Vec<String> },
+}
+
+/// How many proxies that are no owners are named in case all owners are lost at once.
+const SPARES: usize = 2;
+
+/// The plan of the proxy `own` for a group.
+pub fn plan(peers: &[Peer], own: &str, service: &str, holding: Holding) -> Plan {
+    let Holding::Owners { per_dc, .. } = holding else {
+        return Plan::Own;
+    };
+    let Some(dc) = peers
+        .iter()
+        .find(|peer| peer.id == own)
+        .map(|peer| &peer.dc)
+    else {
+        return Plan::Own;
+    };
+    let ranked = rank(peers, service);
+    let mut near = Vec::new();
+    let mut spare = Vec::new();
+    let mut far: Vec<&Peer> = Vec::new();
+    for peer in ranked {
+        let of_its_dc = far.iter().filter(|other| other.dc == peer.dc).count();
+        match peer.dc == *dc {
+            true if near.len() < per_dc => near.push(peer.id.clone()),
+            true if spare.len() < SPARES => spare.push(peer.id.clone()),
+            false if of_its_dc < per_dc => far.push(peer),
+            _ => {}
+        }
+    }
+    if near.iter().any(|id| id == own) {
+        return Plan::Own;
+    }
+    let mut far: Vec<String> = far.into_iter().map(|peer| peer.id.clone()).collect();
+    far.extend(spare.into_iter().filter(|id| id != own));
+    Plan::HandOver { near, far }
+}
+
+/// All proxies, the group's first owner first: by weighted rendezvous hashing, so that a proxy that
+/// comes or goes moves only its own groups, and each owns in proportion to its capacity.
+fn rank<'a>(peers: &'a [Peer], service: &str) -> Vec<&'a Peer> {
+    let score = |peer: &Peer| {
+        let share = hash::share(&(service, &peer.id)).clamp(1e-9, 1.0 - 1e-9);
+        -peer.capacity / share.ln()
+    };
+    let mut scored: Vec<(f64, &Peer)> = peers.iter().map(|peer| (score(peer), peer)).collect();
+    scored.sort_by(|a, b| match b.0.total_cmp(&a.0) {
+        Ordering::Equal => a.1.id.cmp(&b.1.id),
+        unequal => unequal,
+    });
+    scored.into_iter().map(|(_, peer)| peer).collect()
+}
--- a/crates/engine/src/registry.rs
+++ b/crates/engine/src/registry.rs
@@ -3,6 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dandelionpitch_core::hash::Map;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::time::Moment;
 
@@ -21,11 +23,43 @@
     Replica,
 }
 
+/// One life of a backend server. A server may start again under its id, with an empty log and none of
+/// the orders it was given: what was true of the earlier life says nothing of the new one.
+#[derive(Clone, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord, Deserialize, Serialize)]
+#[display("{id}@{born}")]
+#[serde(from = "String", into = "String")]
+pub struct Incarnation {
+    pub id: String,
+    /// When it started, in Unix milliseconds by its own clock; 0 if it does not say.
+    pub born: u64,
+}
+
+impl From<&str> for Incarnation {
+    fn from(text: &str) -> Self {
+        let parts = text.rsplit_once('@');
+        let parsed = parts.and_then(|(id, born)| Some((id, born.parse().ok()?)));
+        let (id, born) = parsed.unwrap_or((text, 0));
+        let id = id.to_owned();
+        Self { id, born }
+    }
+}
+
+impl From<String> for Incarnation {
+    fn from(text: String) -> Self {
+        Self::from(text.as_str())
+    }
+}
+
+impl From<Incarnation> for String {
+    fn from(incarnation: Incarnation) -> Self {
+        incarnation.to_string()
+    }
+}
+
 /// One registered backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Server {
-    /// Its incarnation: a restarted or replaced server has another.
-    pub id: String,
+    pub incarnation: Incarnation,
     /// The database group it belongs to.
     pub service: String,
     pub address: SocketAddr,
@@ -47,6 +81,13 @@
     pub leaving_since: Option<Moment>,
 }
 
+impl Server {
+    /// The name under which it registers and answers, the same in all its lives.
+    pub fn id(&self) -> &str {
+        &self.incarnation.id
+    }
+}
+
 impl Entry {
     /// Whether the server may be given new work.
     pub fn takes_work(&self, now: Moment) -> bool {
@@ -74,9 +115,15 @@
         self.known_until = Some(moment);
     }
 
-    /// Notes an entry as it stands in the store; returns whether anything changed.
+    /// Notes an entry as it stands in the store; returns whether anything changed. A heartbeat that was
+    /// sent in an earlier life and arrives late changes nothing.
     pub fn put(&mut self, server: Server, now: Moment) -> bool {
-        let old = self.entries.get(&server.id);
+        let old = self.entries.get(server.id());
+        let born = server.incarnation.born;
+        if old.is_some_and(|old| old.server.incarnation.born > born) {
+            return false;
+        }
+        let old = old.filter(|old| old.server.incarnation.born == born);
         if old.is_some_and(|old| *old.server == server && old.missing_since.is_none()) {
             return false;
         }
@@ -90,7 +137,7 @@
             missing_since: None,
             leaving_since,
         };
-        self.entries.insert(entry.server.id.clone(), entry);
+        self.entries.insert(entry.server.id().to_owned(), entry);
         true
     }
 
@@ -106,7 +153,10 @@
 
     /// Takes a complete list: what is not in it is missing.
     pub fn replace(&mut self, servers: Vec<Server>, now: Moment) {
-        let present: Vec<String> = servers.iter().map(|server| server.id.clone()).collect();
+        let present: Vec<String> = servers
+            .iter()
+            .map(|server| server.id().to_owned())
+            .collect();
         let absent: Vec<String> = self
             .entries
             .keys()
@@ -133,7 +183,7 @@
             .entries
             .values()
             .filter(|entry| gone(entry))
-            .map(|entry| entry.server.id.clone())
+            .map(|entry| entry.server.id().to_owned())
             .collect();
         for id in &ids {
             self.entries.remove(id);
@@ -163,7 +213,7 @@
             .filter(|entry| entry.server.service == service)
             .cloned()
             .collect();
-        found.sort_by(|a, b| a.server.id.cmp(&b.server.id));
+        found.sort_by(|a, b| a.server.incarnation.cmp(&b.server.incarnation));
         found
     }
 
--- a/crates/engine/src/roster.rs
+++ b/crates/engine/src/roster.rs
@@ -5,23 +5,28 @@
 //! whole group, and the one that is promoted lacks those commits. Guard: a server whose entry has
 //! vanished is still counted until the servers that remain are seen to have everything that the
 //! primary had after it vanished. The list lies in the store, so a new holder of the failover duty
-//! goes on from it.
+//! goes on from it. A server that starts again under its id is another one here: its log is gone, so
+//! its earlier life has vanished.
 
 use dandelionpitch_core::{hash::Map, position::Position};
 
-use crate::{registry::Role, takeover::Member, takeover::Sight, time::Moment};
+use crate::{
+    registry::{Incarnation, Role},
+    takeover::{Member, Sight},
+    time::Moment,
+};
 
 /// The servers of one group that count, present or vanished.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roster {
     /// Vanished servers, each with the moment at which it was first missed.
-    vanished: Map<String, Moment>,
-    present: Vec<String>,
+    vanished: Map<Incarnation, Moment>,
+    present: Vec<Incarnation>,
 }
 
 impl Roster {
     /// The roster of a group whose recorded members were `recorded`.
-    pub fn new(recorded: &[String], now: Moment) -> Self {
+    pub fn new(recorded: &[Incarnation], now: Moment) -> Self {
         let vanished = recorded.iter().map(|id| (id.clone(), now)).collect();
         Self {
             vanished,
@@ -32,7 +37,7 @@
     /// Takes the members as they are seen now, and forgets vanished ones that do not matter any
     /// more.
     pub fn update(&mut self, members: &[Member], now: Moment) {
-        let is_member = |id: &String| members.iter().any(|member| member.id == *id);
+        let is_member = |id: &Incarnation| members.iter().any(|member| member.id == *id);
         for id in std::mem::take(&mut self.present) {
             if !is_member(&id) {
                 self.vanished.insert(id, now);
@@ -63,9 +68,9 @@
         self.len() == 0
     }
 
-    /// The ids of all that count, in a fixed order.
-    pub fn ids(&self) -> Vec<String> {
-        let mut ids: Vec<String> = self.present.clone();
+    /// All that count, in a fixed order.
+    pub fn ids(&self) -> Vec<Incarnation> {
+        let mut ids: Vec<Incarnation> = self.present.clone();
         ids.extend(self.vanished.keys().cloned());
         ids.sort_unstable();
         ids
--- a/crates/engine/src/session.rs
+++ b/crates/engine/src/session.rs
@@ -102,6 +102,12 @@
         self.floor
     }
 
+    /// Goes on for another session, whose last commit is at `floor`: proxies hand statements of
+    /// many sessions over on one connection.
+    pub fn set_floor(&mut self, floor: Option<Position>) {
+        self.floor = floor;
+    }
+
     /// Forgets the session's commits: it reads from another group now, whose log has nothing to
     /// do with them.
     pub fn forget_floor(&mut self) {
@@ -147,6 +153,11 @@
                 None => self.unknown_name(name),
             },
             (_, Statement::Execute { name, arguments }) => self.execute(name, arguments),
+            (_, Statement::Reset) => {
+                self.values = Values::default();
+                self.prepared.clear();
+                Step::Done
+            }
         }
     }
 
--- a/crates/engine/src/share.rs
+++ b/crates/engine/src/share.rs
@@ -4,7 +4,7 @@
 
 use dandelionpitch_core::hash::Map;
 
-use crate::time::Moment;
+use crate::{ownership::Peer, registry::RETURN_LIMIT, time::Moment};
 
 /// Connections of a server that stay free for proxies that come while old ones still count, and
 /// for the questions of the failover role.
@@ -18,50 +18,76 @@
 /// be back or gone.
 const REMEMBERED: Duration = Duration::from_secs(20);
 
+/// How long a proxy whose entry is gone is still asked to run statements: entries that lapse while the
+/// store is away are back within this time.
+const ASKED_AFTER: Duration = RETURN_LIMIT;
+
 /// The proxies that share the servers' connections.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    /// Each with the moment at which it went missing.
-    seen: Map<String, Option<Moment>>,
+    seen: Map<String, Member>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Member {
+    /// How other proxies reach it, if it says so.
+    peer: Option<Peer>,
+    /// When it went missing.
+    missing: Option<Moment>,
 }
 
 impl Members {
     /// Notes a proxy that is there.
-    pub fn present(&mut self, name: &str) {
-        self.seen.insert(name.to_owned(), None);
+    pub fn present(&mut self, name: &str, peer: Option<Peer>) {
+        let missing = None;
+        self.seen.insert(name.to_owned(), Member { peer, missing });
     }
 
     /// Notes a proxy that is not there any more.
     pub fn missing(&mut self, name: &str, now: Moment) {
-        if let Some(since) = self.seen.get_mut(name) {
-            since.get_or_insert(now);
+        if let Some(member) = self.seen.get_mut(name) {
+            member.missing.get_or_insert(now);
         }
     }
 
     /// Takes a complete list.
-    pub fn replace<'a>(&mut self, names: impl Iterator<Item = &'a str>, now: Moment) {
-        for since in self.seen.values_mut() {
-            since.get_or_insert(now);
+    pub fn replace(&mut self, present: impl Iterator<Item = (String, Option<Peer>)>, now: Moment) {
+        for member in self.seen.values_mut() {
+            member.missing.get_or_insert(now);
         }
-        names.for_each(|name| self.present(name));
+        present.for_each(|(name, peer)| self.present(&name, peer));
     }
 
     /// How many share the connections; at least one.
     pub fn count(&mut self, now: Moment) -> usize {
-        let counts = |since: &Option<Moment>| since.is_none_or(|at| now.since(at) < REMEMBERED);
-        self.seen.retain(|_, since| counts(since));
+        self.seen.retain(|_, member| member.lasts(REMEMBERED, now));
         self.seen.len().max(1)
     }
+
+    /// Those that other proxies can hand statements to, in a fixed order.
+    pub fn peers(&self, now: Moment) -> Vec<Peer> {
+        let lasting = self.seen.values().filter(|m| m.lasts(ASKED_AFTER, now));
+        let mut peers: Vec<Peer> = lasting.filter_map(|m| m.peer.clone()).collect();
+        peers.sort_by(|a, b| a.id.cmp(&b.id));
+        peers
+    }
+}
+
+impl Member {
+    /// Whether it is there, or has been missing for less than `limit`.
+    fn lasts(&self, limit: Duration, now: Moment) -> bool {
+        self.missing.is_none_or(|since| now.since(since) < limit)
+    }
 }
 
 /// How many connections all proxies together keep for each slot of a server. A transaction holds one
 /// through its caller's pauses, so one a slot is too few; each more lengthens the server's own queue,
 /// where the order of arrival counts and not what is due first.
-const PER_SLOT: usize = 3;
+pub const PER_SLOT: usize = 3;
 
 /// The fewest connections a proxy needs to a server: one that a transaction holds must not stop all
 /// other statements.
-const FEWEST: usize = 2;
+pub const FEWEST: usize = 2;
 
 /// This proxy's share of the connections to a server with `slots` slots that takes `max_connections`
 /// from `members` live proxies together; at least one.
@@ -73,7 +99,12 @@
 /// each), all connections shared out against half of them: 0.833 to 0.892 and 0.920 to 0.998.
 pub fn connections(max_connections: u32, slots: u32, members: usize) -> usize {
     let members = members.max(1);
-    let usable = max_connections.saturating_sub(RESERVE) as usize;
+    let usable = usable(max_connections);
     let useful = (slots as usize * PER_SLOT).div_ceil(members).max(FEWEST);
     (usable / members).min(useful).max(1)
 }
+
+/// How many of a server's connections the proxies share out.
+pub fn usable(max_connections: u32) -> usize {
+    max_connections.saturating_sub(RESERVE) as usize
+}
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -30,4 +30,6 @@
     Execute { name: &'a str, arguments: &'a str },
     /// Forgets a named statement.
     Deallocate { name: &'a str },
+    /// Forgets all session values and named statements; only proxies send it to each other.
+    Reset,
 }
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -8,7 +8,10 @@
 
 use dandelionpitch_core::position::Position;
 
-use crate::{registry::Role, time::Moment};
+use crate::{
+    registry::{Incarnation, Role},
+    time::Moment,
+};
 
 /// How long a primary may be out of sight before it is replaced. Out of sight is one whose VM does
 /// not even accept a connection in time, so slow servers are not meant.
@@ -77,7 +80,7 @@
 /// One member of a group, as the holder of the duty sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
-    pub id: String,
+    pub id: Incarnation,
     pub leaving: bool,
     pub sight: Sight,
     /// When the question was sent that `sight` answers.
@@ -103,7 +106,10 @@
     /// Replicas are held though nobody replaces their primary: they are to receive again.
     Resume,
     /// The primary `old`, if there is one, is to be replaced.
-    Replace { old: Option<String>, cause: Cause },
+    Replace {
+        old: Option<Incarnation>,
+        cause: Cause,
+    },
 }
 
 /// Why a primary is replaced.
@@ -123,7 +129,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
     /// The server that was last seen leading.
-    pub leader: Option<String>,
+    pub leader: Option<Incarnation>,
     /// A position of the primary's log that no replica has been seen to have received, and since
     /// when the primary has it.
     ahead: Option<(Moment, Position)>,
@@ -280,10 +286,20 @@
     statuses.map(|status| status.term).max().unwrap_or_default()
 }
 
+/// Whether a server that said `before` and later says `after` has started again in between.
+///
+/// Failure: a replica confirms a commit, crashes and comes back under its id with an empty log, all
+/// before its new registration is seen. Held for a promotion it looks like one of the quorum, and the
+/// member promoted lacks the commit. Guard: a log is only ever cut at a change of term, so one that
+/// has become shorter within a term is another one, and its server counts for nothing.
+pub fn has_restarted(before: &Status, after: &Status) -> bool {
+    after.term <= before.term && after.received < before.received
+}
+
 /// What a member said when it was told to follow nobody but the promoter.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fenced {
-    pub id: String,
+    pub id: Incarnation,
     pub leaving: bool,
     /// The end of its log, which cannot grow any more.
     pub received: Position,
--- a/crates/engine/tests/control.rs
+++ b/crates/engine/tests/control.rs
@@ -6,7 +6,7 @@
     catalog::Catalog,
     duty::{claim_after, Duty, LEASE_TTL},
     isolation::{Isolation, CERTAIN_AFTER, NOTICED_AFTER},
-    registry::{Registry, Role, Server, RETURN_LIMIT},
+    registry::{Incarnation, Registry, Role, Server, RETURN_LIMIT},
     takeover::TURN_GAP,
     time::Moment,
 };
@@ -17,7 +17,7 @@
 
 fn server(id: &str) -> Server {
     Server {
-        id: id.to_owned(),
+        incarnation: id.into(),
         service: "ledger".to_owned(),
         address: ([127, 0, 0, 1], 5000).into(),
         dc: "dc-1".to_owned(),
@@ -205,3 +205,30 @@
     isolation.note(true, noticed);
     assert!(!isolation.certain(noticed));
 }
+
+fn life(id: &str, born: u64, leaving: bool) -> Server {
+    Server {
+        incarnation: Incarnation {
+            id: id.to_owned(),
+            born,
+        },
+        leaving,
+        ..server(id)
+    }
+}
+
+/// A server that was leaving crashes and starts again under its id. Its new life takes work, and a
+/// heartbeat of the earlier one that arrives late does not bring that back.
+#[test]
+fn late_heartbeat_of_an_earlier_life_changes_nothing() {
+    let mut registry = Registry::default();
+    registry.put(life("a", 1_000, true), at(0));
+
+    let began = registry.put(life("a", 2_000, false), at(8_000));
+    let late = registry.put(life("a", 1_000, true), at(8_100));
+    let entry = registry.of("ledger").remove(0);
+
+    assert!(began && !late);
+    assert_eq!(entry.server.incarnation.born, 2_000);
+    assert!(entry.takes_work(at(20_000)));
+}
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -179,7 +179,7 @@
 fn proxy_that_lost_the_store_keeps_its_share() {
     let mut members = Members::default();
     let names: Vec<String> = (0..7).map(|n| format!("proxy-{n}")).collect();
-    members.replace(names.iter().map(String::as_str), at(0));
+    members.replace(names.iter().map(|name| (name.clone(), None)), at(0));
 
     members.missing("proxy-1", at(1_000));
     members.missing("proxy-2", at(1_000));
--- /dev/null
+++ b/crates/engine/tests/ownership.rs
@@ -0,0 +1,162 @@
+//! Which proxies hold the connections of a group, and to whom the others hand their statements.
+
+use std::time::Duration;
+
+use dandelionpitch_engine::{
+    handover,
+    ownership::{self, Holding, Peer, Plan, Room},
+    refusal::Code,
+};
+use yare::parameterized;
+
+const DCS: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+
+fn peers(count: usize) -> Vec<Peer> {
+    let peer = |index: usize| Peer {
+        id: format!("proxy-{index:02}"),
+        dc: DCS[index % DCS.len()].to_owned(),
+        address: ([127, 0, 0, 1], 5000).into(),
+        capacity: 600.0,
+    };
+    (0..count).map(peer).collect()
+}
+
+fn room(max_connections: u32, slots: u32) -> Room {
+    Room {
+        max_connections,
+        slots,
+    }
+}
+
+/// The owners of a group, as each proxy sees it for itself.
+fn owners(peers: &[Peer], service: &str, room: Room) -> Vec<String> {
+    let holding = Holding::new(peers.len(), DCS.len(), room);
+    let owns = |peer: &&Peer| ownership::plan(peers, &peer.id, service, holding) == Plan::Own;
+    let owners = peers.iter().filter(owns);
+    owners.map(|peer| peer.id.clone()).collect()
+}
+
+/// 75 proxies stand before servers that take 49 connections. With connections of their own they would
+/// ask for 150 and be turned away by the thousand; with a few owners in each data centre half of the
+/// room stays free, for connections of owners that are gone and still count.
+#[parameterized(
+    small_fleet_and_small_servers = { 8, 21, 3 },
+    small_fleet = { 7, 33, 5 },
+    large_fleet = { 75, 49, 5 },
+    large_fleet_and_roomy_servers = { 61, 157, 5 },
+    hundreds = { 300, 49, 6 },
+    hardly_any_connections = { 75, 6, 1 },
+)]
+fn connections_of_all_owners_fit(members: usize, max_connections: u32, slots: u32) {
+    let room = room(max_connections, slots);
+    let peers = peers(members);
+
+    let holding = Holding::new(members, DCS.len(), room);
+    let owners = owners(&peers, "ledger", room).len();
+    let held = owners * holding.connections(room);
+
+    assert!(owners >= DCS.len());
+    assert!(
+        held <= max_connections as usize - 3,
+        "{owners} owners hold {held}"
+    );
+}
+
+/// With connections for all, a statement takes no hop more than it has to.
+#[parameterized(
+    eight_before_21 = { 8, 21, 3, true },
+    seven_before_33 = { 7, 33, 5, true },
+    nine_before_21 = { 9, 21, 3, true },
+    ten_before_21 = { 10, 21, 3, false },
+    seventy_five_before_49 = { 75, 49, 5, false },
+)]
+fn small_fleets_hold_their_own(members: usize, most: u32, slots: u32, expected: bool) {
+    let holding = Holding::new(members, DCS.len(), room(most, slots));
+
+    assert_eq!(matches!(holding, Holding::Everyone { .. }), expected);
+}
+
+/// Every proxy names owners of its own data centre first and all name the same: if each named
+/// others, a group would have as many owners as proxies.
+#[test]
+fn all_proxies_name_the_same_owners() {
+    let peers = peers(75);
+    let room = room(49, 5);
+    let owners = owners(&peers, "ledger", room);
+    let holding = Holding::new(75, DCS.len(), room);
+    let dc = |id: &String| {
+        peers
+            .iter()
+            .find(|peer| peer.id == *id)
+            .map(|peer| &peer.dc)
+    };
+
+    for peer in &peers {
+        let Plan::HandOver { near, far } = ownership::plan(&peers, &peer.id, "ledger", holding)
+        else {
+            continue;
+        };
+        assert!(near.iter().all(|id| dc(id) == Some(&peer.dc)), "{near:?}");
+        assert!(near.iter().all(|id| owners.contains(id)), "{near:?}");
+        assert_eq!(far.iter().filter(|id| owners.contains(id)).count(), 4);
+    }
+    assert_eq!(owners.len(), 6);
+}
+
+/// An owner is lost: only the groups that it owned move, and a proxy that was named as a spare takes
+/// its place, so callers who were sent there meanwhile stay.
+#[test]
+fn lost_owner_moves_only_its_own_groups() {
+    let before = peers(75);
+    let room = room(49, 5);
+    let lost = owners(&before, "group-0", room).remove(0);
+    let after: Vec<Peer> = before.iter().filter(|p| p.id != lost).cloned().collect();
+
+    for group in (0..8).map(|group| format!("group-{group}")) {
+        let mut kept = owners(&before, &group, room);
+        let owned = kept.contains(&lost);
+        kept.retain(|id| *id != lost);
+        let now = owners(&after, &group, room);
+
+        assert!(kept.iter().all(|id| now.contains(id)));
+        assert_eq!(now.len() - kept.len(), usize::from(owned));
+    }
+}
+
+/// VMs differ: one with a link of 10 Mbit/s cannot pass on what one of 200 can. Over many groups each
+/// owns in proportion to what it can run.
+#[test]
+fn weak_vms_own_less() {
+    let mut peers = peers(30);
+    for peer in peers.iter_mut().take(15) {
+        peer.capacity = ownership::capacity(0.12, 10.0);
+    }
+    for peer in peers.iter_mut().skip(15) {
+        peer.capacity = ownership::capacity(0.5, 200.0);
+    }
+
+    let groups = (0..100).map(|group| format!("group-{group}"));
+    let all: Vec<String> = groups
+        .flat_map(|group| owners(&peers, &group, room(21, 3)))
+        .collect();
+    let weak = all.iter().filter(|id| **id < "proxy-15".to_owned()).count();
+
+    assert!(weak * 3 < all.len(), "{weak} of {}", all.len());
+}
+
+/// One owner says that it cannot run a statement; the next may. A failure of the statement itself, one
+/// that may have run, or one that has waited too long is not offered elsewhere.
+#[parameterized(
+    not_run = { Code::Busy, 1, 20, true },
+    second_answer = { Code::Busy, 2, 20, false },
+    waited = { Code::Busy, 1, 200, false },
+    failed = { Code::Failed, 1, 20, false },
+    unknown = { Code::Unknown, 1, 20, false },
+)]
+fn statement_is_offered_to_the_next_owner(code: Code, offers: usize, waited: u64, expected: bool) {
+    let waited = Duration::from_millis(waited);
+
+    let again = handover::offers_again(code, offers, waited, Duration::from_millis(400));
+
+    assert_eq!(again, expected);
+}
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -4,7 +4,7 @@
 
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
-    registry::Role,
+    registry::{Incarnation, Role},
     roster::Roster,
     takeover::{self, Cause, Fenced, Member, Memory, Sight, Status, Verdict},
     time::Moment,
@@ -26,7 +26,7 @@
 
 fn member(id: &str, sight: Sight, asked: u64) -> Member {
     Member {
-        id: id.to_owned(),
+        id: id.into(),
         leaving: false,
         sight,
         asked: at(asked),
@@ -47,7 +47,7 @@
 
 fn fenced(id: &str, lsn: u64) -> Fenced {
     Fenced {
-        id: id.to_owned(),
+        id: id.into(),
         leaving: false,
         received: Position { term: 1, lsn },
     }
@@ -55,7 +55,7 @@
 
 fn replace(old: &str, cause: Cause) -> Verdict {
     Verdict::Replace {
-        old: Some(old.to_owned()),
+        old: Some(old.into()),
         cause,
     }
 }
@@ -251,7 +251,7 @@
 
     let chosen = takeover::choose(quorum, &held, old.as_ref());
 
-    assert_eq!(chosen.map(|chosen| chosen.id.as_str()), expected);
+    assert_eq!(chosen.map(|chosen| chosen.id.id.as_str()), expected);
 }
 
 /// With equal logs a server that stays goes before one that is about to leave.
@@ -263,7 +263,7 @@
 
     let chosen = takeover::choose(2, &held, None);
 
-    assert_eq!(chosen.map(|chosen| chosen.id.as_str()), Some("b"));
+    assert_eq!(chosen.map(|chosen| chosen.id.id.as_str()), Some("b"));
 }
 
 #[parameterized(
@@ -322,10 +322,54 @@
 /// The failover duty passes on after entries have lapsed: the list in the store is what counts.
 #[test]
 fn new_holder_goes_on_from_the_recorded_members() {
-    let recorded = ["a", "b", "c"].map(str::to_owned);
+    let recorded = ["a", "b", "c"].map(Incarnation::from);
     let mut roster = Roster::new(&recorded, at(0));
 
     roster.update(&[replica("b", 19, 100)], at(100));
 
     assert_eq!(roster.ids(), recorded);
 }
+
+/// A caller hears that its commit is kept, as replica b has it. Then b starts again under its id, and
+/// the primary is cut off before b has received anything. b as it is now and c, which was behind,
+/// must not look like all but one of the group: neither has the commit.
+#[test]
+fn replica_that_starts_again_does_not_stand_for_its_earlier_life() {
+    let before = [
+        primary("a@1", 9, 0),
+        replica("b@1", 9, 0),
+        replica("c@1", 5, 0),
+    ];
+    let mut roster = Roster::default();
+    roster.update(&before, at(0));
+
+    let after = [
+        lost("a@1", 100),
+        replica("b@2", 0, 100),
+        replica("c@1", 5, 100),
+    ];
+    roster.update(&after, at(100));
+    let held = [fenced("b@2", 0), fenced("c@1", 5)];
+
+    let quorum = takeover::quorum(roster.len(), 1);
+    assert_eq!(takeover::choose(quorum, &held, None), None);
+}
+
+/// As above, and the new life is not registered yet: only its log shows that it is another. A log that
+/// was cut at a change of the primary is still the same server's.
+#[parameterized(
+    shorter = { 1, 4, true },
+    as_long = { 1, 9, false },
+    longer = { 1, 12, false },
+    cut_by_a_new_primary = { 2, 4, false },
+)]
+fn log_that_has_become_shorter_shows_a_restart(term: u64, lsn: u64, expected: bool) {
+    let before = status(Role::Replica, 1, 9);
+    let after = Status {
+        term,
+        received: Position { term: 1, lsn },
+        ..before
+    };
+
+    assert_eq!(takeover::has_restarted(&before, &after), expected);
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -68,6 +68,23 @@
     /// Where counters are served as text, besides the operators' address.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// Where other proxies hand statements to this one; without it, it only hands on.
+    #[serde(default)]
+    pub peer: Option<SocketAddr>,
+    /// The VM's processor share, in cores: proxies with more run more statements for others.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
+    /// The bandwidth of the VM's link, in megabits a second.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
+}
+
+fn default_cores() -> f64 {
+    1.0
+}
+
+fn default_link() -> f64 {
+    1_000.0
 }
 
 fn default_drain_limit() -> Duration {
--- a/crates/proxy/src/control/backoff.rs
+++ b/crates/proxy/src/control/backoff.rs
@@ -1,9 +1,8 @@
 //! Growing pauses between tries, different in each proxy.
 
-use std::{
-    hash::{Hash, Hasher},
-    time::Duration,
-};
+use std::time::Duration;
+
+pub use dandelionpitch_core::hash::{salt, share};
 
 /// The pauses after successive failures: each twice the last, up to a limit, less a part that
 /// depends on the salt and the count, so that proxies that failed together do not try together.
@@ -44,15 +43,3 @@
         most - most.mul_f64(share(&(self.salt, self.failures)) / 2.0)
     }
 }
-
-/// A number from zero up to one, the same each time for the same key.
-pub fn share(key: &impl Hash) -> f64 {
-    (salt(key) >> 32) as f64 / f64::from(u32::MAX)
-}
-
-/// A number spread over all 64 bits, the same each time and in each process for the same key.
-pub fn salt(key: &impl Hash) -> u64 {
-    let mut hasher = rustc_hash::FxHasher::default();
-    key.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -16,11 +16,13 @@
 pub mod failover;
 pub mod follow;
 pub mod group;
+pub mod handover;
 pub mod isolation;
 pub mod journal;
 pub mod member;
 pub mod observe;
 pub mod operator;
+pub mod peers;
 pub mod pool;
 pub mod record;
 pub mod run;
@@ -32,10 +34,10 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use dandelionpitch_engine::isolation::Isolation;
+use dandelionpitch_engine::{isolation::Isolation, ownership};
 use tokio::{net::TcpListener, sync::watch, task::LocalSet};
 
-use self::{shared::Shared, view::View};
+use self::{control::PeerPort, session::Origin, shared::Shared, view::View};
 use crate::{
     config::{Config, Line},
     error::Error,
@@ -56,6 +58,14 @@
         .await
         .map_err(Error::Listen)?;
     let listen = listener.local_addr().map_err(Error::Listen)?;
+    let peers = listen_for_peers(&line).await?;
+    let peer = PeerPort {
+        address: match &peers {
+            Some(peers) => Some(peers.local_addr().map_err(Error::Listen)?),
+            None => None,
+        },
+        capacity: ownership::capacity(line.cores, line.link_mbps),
+    };
     let (publish, view) = watch::channel(Arc::new(View::default()));
     let metrics = Metrics::default();
     let stop = stop::Stop::new(line.grace);
@@ -68,7 +78,7 @@
         stopping: stop.token(),
         metrics: metrics.clone(),
     };
-    let operator = control::spawn(&config, &line, publish, endpoint)?;
+    let operator = control::spawn(&config, &line, peer, publish, endpoint)?;
     let operator = operator
         .await
         .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
@@ -77,9 +87,11 @@
     journal::process("start", &config.id, &listen.to_string());
     let suspicion = isolation::Suspicion::default();
     let shared = Rc::new(Shared {
+        id: config.id.clone(),
         dc: config.dc.clone(),
         view: view.clone(),
         groups: RefCell::default(),
+        peers: peers::Peers::default(),
         metrics,
         stop: stop.clone(),
         isolated,
@@ -90,6 +102,9 @@
     tokio::task::spawn_local(looking);
     tokio::task::spawn_local(shared.clone().follow(view));
     tokio::task::spawn_local(stop::watch_settings(config.clone()));
+    if let Some(listener) = peers {
+        tokio::task::spawn_local(accept_peers(listener, shared.clone()));
+    }
     accept(&listener, &shared, &stop).await?;
     drop(listener);
     stop.drained(shared.open.clone()).await;
@@ -108,7 +123,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => session::spawn(stream, shared.clone()),
+                Ok((stream, _)) => session::spawn(stream, shared.clone(), Origin::Caller),
                 Err(error) => {
                     // Out of descriptors, or a caller gone before it was accepted.
                     journal::trouble("accept", &error.to_string());
@@ -120,5 +135,29 @@
     }
 }
 
+/// Where other proxies connect, if the settings say so.
+async fn listen_for_peers(line: &Line) -> Result<Option<TcpListener>, Error> {
+    match line.peer {
+        Some(address) => {
+            let listener = TcpListener::bind(address).await;
+            listener.map(Some).map_err(Error::Listen)
+        }
+        None => Ok(None),
+    }
+}
+
+/// Accepts other proxies until the process ends: in a planned stop they go on until they know of it.
+async fn accept_peers(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => session::spawn(stream, shared.clone(), Origin::Peer),
+            Err(error) => {
+                journal::trouble("accept", &error.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// The pause after a failed accept: without it, a lack of descriptors makes the loop spin.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
--- a/crates/proxy/src/line/attempt.rs
+++ b/crates/proxy/src/line/attempt.rs
@@ -4,9 +4,9 @@
 
 use dandelionpitch_engine::{
     freshness::PROMOTION_WAIT,
-    registry::{Entry, Role},
+    registry::{Entry, Incarnation, Role},
     roster::Roster,
-    takeover::{self, Cause, Fenced, Member, Sight},
+    takeover::{self, Cause, Fenced, Member, Sight, Status},
 };
 use dandelionpitch_platform::{backend::Order, promoter::Outcome};
 use futures::{stream::FuturesUnordered, StreamExt};
@@ -28,6 +28,10 @@
 /// How often a promotion is called for when its answer is lost; it is idempotent.
 const CALLS: usize = 3;
 
+/// How long a held member may take to say that it still is: it runs nothing but reads, and a longer
+/// wait would lengthen every failover.
+const RECHECK_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// One attempt to replace a primary.
 pub struct Attempt {
     pub control: Rc<Control>,
@@ -35,7 +39,7 @@
     pub members: Vec<Member>,
     pub roster: Roster,
     pub watchers: Vec<Rc<Watcher>>,
-    pub old: Option<String>,
+    pub old: Option<Incarnation>,
     pub cause: Cause,
 }
 
@@ -85,17 +89,69 @@
         if self.has_grown() {
             return Err(Stopped::Grown);
         }
+        self.still_held(term, &fenced, chosen).await?;
         let duty = self.control.duty.borrow().token(clock::now());
         let token = duty.ok_or(Stopped::NoDuty)?;
-        self.record(token, &chosen.id).await?;
-        self.promote(token, &chosen.id).await?;
-        Ok(chosen.id.clone())
+        self.record(token, &chosen.id.id).await?;
+        self.promote(token, &chosen.id.id).await?;
+        Ok(chosen.id.id.clone())
+    }
+
+    /// Whether the held members, and the one to be promoted, are still what they were.
+    ///
+    /// Failure: a held replica starts again while the leases run out. It has forgotten the order, follows
+    /// the old primary and confirms its commits, none of which the promoted server has; or the server
+    /// to be promoted has lost its log. Guard: all are asked once more just before the promotion. One
+    /// that does not answer cannot be told from one that is busy; it follows nobody it was not
+    /// following when it was held.
+    async fn still_held(
+        &self,
+        term: u64,
+        fenced: &[Fenced],
+        chosen: &Fenced,
+    ) -> Result<(), Stopped> {
+        let asked = |watcher: &&Rc<Watcher>| {
+            let id = &watcher.server.incarnation;
+            *id == chosen.id || fenced.iter().any(|fenced| fenced.id == *id)
+        };
+        let questions = self
+            .watchers
+            .iter()
+            .filter(asked)
+            .map(|watcher| async move {
+                let answer = watcher.order(Order::Status, RECHECK_TIMEOUT).await;
+                (&watcher.server.incarnation, answer)
+            });
+        for (id, answer) in futures::future::join_all(questions).await {
+            let Ok(status) = answer else { continue };
+            let held = fenced.iter().find(|fenced| fenced.id == *id);
+            let shorter = |before: &Fenced| status.received < before.received;
+            let forgot = held.is_some() && status.held < term && status.term < term;
+            if forgot || held.is_some_and(shorter) || (*id == chosen.id && shorter(chosen)) {
+                self.resume(fenced).await;
+                let server = id.clone();
+                return Err(Stopped::Restarted { server });
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a member's answer shows that it has started again since it was last seen.
+    fn has_restarted(&self, member: &Member, after: &Status) -> bool {
+        match member.sight {
+            Sight::Answered(before) => takeover::has_restarted(&before, after),
+            Sight::Unknown | Sight::Lost { .. } => false,
+        }
     }
 
     /// Whether a server has come that was not held.
     fn has_grown(&self) -> bool {
         let now = self.control.servers_of(&self.service);
-        let known = |entry: &Entry| self.members.iter().any(|m| m.id == entry.server.id);
+        let known = |entry: &Entry| {
+            self.members
+                .iter()
+                .any(|m| m.id == entry.server.incarnation)
+        };
         !now.iter().all(known)
     }
 
@@ -131,6 +187,10 @@
                     continue;
                 }
             };
+            if self.has_restarted(member, &status) {
+                journal::write("restarted", json!({ "server": member.id, "while": "held" }));
+                continue;
+            }
             let one = Fenced {
                 id: member.id.clone(),
                 leaving: member.leaving,
@@ -151,7 +211,8 @@
 
     /// Lets the held members follow the old primary again: nothing was promoted.
     async fn resume(&self, fenced: &[Fenced]) {
-        let held = |watcher: &&Rc<Watcher>| fenced.iter().any(|f| f.id == watcher.server.id);
+        let held =
+            |watcher: &&Rc<Watcher>| fenced.iter().any(|f| f.id == watcher.server.incarnation);
         let orders = self
             .watchers
             .iter()
--- a/crates/proxy/src/line/call.rs
+++ b/crates/proxy/src/line/call.rs
@@ -18,6 +18,7 @@
     journal,
     pool::{Miss, Rank, Wish},
 };
+use crate::metrics::Metrics;
 
 /// The pause before a statement that was not run is offered again.
 pub const OFFER_AGAIN: Duration = Duration::from_millis(15);
@@ -62,6 +63,11 @@
         self.arrived + self.route.timeout
     }
 
+    /// How long ago it came.
+    pub fn waited(&self) -> Duration {
+        clock::now().since(self.arrived)
+    }
+
     /// How much of its time is left.
     pub fn left(&self) -> Duration {
         clock::now().until(self.deadline())
@@ -74,8 +80,7 @@
 
     /// Whether to look for a server that can take it once more.
     pub fn offers_again(&self, obstacle: Obstacle) -> bool {
-        let waited = clock::now().since(self.arrived);
-        !self.isolated && admission::offers_again(obstacle, waited, self.route.target)
+        !self.isolated && admission::offers_again(obstacle, self.waited(), self.route.target)
     }
 
     /// What it asks of a pool; the proxy's own questions go first.
@@ -134,12 +139,17 @@
 
 /// One log line for a statement that a server did not serve.
 pub fn note_failure(group: &Group, backend: &Backend, call: &Call<'_>, why: &str) {
-    group.metrics.attempt(reason(why));
+    note_refused(&group.metrics, backend, call, why);
+}
+
+/// The same for a server or another proxy.
+pub fn note_refused(metrics: &Metrics, backend: &Backend, call: &Call<'_>, why: &str) {
+    metrics.attempt(reason(why));
     journal::write(
         "attempt",
-        json!({ "id": call.id, "route": call.route.name, "service": group.name,
-            "server": backend.server.id, "effect": format!("{:?}", call.effect),
-            "after_ms": clock::now().since(call.arrived).as_millis() as u64, "why": why }),
+        json!({ "id": call.id, "route": call.route.name, "service": call.route.service,
+            "server": backend.server.id(), "effect": format!("{:?}", call.effect),
+            "after_ms": call.waited().as_millis() as u64, "why": why }),
     );
 }
 
--- a/crates/proxy/src/line/connection.rs
+++ b/crates/proxy/src/line/connection.rs
@@ -1,12 +1,12 @@
 //! An open connection to a backend server, and what the sessions before left on it.
 
-use dandelionpitch_core::{hash::Map, position::Position};
+use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     session::{Named, Session, Values},
     statement::Shape,
 };
 use dandelionpitch_platform::{
-    backend::{Answer, Link, Query},
+    backend::{Answer, Condition, Link, Query},
     Error,
 };
 
@@ -85,13 +85,14 @@
 pub async fn ask(
     connection: &mut Connection,
     call: &Call<'_>,
-    after: Option<Position>,
+    condition: Condition<'_>,
 ) -> Result<Answer, Error> {
     let Call { id, text, .. } = call;
     let Some(Named { shape, arguments }) = call.named else {
-        let query = match after {
-            Some(after) => Query::After { id, after, text },
-            None => Query::Caller { id, text },
+        let query = Query::Caller {
+            id,
+            text,
+            condition,
         };
         return connection.link.ask(query).await;
     };
@@ -104,7 +105,7 @@
         id,
         name: &name,
         arguments,
-        after,
+        condition,
     };
     if known.is_some() {
         return connection.link.ask(run).await;
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -8,15 +8,19 @@
     sync::Arc,
 };
 
-use dandelionpitch_core::hash::Map;
+use dandelionpitch_core::hash::{Map, Set};
 use dandelionpitch_engine::{
-    catalog::Catalog,
+    catalog::{Catalog, Service},
     duty::Duty,
-    registry::{Entry, Registry},
+    ownership::{self, Holding, Peer, Room},
+    registry::{Entry, Registry, Server},
     share::Members,
     time::Moment,
 };
-use dandelionpitch_platform::store::{self, Event, Item, Store, Subject};
+use dandelionpitch_platform::{
+    registration,
+    store::{self, Event, Item, Store, Subject},
+};
 use serde_json::json;
 use tokio::{
     sync::{oneshot, watch},
@@ -24,13 +28,26 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{clock, duty, failover, follow, journal, member, operator, record, view::View};
+use super::{
+    clock, duty, failover, follow, journal, member, operator, record,
+    view::{Ownership, View},
+};
 use crate::{
     config::{Config, Line},
     error::Error,
     metrics::Metrics,
 };
 
+/// The most unreadable entries that are remembered, so that another writer cannot fill the memory.
+const MOST_UNREADABLE: usize = 500;
+
+/// How this proxy takes statements of others.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerPort {
+    pub address: Option<SocketAddr>,
+    pub capacity: f64,
+}
+
 /// The control state.
 pub struct Control {
     /// This process's name and incarnation, unique among all that ever ran.
@@ -38,6 +55,7 @@
     pub started: Moment,
     pub id: String,
     pub dc: String,
+    pub peer: PeerPort,
     pub metrics: Metrics,
     pub stopping: CancellationToken,
     pub store: RefCell<Store>,
@@ -49,6 +67,8 @@
     pub records: RefCell<Map<String, record::Noted>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     members: RefCell<Members>,
+    /// Entries among the registrations that are none.
+    unreadable: RefCell<Set<String>>,
     /// Whether the store answered the last call that follows it.
     pub store_answers: Cell<bool>,
     publish: watch::Sender<Arc<View>>,
@@ -58,6 +78,7 @@
 pub fn spawn(
     config: &Config,
     line: &Line,
+    peer: PeerPort,
     publish: watch::Sender<Arc<View>>,
     endpoint: operator::Context,
 ) -> Result<oneshot::Receiver<SocketAddr>, Error> {
@@ -80,6 +101,7 @@
             started,
             id,
             dc,
+            peer,
             metrics,
             stopping,
             store: RefCell::new(store),
@@ -90,6 +112,7 @@
             records: RefCell::default(),
             catalog: RefCell::default(),
             members: RefCell::default(),
+            unreadable: RefCell::default(),
             store_answers: Cell::new(false),
             publish,
         });
@@ -167,13 +190,13 @@
         for item in items {
             match store::subject(&item.key) {
                 Subject::Config => self.configure(&item.value),
-                Subject::Server(id) => servers.extend(decode_server(id, &item.value)),
+                Subject::Server(id) => servers.extend(self.read_server(id, &item.value)),
                 Subject::Own(key) => {
                     if key == duty::KEY {
                         let name = String::from_utf8_lossy(&item.value).into_owned();
                         holder = Some((name, item.revision));
                     } else if let Some(name) = member::name(key) {
-                        members.push(name);
+                        members.push((name.to_owned(), self.read_peer(name, &item.value)));
                     } else {
                         self.note_record(item, now);
                     }
@@ -209,14 +232,16 @@
         match store::subject(&item.key) {
             Subject::Config => self.configure(&item.value),
             Subject::Server(id) => {
-                if let Some(server) = decode_server(id, &item.value) {
-                    if self.registry.borrow_mut().put(server.clone(), now) {
-                        journal::write(
-                            "server",
-                            json!({ "id": id, "service": server.service, "leaving": server.leaving,
-                                "role": format!("{:?}", server.role), "revision": item.revision }),
-                        );
-                    }
+                let Some(server) = self.read_server(id, &item.value) else {
+                    return self.registry.borrow_mut().missing(id, now);
+                };
+                if self.registry.borrow_mut().put(server.clone(), now) {
+                    journal::write(
+                        "server",
+                        json!({ "id": server.incarnation, "service": server.service,
+                            "leaving": server.leaving, "role": format!("{:?}", server.role),
+                            "revision": item.revision }),
+                    );
                 }
             }
             Subject::Own(key) if key == duty::KEY => {
@@ -225,7 +250,8 @@
             }
             Subject::Own(key) => match member::name(key) {
                 Some(name) => {
-                    self.members.borrow_mut().present(name);
+                    let peer = self.read_peer(name, &item.value);
+                    self.members.borrow_mut().present(name, peer);
                 }
                 None => self.note_record(item, now),
             },
@@ -249,6 +275,38 @@
         }
     }
 
+    /// Reads a registration; `None` if it is none, as other writers use the same store. That is said
+    /// once, until the entry is readable again.
+    fn read_server(&self, id: &str, value: &[u8]) -> Option<Server> {
+        let mut unreadable = self.unreadable.borrow_mut();
+        match registration::decode(id, value) {
+            Ok(server) => {
+                if unreadable.remove(id) {
+                    journal::write("registration", json!({ "id": id, "readable": true }));
+                }
+                Some(server)
+            }
+            Err(error) => {
+                self.metrics.entry_passed_over();
+                let known =
+                    unreadable.len() >= MOST_UNREADABLE || !unreadable.insert(id.to_owned());
+                if !known {
+                    journal::trouble("registration", &error.to_string());
+                }
+                None
+            }
+        }
+    }
+
+    /// Reads another proxy's entry; one that is none still counts as a proxy, but gets no statements.
+    fn read_peer(&self, name: &str, value: &[u8]) -> Option<Peer> {
+        member::peer(name, value).unwrap_or_else(|error| {
+            self.metrics.entry_passed_over();
+            journal::trouble("member", &format!("{name}: {error}"));
+            None
+        })
+    }
+
     fn note_record(&self, item: &Item, now: Moment) {
         record::Noted::read(item, &mut self.records.borrow_mut(), now);
     }
@@ -257,7 +315,9 @@
     pub fn expire(&self) {
         let gone = self.registry.borrow_mut().expire(clock::now());
         let members = self.members.borrow_mut().count(clock::now());
-        if members != self.publish.borrow().members {
+        let peers = self.members.borrow().peers(clock::now());
+        let view = self.publish.borrow().clone();
+        if (members, &peers) != (view.members, &view.peers) {
             self.publish();
         }
         if !gone.is_empty() {
@@ -283,6 +343,25 @@
         }
     }
 
+    fn ownership(
+        &self,
+        name: &str,
+        service: &Service,
+        servers: &[Entry],
+        peers: &[Peer],
+        members: usize,
+    ) -> Ownership {
+        let slots = servers.iter().map(|entry| entry.server.slots).min();
+        let room = Room {
+            max_connections: service.max_connections,
+            slots: slots.unwrap_or(1),
+        };
+        let dcs: Set<&str> = peers.iter().map(|peer| peer.dc.as_str()).collect();
+        let holding = Holding::new(members, dcs.len(), room);
+        let plan = ownership::plan(peers, &self.id, name, holding);
+        Ownership { holding, plan }
+    }
+
     fn publish(&self) {
         let registry = self.registry.borrow();
         let catalog = self.catalog.borrow().clone();
@@ -295,22 +374,23 @@
             let members = noted.record.members.clone();
             (name.clone(), members)
         };
+        let now = clock::now();
+        let mut members = self.members.borrow_mut();
+        let (count, peers) = (members.count(now), members.peers(now));
+        let services = catalog.iter().flat_map(|catalog| &catalog.services);
+        let ownership = services.map(|(name, service)| {
+            let ownership = self.ownership(name, service, &servers[name], &peers, count);
+            (name.clone(), ownership)
+        });
+        let ownership = ownership.collect();
         let view = View {
             catalog,
             servers,
             counted: records.iter().map(counted).collect(),
-            members: self.members.borrow_mut().count(clock::now()),
+            members: count,
+            peers,
+            ownership,
         };
         self.publish.send_replace(Arc::new(view));
     }
 }
-
-fn decode_server(id: &str, value: &[u8]) -> Option<dandelionpitch_engine::registry::Server> {
-    match dandelionpitch_platform::registration::decode(id, value) {
-        Ok(server) => Some(server),
-        Err(error) => {
-            journal::trouble("registration", &error.to_string());
-            None
-        }
-    }
-}
--- a/crates/proxy/src/line/exchange.rs
+++ b/crates/proxy/src/line/exchange.rs
@@ -3,9 +3,8 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::session::Session;
-use dandelionpitch_platform::backend::{Answer, State};
+use dandelionpitch_platform::backend::{Answer, Condition, State};
 
 use super::{
     backend::Backend,
@@ -33,6 +32,10 @@
 /// usual work (82 ms of 1 s, 410 ms of 3 s) behind a full set of slots.
 const LEAST_PATIENCE: f64 = 0.4;
 
+/// The same for an answer of another proxy, which itself gives up on its servers: only a connection
+/// that has gone silent is to be noticed.
+const PEER_PATIENCE: f64 = 0.8;
+
 /// A connection to `backend` with the session's values in force.
 pub async fn checkout(
     group: &Rc<Group>,
@@ -40,19 +43,40 @@
     session: &Session,
     call: &Call<'_>,
 ) -> Result<Checkout, Failure> {
-    let lent = backend.pool.checkout(session.values(), call.wish());
-    let mut checkout = lent.await.map_err(|miss| {
+    lend(backend, session, call).await.map_err(|miss| {
         if miss == Miss::Unreachable {
             backend.unreachable();
             group.depose(backend);
         }
         missed(call, miss)
-    })?;
+    })?
+}
+
+/// A connection to another proxy with the session's values in force.
+pub async fn checkout_peer(
+    peer: &Rc<Backend>,
+    session: &Session,
+    call: &Call<'_>,
+) -> Result<Checkout, Failure> {
+    lend(peer, session, call).await.map_err(|miss| {
+        peer.avoid();
+        missed(call, miss)
+    })?
+}
+
+/// Lends a connection; the inner result is what became of setting the session's values on it.
+async fn lend(
+    backend: &Rc<Backend>,
+    session: &Session,
+    call: &Call<'_>,
+) -> Result<Result<Checkout, Failure>, Miss> {
+    let lent = backend.pool.checkout(session.values(), call.wish());
+    let mut checkout = lent.await?;
     let connection = checkout.connection();
     let why = tokio::select! {
         biased;
         dressed = tokio::time::timeout(call.left(), dress(connection, session)) => match dressed {
-            Ok(Ok(())) => return Ok(checkout),
+            Ok(Ok(())) => return Ok(Ok(checkout)),
             Ok(Err(error)) => error.to_string(),
             Err(_) => "its time is up".to_owned(),
         },
@@ -60,7 +84,7 @@
     };
     // Nothing of the caller's was sent.
     backend.avoid();
-    Err(Failure::NotRun(call.busy(&why, OFFER_AGAIN)))
+    Ok(Err(Failure::NotRun(call.busy(&why, OFFER_AGAIN))))
 }
 
 /// Sends the statement and reads its answer. When the answer counts as lost, or the server's
@@ -73,12 +97,16 @@
     mut checkout: Checkout,
     backend: &Backend,
     call: &Call<'_>,
-    after: Option<Position>,
+    condition: Condition<'_>,
 ) -> (Result<Answer, String>, Option<Checkout>) {
-    let least = call.route.timeout.mul_f64(LEAST_PATIENCE);
+    let part = match condition {
+        Condition::Terms(_) => PEER_PATIENCE,
+        Condition::Nothing | Condition::After(_) => LEAST_PATIENCE,
+    };
+    let least = call.route.timeout.mul_f64(part);
     let patience = (backend.latency() * PATIENCE).max(least).min(call.left());
     let result = {
-        let sent = ask(checkout.connection(), call, after);
+        let sent = ask(checkout.connection(), call, condition);
         tokio::select! {
             biased;
             answer = tokio::time::timeout(patience, sent) => match answer {
--- a/crates/proxy/src/line/failover.rs
+++ b/crates/proxy/src/line/failover.rs
@@ -5,7 +5,7 @@
 
 use dandelionpitch_core::hash::{Map, Set};
 use dandelionpitch_engine::{
-    registry::{Entry, Role},
+    registry::{Entry, Incarnation, Role},
     roster::Roster,
     takeover::{self, Member, Memory, Sight, Status, Verdict, TURN_GAP},
     time::Moment,
@@ -37,7 +37,7 @@
     trying: bool,
 }
 
-type Watchers = Map<String, Rc<Watcher>>;
+type Watchers = Map<Incarnation, Rc<Watcher>>;
 
 /// The failover duty's own state.
 #[derive(Default)]
@@ -72,7 +72,8 @@
         let entries = services
             .iter()
             .flat_map(|service| control.servers_of(service));
-        let present: Set<String> = entries.map(|entry| entry.server.id.clone()).collect();
+        let present = entries.map(|entry| entry.server.incarnation.clone());
+        let present: Set<Incarnation> = present.collect();
         self.watchers
             .borrow_mut()
             .retain(|id, _| present.contains(id));
@@ -84,7 +85,7 @@
             .iter()
             .map(|entry| {
                 watchers
-                    .entry(entry.server.id.clone())
+                    .entry(entry.server.incarnation.clone())
                     .or_insert_with(|| Watcher::new(entry.server.clone()))
                     .clone()
             })
@@ -102,7 +103,7 @@
             .iter()
             .zip(&watchers)
             .map(|(entry, watcher)| Member {
-                id: entry.server.id.clone(),
+                id: entry.server.incarnation.clone(),
                 leaving: entry.server.leaving,
                 sight: watcher.sight(),
                 asked: watcher.answered(),
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -15,9 +15,9 @@
 use dandelionpitch_engine::{
     catalog::Service,
     freshness::{Lease, Mark, Marks},
+    ownership::{Holding, Room},
     placement,
-    registry::{Entry, Role},
-    share,
+    registry::{Entry, Incarnation, Role},
     takeover::Status,
     time::Moment,
 };
@@ -75,6 +75,7 @@
     marks: RefCell<Marks>,
     lease: Cell<Lease>,
     sync_replicas: Cell<usize>,
+    owned: Cell<bool>,
     /// A write to the primary is long without an answer, and none has been answered since.
     doubted: Cell<bool>,
     /// When a replica last spoke for another primary.
@@ -101,6 +102,7 @@
             marks: RefCell::default(),
             lease: Cell::default(),
             sync_replicas: Cell::default(),
+            owned: Cell::new(true),
             denied: Cell::default(),
             doubted: Cell::default(),
             unconfirmed: Cell::default(),
@@ -118,18 +120,20 @@
         self: &Rc<Self>,
         entries: &[Entry],
         service: &Service,
-        members: usize,
-        counted: Option<&[String]>,
+        holding: Holding,
+        counted: Option<&[Incarnation]>,
     ) {
         self.sync_replicas.set(service.sync_replicas as usize);
         let mut changed = false;
         let old = std::mem::take(&mut *self.servers.borrow_mut());
         let mut servers = Vec::with_capacity(entries.len());
         for entry in entries {
-            let slots = entry.server.slots;
-            let limit = share::connections(service.max_connections, slots, members);
+            let limit = holding.connections(Room {
+                max_connections: service.max_connections,
+                slots: entry.server.slots,
+            });
             let same = |backend: &&Rc<Backend>| {
-                backend.server.id == entry.server.id
+                backend.server.incarnation == entry.server.incarnation
                     && backend.server.address == entry.server.address
             };
             match old.iter().find(same) {
@@ -154,7 +158,7 @@
             }
         }
         for backend in &servers {
-            let counts = counted.is_none_or(|ids| ids.contains(&backend.server.id));
+            let counts = counted.is_none_or(|ids| ids.contains(&backend.server.incarnation));
             backend.counted.set(counts);
         }
         *self.servers.borrow_mut() = servers;
@@ -163,14 +167,28 @@
             .leader
             .borrow()
             .as_ref()
-            .map(|l| l.backend.server.id.clone());
-        let registered = entries.iter().filter(primaries).map(|e| &e.server.id);
+            .map(|l| l.backend.server.incarnation.clone());
+        let registered = entries.iter().filter(primaries);
+        let registered = registered.map(|entry| &entry.server.incarnation);
         changed |= !registered.into_iter().any(|id| Some(id) == leader.as_ref());
-        if changed {
+        if changed && self.owned.get() {
             self.search_ahead();
         }
     }
 
+    /// Notes whether this proxy runs the group's statements on connections of its own.
+    pub fn set_owned(&self, owned: bool) {
+        self.owned.set(owned);
+    }
+
+    /// Closes idle connections of a group that others hold connections for.
+    pub fn close_unowned(&self) {
+        if !self.owned.get() {
+            let servers = self.servers.borrow();
+            servers.iter().for_each(|backend| backend.pool.close_idle());
+        }
+    }
+
     fn new_backend(&self, entry: &Entry, limit: usize) -> Rc<Backend> {
         Backend::new(entry, limit, self.suspicion.clone(), self.metrics.clone())
     }
@@ -218,7 +236,7 @@
         if self.led_by(backend) && !self.doubted.replace(true) {
             journal::write(
                 "doubt",
-                json!({ "service": self.name, "server": backend.server.id }),
+                json!({ "service": self.name, "server": backend.server.id() }),
             );
             self.revoke();
         }
@@ -310,8 +328,8 @@
         }
         journal::write(
             "leader",
-            json!({ "service": self.name, "server": backend.server.id, "term": status.term,
-                "asked": statuses.len(), "before": known.map(|l| l.backend.server.id.clone()) }),
+            json!({ "service": self.name, "server": backend.server.id(), "term": status.term,
+                "asked": statuses.len(), "before": known.map(|l| l.backend.server.incarnation.clone()) }),
         );
         self.revoke();
         self.doubted.set(false);
--- a/crates/proxy/src/line/group/proof.rs
+++ b/crates/proxy/src/line/group/proof.rs
@@ -110,8 +110,8 @@
     pub(super) fn superseded(&self, leader: &Leader, by: &Rc<Backend>, status: &Status) {
         journal::write(
             "superseded",
-            json!({ "service": self.name, "server": leader.backend.server.id,
-                "term": leader.term, "by": by.server.id, "its_term": status.term,
+            json!({ "service": self.name, "server": leader.backend.server.id(),
+                "term": leader.term, "by": by.server.id(), "its_term": status.term,
                 "held": status.held }),
         );
         self.denied.set(clock::now());
@@ -204,7 +204,7 @@
             }
             Ok(_) => self.depose(&leader.backend),
             Err(error) => {
-                let server = &leader.backend.server.id;
+                let server = &leader.backend.server.incarnation;
                 journal::trouble("position", &format!("{server}: {error}"));
             }
         }
--- a/crates/proxy/src/line/observe.rs
+++ b/crates/proxy/src/line/observe.rs
@@ -158,7 +158,7 @@
                 Some(link) => link,
                 None => {
                     let server = &self.server;
-                    Link::open(server.address, &server.service, &server.id).await?
+                    Link::open(server.address, &server.service, server.id()).await?
                 }
             };
             let status = link.status(order).await;
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use dandelionpitch_engine::ownership::Plan;
 use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
@@ -19,6 +20,8 @@
     pub version: u64,
     /// Live proxies, this one included.
     pub members: usize,
+    /// The groups whose connections this proxy holds, for itself or for others as well.
+    pub owns: Vec<String>,
     pub servers: Vec<ServerReport>,
     /// Log lines left out because standard output was not read.
     pub log_lines_dropped: u64,
@@ -28,6 +31,8 @@
 #[derive(Debug, Serialize)]
 pub struct ServerReport {
     pub id: String,
+    /// When its present life started, in Unix milliseconds; 0 if it does not say.
+    pub born: u64,
     pub service: String,
     pub address: SocketAddr,
     pub leaving: bool,
@@ -60,7 +65,8 @@
 fn status(context: &State<Context>) -> Json<Report> {
     let view = context.view.borrow().clone();
     let servers = view.servers.values().flatten().map(|entry| ServerReport {
-        id: entry.server.id.clone(),
+        id: entry.server.incarnation.id.clone(),
+        born: entry.server.incarnation.born,
         service: entry.server.service.clone(),
         address: entry.server.address,
         leaving: entry.server.leaving,
@@ -71,11 +77,20 @@
         dc: context.dc.clone(),
         version: view.version(),
         members: view.members,
+        owns: owned(&view),
         servers: servers.collect(),
         log_lines_dropped: journal::dropped(),
     })
 }
 
+fn owned(view: &View) -> Vec<String> {
+    let own = view.ownership.iter();
+    let own = own.filter(|(_, ownership)| ownership.plan == Plan::Own);
+    let mut names: Vec<String> = own.map(|(name, _)| name.clone()).collect();
+    names.sort_unstable();
+    names
+}
+
 #[get("/metrics")]
 fn metrics(context: &State<Context>) -> String {
     context.metrics.log_lines_dropped(journal::dropped());
--- /dev/null
+++ b/crates/proxy/src/line/peers.rs
@@ -0,0 +1,101 @@
+//! The other proxies as traffic sees them, and to which of them the statements of each group go.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use dandelionpitch_core::hash::{Map, Set};
+use dandelionpitch_engine::{
+    ownership::{Peer, Plan},
+    registry::{Entry, Incarnation, Role, Server},
+};
+use dandelionpitch_platform::peer;
+
+use super::{backend::Backend, clock, isolation::Suspicion, view::View};
+use crate::metrics::Metrics;
+
+/// The most connections to one other proxy. Its own queue decides who waits, so this only bounds the
+/// descriptors that one proxy takes of another.
+const MOST_LINKS: usize = 64;
+
+/// The other proxies.
+#[derive(Default)]
+pub struct Peers {
+    known: RefCell<Map<String, Rc<Backend>>>,
+    plans: RefCell<Map<String, Plan>>,
+    turn: Cell<usize>,
+}
+
+impl Peers {
+    /// Takes the live proxies, and who owns which group, as they now are.
+    pub fn update(&self, view: &View, own: &str, metrics: &Metrics) {
+        let plans = view.ownership.iter();
+        let plans = plans.map(|(name, ownership)| (name.clone(), ownership.plan.clone()));
+        *self.plans.borrow_mut() = plans.collect();
+        let peers = &view.peers;
+        let mut known = self.known.borrow_mut();
+        let live: Set<&str> = peers.iter().map(|peer| peer.id.as_str()).collect();
+        known.retain(|id, backend| {
+            let lives = live.contains(id.as_str());
+            if !lives {
+                backend.pool.close();
+            }
+            lives
+        });
+        for peer in peers.iter().filter(|peer| peer.id != own) {
+            let same = |known: &Rc<Backend>| known.server.address == peer.address;
+            if !known.get(&peer.id).is_some_and(same) {
+                known.insert(peer.id.clone(), backend(peer, metrics));
+            }
+        }
+    }
+
+    /// Whether this proxy runs the group's statements itself.
+    pub fn owns(&self, name: &str) -> bool {
+        !matches!(self.plans.borrow().get(name), Some(Plan::HandOver { .. }))
+    }
+
+    /// The proxies that a statement of the group goes to, best first; `None` if it is run here. Near ones
+    /// take turns; those that failed a moment ago come last.
+    pub fn of(&self, name: &str) -> Option<Vec<Rc<Backend>>> {
+        let plans = self.plans.borrow();
+        let Some(Plan::HandOver { near, far }) = plans.get(name) else {
+            return None;
+        };
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        let mut ids: Vec<&String> = near.iter().collect();
+        let count = ids.len().max(1);
+        ids.rotate_left(turn % count);
+        ids.extend(far);
+        let known = self.known.borrow();
+        let mut peers: Vec<Rc<Backend>> = ids
+            .iter()
+            .filter_map(|id| known.get(*id).cloned())
+            .collect();
+        let now = clock::now();
+        peers.sort_by_key(|peer| peer.avoided(now));
+        Some(peers)
+    }
+}
+
+/// Another proxy, spoken to as a backend server is.
+fn backend(peer: &Peer, metrics: &Metrics) -> Rc<Backend> {
+    let server = Server {
+        incarnation: Incarnation::from(peer.id.as_str()),
+        service: peer::NAME.to_owned(),
+        address: peer.address,
+        dc: peer.dc.clone(),
+        slots: u32::MAX,
+        role: Role::Replica,
+        leaving: false,
+    };
+    let entry = Entry {
+        server: Arc::new(server),
+        missing_since: None,
+        leaving_since: None,
+    };
+    Backend::new(&entry, MOST_LINKS, Suspicion::default(), metrics.clone())
+}
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -215,7 +215,7 @@
             return Err(Miss::Unreachable);
         }
         let server = &self.server;
-        let open = Link::open(server.address, &server.service, &server.id);
+        let open = Link::open(server.address, &server.service, server.id());
         let limit = OPEN_TIMEOUT.min(left);
         let (miss, why, pause) = match tokio::time::timeout(limit, open).await {
             Ok(Ok(link)) => {
@@ -236,7 +236,7 @@
         self.rest_until.set(clock::now() + pause);
         journal::write(
             "connect",
-            serde_json::json!({ "server": server.id, "service": server.service,
+            serde_json::json!({ "server": server.id(), "service": server.service,
                 "address": server.address.to_string(), "open": self.state.borrow().open, "why": why }),
         );
         Err(miss)
--- a/crates/proxy/src/line/record.rs
+++ b/crates/proxy/src/line/record.rs
@@ -1,7 +1,7 @@
 //! The record of a group in the store: who promoted last, and which servers count.
 
 use dandelionpitch_core::hash::Map;
-use dandelionpitch_engine::time::Moment;
+use dandelionpitch_engine::{registry::Incarnation, time::Moment};
 use dandelionpitch_platform::store::{Change, Item, Write};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,8 @@
     NoChoice { fenced: usize, quorum: usize },
     #[display("a server has come that is not held")]
     Grown,
+    #[display("{server} has started again since it was held")]
+    Restarted { server: Incarnation },
     #[display("the duty is no longer held")]
     NoDuty,
     #[display("the store says that the duty is another's, or the record changed")]
@@ -38,7 +40,7 @@
     /// When this was written for a promotion, its number: others wait for a while after it.
     pub promotions: u64,
     /// The servers that count for a promotion, present or vanished.
-    pub members: Vec<String>,
+    pub members: Vec<Incarnation>,
 }
 
 /// A record and when this process saw it.
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/run.rs
@@ -8,9 +8,10 @@
     admission::Obstacle,
     catalog::Consistency,
     refusal::{Code, Refusal},
+    registry::Incarnation,
     session::{Effect, Session},
 };
-use dandelionpitch_platform::backend::Success;
+use dandelionpitch_platform::backend::{Condition, Success};
 
 use super::{
     backend::Backend,
@@ -71,7 +72,7 @@
 struct Tried {
     rounds: usize,
     obstacle: Obstacle,
-    failed: Vec<(String, u32)>,
+    failed: Vec<(Incarnation, u32)>,
     last: Option<Failure>,
 }
 
@@ -91,7 +92,8 @@
     }
 
     fn exhausted(&self, backend: &Backend) -> bool {
-        let met = |(id, count): &(String, u32)| *id == backend.server.id && *count >= Self::OFFERS;
+        let id = &backend.server.incarnation;
+        let met = |(known, count): &(Incarnation, u32)| known == id && *count >= Self::OFFERS;
         self.failed.iter().any(met)
     }
 
@@ -101,7 +103,7 @@
         }
         // What was not run costs nothing to offer again.
         if matches!(failure, Failure::Ran(_) | Failure::Lost(_)) {
-            let id = &backend.server.id;
+            let id = &backend.server.incarnation;
             match self.failed.iter_mut().find(|(known, _)| known == id) {
                 Some((_, count)) => *count += 1,
                 None => self.failed.push((id.clone(), 1)),
@@ -171,7 +173,8 @@
 ) -> Result<Success, Failure> {
     let checkout = checkout(group, backend, session, call).await?;
     let asked = clock::now();
-    let (answer, checkout) = exchange(checkout, backend, call, after).await;
+    let condition = after.map_or(Condition::Nothing, Condition::After);
+    let (answer, checkout) = exchange(checkout, backend, call, condition).await;
     let answer = match answer {
         Ok(answer) => answer,
         Err(why) => {
@@ -250,7 +253,7 @@
             Err(Failure::Lost(why)) => return Err(Refusal::new(Code::Unknown, why)),
         };
         let asked = clock::now();
-        let sent = exchange(checkout, backend, call, None);
+        let sent = exchange(checkout, backend, call, Condition::Nothing);
         let (answer, checkout) = doubting(group, backend, sent).await;
         let answer = match answer {
             Ok(answer) => answer,
--- a/crates/proxy/src/line/session.rs
+++ b/crates/proxy/src/line/session.rs
@@ -3,10 +3,11 @@
 //!
 //! [`engine::session`]: dandelionpitch_engine::session
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
     catalog::Route,
+    handover::Terms,
     refusal::{Code, Refusal},
     session::{self as engine, Phase, Step},
     statement::Statement,
@@ -14,8 +15,9 @@
 };
 use dandelionpitch_platform::{
     backend::{keep_alive, Success},
-    caller::{self, Request},
+    caller::{self, Request, Stand},
     line::{self, Buffer},
+    peer::{self, Message},
 };
 use serde_json::json;
 use tokio::{
@@ -28,9 +30,9 @@
 
 use super::{
     call::Call,
-    clock, journal, run,
+    clock, handover, journal, run,
     shared::Shared,
-    transaction::{self, Pinned},
+    transaction::{self, Holder, Pinned},
 };
 
 /// How long an answer may take to be taken by its caller before the connection counts as lost.
@@ -39,17 +41,28 @@
 /// How long a caller has for its first message.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Who is at the other end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    Caller,
+    /// Another proxy, with statements of many sessions one after the other.
+    Peer,
+}
+
 /// Serves a new connection in a task of its own.
-pub fn spawn(stream: TcpStream, shared: Rc<Shared>) {
+pub fn spawn(stream: TcpStream, shared: Rc<Shared>, origin: Origin) {
     tokio::task::spawn_local(async move {
         if let Err(error) = keep_alive(&stream) {
             journal::trouble("caller socket", &error.to_string());
             return;
         }
-        shared.open.set(shared.open.get() + 1);
+        // A connection of another proxy rests most of the time; only its statements are waited for.
+        let counted = usize::from(origin == Origin::Caller);
+        shared.open.set(shared.open.get() + counted);
         let open = shared.open.clone();
         let (reader, writer) = stream.into_split();
         let session = Session {
+            origin,
             shared,
             reader,
             writer,
@@ -61,7 +74,7 @@
             pinned: None,
         };
         session.serve().await;
-        open.set(open.get() - 1);
+        open.set(open.get() - counted);
     });
 }
 
@@ -77,6 +90,7 @@
 }
 
 struct Session {
+    origin: Origin,
     shared: Rc<Shared>,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
@@ -121,14 +135,22 @@
             _ => return false,
         };
         let known = match self.shared.catalog() {
+            _ if self.origin == Origin::Peer => match database == peer::NAME {
+                true => Ok(()),
+                false => Err(Refusal::new(
+                    Code::Moved,
+                    "only other proxies are served here",
+                )),
+            },
             None => Err(Refusal::new(Code::Busy, "starting; come back in 1000 ms")),
             Some(catalog) if !catalog.routes.contains_key(&database) => {
                 Err(no_database(&database, catalog.version))
             }
             Some(_) => Ok(()),
         };
+        let stand = self.stand();
         match &known {
-            Ok(()) => caller::ready(&mut self.out, Phase::Idle),
+            Ok(()) => caller::ready(&mut self.out, stand),
             Err(refusal) => caller::failed_start(&mut self.out, refusal),
         }
         self.database = database;
@@ -138,6 +160,8 @@
     /// The next thing to do. At rest in a planned stop, the session ends.
     async fn next(&mut self) -> Next {
         let idle = self.state.phase() == Phase::Idle;
+        // Other proxies stop asking by themselves; a connection closed under them costs a statement.
+        let ends_at_rest = self.origin == Origin::Caller;
         let shared = self.shared.clone();
         let stop = &shared.stop;
         let rest = self.rest_limit();
@@ -147,8 +171,8 @@
                 Some(line) => Next::Line(line, clock::now()),
                 None => Next::Gone,
             },
-            () = stop.sessions_end(idle) => Next::Retire,
-            () = shared.released(), if idle => Next::Retire,
+            () = stop.sessions_end(idle), if ends_at_rest || !idle => Next::Retire,
+            () = shared.released(), if idle && ends_at_rest => Next::Retire,
             () = tokio::time::sleep(rest), if self.pinned.is_some() => Next::Rested,
         }
     }
@@ -187,8 +211,12 @@
 
     /// Handles one message; `false` when the session is over.
     async fn handle(&mut self, line: &[u8], arrived: Moment) -> bool {
-        let request = match line::text(line).and_then(caller::request) {
-            Ok(request) => request,
+        let message = line::text(line).and_then(|text| match self.origin {
+            Origin::Peer => peer::message(text),
+            Origin::Caller => caller::request(text).map(Message::from),
+        });
+        let Message { terms, request } = match message {
+            Ok(message) => message,
             Err(error) => {
                 let refusal = Refusal::new(Code::Syntax, error.to_string());
                 caller::failed_start(&mut self.out, &refusal);
@@ -209,7 +237,9 @@
                 text,
                 statement,
             } => {
-                let result = self.statement(id, text, &statement, arrived).await;
+                let under_way = UnderWay::new(&self.shared.open, self.origin);
+                let result = self.statement(id, text, &statement, terms, arrived).await;
+                drop(under_way);
                 self.answer(id, arrived, result);
             }
         }
@@ -222,9 +252,13 @@
         id: &str,
         text: &str,
         statement: &Statement<'_>,
+        terms: Option<Terms>,
         arrived: Moment,
     ) -> Result<Option<Success>, Refusal> {
-        self.choose_route()?;
+        match self.origin {
+            Origin::Caller => self.choose_route()?,
+            Origin::Peer => self.take_terms(terms),
+        }
         let step = self.state.step(statement, arrived);
         let (effect, named) = match step {
             Step::Done => return Ok(None),
@@ -252,16 +286,48 @@
             arrived,
             isolated: self.shared.isolated.borrow().certain(arrived),
         };
-        let group = self.shared.group(&route.service);
-        let result = match self.state.phase() {
-            Phase::Idle => run::alone(&group, &mut self.state, &call).await,
-            Phase::Open(_) | Phase::Rested | Phase::Failed => {
-                transaction::inside(&group, &mut self.state, &mut self.pinned, &call).await
+        let shared = self.shared.clone();
+        let peers = match (&self.pinned, self.origin) {
+            (Some(pinned), _) if pinned.holder == Holder::Own => None,
+            (Some(_), _) => Some(Vec::new()),
+            (None, Origin::Peer) => None,
+            (None, Origin::Caller) => shared.peers.of(&route.service),
+        };
+        let alone = self.state.phase() == Phase::Idle;
+        let (state, pinned) = (&mut self.state, &mut self.pinned);
+        let result = match (peers, alone) {
+            (Some(peers), true) => handover::alone(&shared, &peers, state, &call).await,
+            (Some(peers), false) => handover::inside(&shared, &peers, state, pinned, &call).await,
+            (None, true) => run::alone(&shared.group(&route.service), state, &call).await,
+            (None, false) => {
+                let group = shared.group(&route.service);
+                transaction::inside(&group, state, pinned, &call).await
             }
         };
         result.map(Some)
     }
 
+    /// Takes the terms of another proxy's statement in place of a route of the own configuration. A
+    /// statement that starts on a resting connection is of any session, whose last commit they name.
+    fn take_terms(&mut self, terms: Option<Terms>) {
+        let Some(terms) = terms else { return };
+        if self.state.phase() == Phase::Idle {
+            self.state.set_floor(terms.floor);
+        }
+        self.route = Some(Arc::new(Route::from(terms)));
+    }
+
+    fn stand(&self) -> Stand {
+        let position = match self.origin {
+            Origin::Caller => None,
+            Origin::Peer => self.state.floor(),
+        };
+        Stand {
+            phase: self.state.phase(),
+            position,
+        }
+    }
+
     /// A transaction keeps the route that it began with; everything else follows the configuration
     /// in force.
     fn choose_route(&mut self) -> Result<(), Refusal> {
@@ -292,13 +358,13 @@
     }
 
     fn answer(&mut self, id: &str, arrived: Moment, result: Result<Option<Success>, Refusal>) {
-        let phase = self.state.phase();
+        let stand = self.stand();
         let metrics = &self.shared.metrics;
         match &result {
-            Ok(Some(success)) => caller::success(&mut self.out, success, phase),
-            Ok(None) => caller::done(&mut self.out, phase),
+            Ok(Some(success)) => caller::success(&mut self.out, success, stand),
+            Ok(None) => caller::done(&mut self.out, stand),
             Err(refusal) => {
-                caller::refused(&mut self.out, refusal, phase);
+                caller::refused(&mut self.out, refusal, stand);
                 journal::write(
                     "refused",
                     json!({ "id": id, "database": self.database, "code": refusal.code.to_string(),
@@ -307,6 +373,10 @@
                 );
             }
         }
+        if self.origin == Origin::Peer {
+            // The proxy that has the caller counts it.
+            return;
+        }
         metrics.statement(result.is_ok());
         let outcome = match &result {
             Ok(_) => "ok".to_owned(),
@@ -335,6 +405,27 @@
     }
 }
 
+/// A statement of another proxy that a planned stop waits for.
+struct UnderWay(Option<Rc<Cell<usize>>>);
+
+impl UnderWay {
+    fn new(open: &Rc<Cell<usize>>, origin: Origin) -> Self {
+        let counted = (origin == Origin::Peer).then(|| open.clone());
+        if let Some(open) = &counted {
+            open.set(open.get() + 1);
+        }
+        Self(counted)
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        if let Some(open) = &self.0 {
+            open.set(open.get() - 1);
+        }
+    }
+}
+
 fn no_database(name: &str, version: u64) -> Refusal {
     let why = format!("no database {name:?} in version {version} of the configuration");
     Refusal::new(Code::NoDatabase, why)
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use dandelionpitch_engine::catalog::Catalog;
@@ -14,16 +15,24 @@
     clock,
     group::{Group, Groups},
     isolation,
+    peers::Peers,
     stop::Stop,
     view::View,
 };
 use crate::metrics::Metrics;
 
+/// How often connections are closed that a proxy has to servers of groups it does not own: it took
+/// statements while their owners were away.
+const CLOSE_UNOWNED: Duration = Duration::from_secs(3);
+
 /// What all sessions of the process share, on the traffic thread.
 pub struct Shared {
+    pub id: String,
     pub dc: String,
     pub view: watch::Receiver<Arc<View>>,
     pub groups: RefCell<Groups>,
+    /// The other proxies, and what is done with the statements of each group.
+    pub peers: Peers,
     pub metrics: Metrics,
     pub stop: Stop,
     pub isolated: isolation::Receiver,
@@ -62,13 +71,25 @@
 
     /// Brings the groups up to each new view, until the control thread is gone.
     pub async fn follow(self: Rc<Self>, mut view: watch::Receiver<Arc<View>>) {
-        while view.changed().await.is_ok() {
-            let view = view.borrow_and_update().clone();
-            self.update(&view);
+        let mut tidy = tokio::time::interval(CLOSE_UNOWNED);
+        loop {
+            tokio::select! {
+                changed = view.changed() => match changed {
+                    Ok(()) => {
+                        let view = view.borrow_and_update().clone();
+                        self.update(&view);
+                    }
+                    Err(_) => return,
+                },
+                _ = tidy.tick() => {
+                    self.groups.borrow().values().for_each(|group| group.close_unowned());
+                }
+            }
         }
     }
 
     fn update(&self, view: &View) {
+        self.peers.update(view, &self.id, &self.metrics);
         let mut groups = self.groups.borrow_mut();
         for (name, entries) in &view.servers {
             let group = groups
@@ -76,9 +97,11 @@
                 .or_insert_with(|| self.new_group(name));
             let catalog = view.catalog.as_ref();
             let service = catalog.and_then(|catalog| catalog.services.get(name));
-            if let Some(service) = service {
+            let ownership = view.ownership.get(name);
+            if let (Some(service), Some(ownership)) = (service, ownership) {
                 let counted = view.counted.get(name).map(Vec::as_slice);
-                group.update(entries, service, view.members, counted);
+                group.set_owned(self.peers.owns(name));
+                group.update(entries, service, ownership.holding, counted);
             }
         }
     }
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/transaction.rs
@@ -8,7 +8,7 @@
     refusal::{Code, Refusal},
     session::{Effect, Phase, Session, Transaction},
 };
-use dandelionpitch_platform::backend::{Query, State, Success};
+use dandelionpitch_platform::backend::{Condition, Query, State, Success};
 
 use super::{
     backend::Backend,
@@ -31,11 +31,30 @@
 
 /// The connection of an open transaction.
 pub struct Pinned {
-    checkout: Checkout,
-    backend: Rc<Backend>,
+    pub checkout: Checkout,
+    pub backend: Rc<Backend>,
+    pub holder: Holder,
+}
+
+/// Whose connection to the backend server a transaction has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holder {
+    /// This proxy's.
+    Own,
+    /// That of another proxy, to which `Pinned` leads.
+    Peer,
 }
 
 impl Pinned {
+    fn own(checkout: Checkout, backend: Rc<Backend>) -> Self {
+        let holder = Holder::Own;
+        Self {
+            checkout,
+            backend,
+            holder,
+        }
+    }
+
     /// Rolls back in the background and gives the connection back.
     pub fn roll_back(mut self) {
         tokio::task::spawn_local(async move {
@@ -77,9 +96,11 @@
     }
     let wrote = transaction.wrote || call.effect == Effect::Write;
     for send in 1.. {
-        let Pinned { checkout, backend } = held;
+        let Pinned {
+            checkout, backend, ..
+        } = held;
         let asked = clock::now();
-        let sent = exchange(checkout, &backend, call, None);
+        let sent = exchange(checkout, &backend, call, Condition::Nothing);
         let (answer, checkout) = match call.effect == Effect::Commit && wrote {
             true => run::doubting(group, &backend, sent).await,
             false => sent.await,
@@ -93,7 +114,7 @@
                 return Err(lost(call.effect, wrote, &why));
             }
         };
-        held = Pinned { checkout, backend };
+        held = Pinned::own(checkout, backend);
         if transaction.read_only || call.effect == Effect::Commit {
             group.note_position(&held.backend, asked, answer.position);
         }
@@ -137,7 +158,7 @@
 }
 
 /// The session after a statement failed: after a `COMMIT` no transaction is open.
-fn fail(session: &mut Session, call: &Call<'_>) {
+pub fn fail(session: &mut Session, call: &Call<'_>) {
     match call.effect {
         Effect::Commit => session.ended(),
         Effect::Read | Effect::Write => session.failed(),
@@ -146,7 +167,7 @@
 
 /// What the caller is told when no answer came. Closing the connection rolls back whatever was not
 /// committed, so only the `COMMIT` of a transaction that wrote is in doubt.
-fn lost(effect: Effect, wrote: bool, why: &str) -> Refusal {
+pub fn lost(effect: Effect, wrote: bool, why: &str) -> Refusal {
     match effect == Effect::Commit && wrote {
         true => Refusal::new(Code::Unknown, format!("outcome unknown: {why}")),
         false => Refusal::new(Code::Aborted, format!("rolled back: {why}")),
@@ -155,7 +176,7 @@
 
 /// What the caller is told when the server refused. The transaction is rolled back, so nothing of
 /// it is kept, unless a `COMMIT` ran into its failure.
-fn failed(effect: Effect, wrote: bool, refusal: Refusal) -> Refusal {
+pub fn failed(effect: Effect, wrote: bool, refusal: Refusal) -> Refusal {
     let doubt = effect == Effect::Commit && wrote;
     match refusal.code {
         code if code.promises_nothing_kept() => refusal,
@@ -219,7 +240,7 @@
             };
             let begin = Query::Begin {
                 read_only: transaction.read_only,
-                after,
+                condition: after.map_or(Condition::Nothing, Condition::After),
             };
             let asked = clock::now();
             let ask = checkout.connection().link.ask(begin);
@@ -231,7 +252,7 @@
                             last = call.busy("its server does not lead any more", SEND_AGAIN);
                         }
                         Ok(_) if answer.state == State::Open => {
-                            return Ok(Pinned { checkout, backend });
+                            return Ok(Pinned::own(checkout, backend));
                         }
                         Ok(_) => last = call.busy("the server opened none", SEND_AGAIN),
                         Err(refusal) => {
--- a/crates/proxy/src/line/view.rs
+++ b/crates/proxy/src/line/view.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 
 use dandelionpitch_core::hash::Map;
-use dandelionpitch_engine::{catalog::Catalog, registry::Entry};
+use dandelionpitch_engine::{
+    catalog::Catalog,
+    ownership::{Holding, Peer, Plan},
+    registry::{Entry, Incarnation},
+};
 
 /// The configuration in force, the backend servers, and how many proxies share them.
 #[derive(Clone, Debug, Default)]
@@ -14,9 +18,20 @@
     pub servers: Map<String, Vec<Entry>>,
     /// The servers of each group that count for a promotion, where a holder of the failover duty has
     /// written them down.
-    pub counted: Map<String, Vec<String>>,
-    /// Live proxies, this one included.
+    pub counted: Map<String, Vec<Incarnation>>,
+    /// How many proxies share the servers, this one and those that have just gone included.
     pub members: usize,
+    /// The proxies that statements can be handed to.
+    pub peers: Vec<Peer>,
+    /// Who holds connections to the servers of each group.
+    pub ownership: Map<String, Ownership>,
+}
+
+/// Who holds connections to the servers of a group, and what that means for this proxy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ownership {
+    pub holding: Holding,
+    pub plan: Plan,
 }
 
 impl View {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -36,6 +36,8 @@
     attempts: Counter<u64>,
     connections: Counter<u64>,
     store_errors: Counter<u64>,
+    entries_passed_over: Counter<u64>,
+    handed_over: Counter<u64>,
     log_lines_dropped: Gauge<u64>,
     version: Gauge<u64>,
     reader: Arc<ManualReader>,
@@ -109,6 +111,8 @@
             attempts: meter.u64_counter("attempts").build(),
             connections: meter.u64_counter("connections_opened").build(),
             store_errors: meter.u64_counter("store_errors").build(),
+            entries_passed_over: meter.u64_counter("entries_passed_over").build(),
+            handed_over: meter.u64_counter("statements_handed_over").build(),
             log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
             version: meter.u64_gauge("configuration_version").build(),
             reader,
@@ -178,6 +182,16 @@
         self.store_errors.add(1, &[]);
     }
 
+    /// Counts an entry of the store that names no server, or no proxy.
+    pub fn entry_passed_over(&self) {
+        self.entries_passed_over.add(1, &[]);
+    }
+
+    /// Counts a statement that another proxy runs for this one.
+    pub fn handed_over(&self) {
+        self.handed_over.add(1, &[]);
+    }
+
     /// Notes how many log lines were left out because standard output was not read.
     pub fn log_lines_dropped(&self, lines: u64) {
         self.log_lines_dropped.record(lines, &[]);
--- a/crates/standin/src/line.rs
+++ b/crates/standin/src/line.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     pub servers: usize,
+    /// How many connections each of them takes.
+    pub max_connections: usize,
     /// How late a replica applies what it has received.
     pub lag: Duration,
     /// How many replicas must receive a commit before it is acknowledged.
--- a/crates/standin/src/line/database.rs
+++ b/crates/standin/src/line/database.rs
@@ -9,6 +9,9 @@
 
 use super::{store::Store, Settings, SERVICE};
 
+/// When the servers' first lives started.
+const FIRST_BORN: u64 = 1_700_000_000_000;
+
 /// A committed write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -42,10 +45,15 @@
 pub struct Server {
     pub id: String,
     pub address: SocketAddr,
+    /// When its present life started, in Unix milliseconds.
+    pub born: u64,
     pub primary: bool,
     pub term: u64,
     pub held: u64,
     pub log: Vec<Entry>,
+    pub connections: usize,
+    /// How many connections it turned away because it had too many.
+    pub turned_away: usize,
     pub fault: Fault,
 }
 
@@ -89,10 +97,13 @@
         let server = |(index, address): (usize, &SocketAddr)| Server {
             id: format!("i-{index}"),
             address: *address,
+            born: FIRST_BORN,
             primary: index == 0,
             term: 1,
             held: 0,
             log: Vec::new(),
+            connections: 0,
+            turned_away: 0,
             fault: Fault::default(),
         };
         Self {
@@ -119,11 +130,21 @@
             };
             let entry = json!({ "service": SERVICE, "addr": server.address, "zone": "dc-1",
                 "version": "v1", "slots": 5, "state": state, "cold_left_ms": 0,
-                "db_role": role, "seq": 1 });
+                "db_role": role, "seq": 1, "born": server.born });
             store.put(&key, entry.to_string().into_bytes());
         }
     }
 
+    /// Ends the life of a server and starts it again under its id: it holds and knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        let server = &mut self.servers[index];
+        server.born += 1;
+        server.primary = false;
+        server.term = 1;
+        server.held = 0;
+        server.log.clear();
+    }
+
     /// Appends writes to a primary's log and sends them on; returns the position of the last.
     pub fn append(&mut self, index: usize, writes: &[(String, String)]) -> (u64, u64) {
         let server = &mut self.servers[index];
--- a/crates/standin/src/line/http.rs
+++ b/crates/standin/src/line/http.rs
@@ -179,6 +179,24 @@
     shared.change(|world| world.store.put("op/config", body.into_bytes()));
 }
 
+/// Starts a server again under its id, with nothing of its earlier life.
+#[put("/test/server/<index>/restart", rank = 1)]
+fn restart(shared: &State<Shared>, index: usize) -> Status {
+    shared.change(|world| match index < world.database.servers.len() {
+        true => {
+            world.database.restart(index);
+            Status::Ok
+        }
+        false => Status::NotFound,
+    })
+}
+
+/// Puts an entry among the registrations, as another writer would.
+#[put("/test/entry/<id>", data = "<body>")]
+fn entry(shared: &State<Shared>, id: &str, body: Vec<u8>) {
+    shared.change(|world| world.store.put(&format!("servers/{id}"), body));
+}
+
 /// Changes one fault of one server.
 #[put("/test/server/<index>/<fault>/<on>")]
 fn fault(shared: &State<Shared>, index: usize, fault: &str, on: bool) -> Status {
@@ -235,7 +253,8 @@
     });
     Json(
         json!({ "leader": leader.map(|(index, _)| index), "log": log,
-        "promotions": world.database.promotions }),
+        "promotions": world.database.promotions,
+        "turned_away": servers.iter().map(|server| server.turned_away).sum::<usize>() }),
     )
 }
 
@@ -256,7 +275,10 @@
         .manage(shared)
         .mount(
             "/",
-            routes![key, range, watch, txn, lease, keep, end, promote, config, fault, store, group],
+            routes![
+                key, range, watch, txn, lease, keep, end, promote, config, fault, restart, entry,
+                store, group
+            ],
         )
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", |rocket| {
             let config = rocket.config();
--- a/crates/standin/src/line/server.rs
+++ b/crates/standin/src/line/server.rs
@@ -23,8 +23,16 @@
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
+        let born = shared
+            .world
+            .lock()
+            .expect("no change panics")
+            .database
+            .servers[index]
+            .born;
         let connection = Connection {
             index,
+            born,
             shared: shared.clone(),
             transaction: None,
             names: BTreeMap::new(),
@@ -42,6 +50,8 @@
 
 struct Connection {
     index: usize,
+    /// The life of the server that accepted it; the connection ends with it.
+    born: u64,
     shared: Shared,
     transaction: Option<Transaction>,
     names: BTreeMap<String, String>,
@@ -52,20 +62,27 @@
 type Outcome = Result<Vec<String>, (&'static str, String)>;
 
 impl Connection {
-    async fn run(mut self, stream: TcpStream) {
+    async fn run(self, stream: TcpStream) {
+        let (shared, index) = (self.shared.clone(), self.index);
+        shared.change(|world| world.database.servers[index].connections += 1);
+        self.serve(stream).await;
+        shared.change(|world| world.database.servers[index].connections -= 1);
+    }
+
+    async fn serve(mut self, stream: TcpStream) {
         let (reader, mut writer) = stream.into_split();
         let mut lines = BufReader::new(reader).lines();
         let changed = self.shared.changed.clone();
         loop {
             let line = tokio::select! {
                 line = lines.next_line() => line,
-                () = changed.notified() => match self.read(|server| server.fault.dead) {
+                () = changed.notified() => match self.has_ended() {
                     true => return,
                     false => continue,
                 },
             };
             let Ok(Some(line)) = line else { return };
-            if self.read(|server| server.fault.dead) {
+            if self.has_ended() {
                 return;
             }
             if self.read(|server| server.fault.silent) {
@@ -80,6 +97,12 @@
         }
     }
 
+    /// Whether the server has stopped, or started again, since it accepted the connection.
+    fn has_ended(&self) -> bool {
+        let born = self.born;
+        self.read(|server| server.fault.dead || server.born != born)
+    }
+
     fn read<T>(&self, read: impl FnOnce(&Server) -> T) -> T {
         let world = self.shared.world.lock().expect("no change panics");
         read(&world.database.servers[self.index])
@@ -95,6 +118,15 @@
                 if rest.0 != SERVICE || expected != id {
                     return Some(format!("ERR MOVED {id}\r\n"));
                 }
+                let most = self.shared.settings.max_connections;
+                if self.read(|server| server.connections) > most {
+                    let index = self.index;
+                    let away = |world: &mut super::World| {
+                        world.database.servers[index].turned_away += 1;
+                    };
+                    self.shared.change(away);
+                    return Some(format!("ERR MAXCONN {id}\r\n"));
+                }
                 Some(self.ready())
             }
             "QUERY" => {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -54,6 +54,9 @@
         /// How long a promotion takes, in milliseconds.
         #[arg(long, default_value_t = 300)]
         promote_ms: u64,
+        /// How many connections each server takes.
+        #[arg(long, default_value_t = 1_000)]
+        max_connections: usize,
         /// The address to listen on.
         #[arg(long, default_value = "127.0.0.1")]
         host: IpAddr,
@@ -108,9 +111,11 @@
             lag_ms,
             sync,
             promote_ms,
+            max_connections,
             host,
         } => {
             let settings = line::Settings {
+                max_connections,
                 servers: servers.max(1),
                 lag: Duration::from_millis(lag_ms),
                 sync,
