--- a/crates/e2e/tests/line_faults.rs
+++ b/crates/e2e/tests/line_faults.rs
@@ -398,3 +398,28 @@
         assert_eq!(rows(&caller.ask("FETCH a")), [round.to_string()]);
     }
 }
+
+/// The primary is lost while the store is away, so nobody can be promoted for as long as that lasts. Writes
+/// are refused, but callers whose reads may be a second old go on reading from the replicas.
+#[tokio::test]
+async fn reads_go_on_without_a_primary() {
+    let site = Site::start("no-primary", 1).await;
+    let mut caller = site.caller(0, SESSION);
+    assert!(caller.ask("PUT a one").done());
+    tokio::time::sleep(ROSTER_FOLLOWS).await;
+
+    site.store("down", true).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    site.fault(0, "dead", true).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let answers: Vec<Answer> = (0..50)
+        .map(|_| {
+            std::thread::sleep(Duration::from_millis(40));
+            caller.ask("FETCH a")
+        })
+        .collect();
+
+    let served = answers.iter().filter(|answer| rows(answer) == ["one"]);
+    assert!(served.count() >= 45, "{answers:?}");
+    assert_eq!(caller.ask("PUT a two").code(), "BUSY");
+}
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -157,6 +157,26 @@
     }
 }
 
+/// A mark without the primary: from what the servers that count for a promotion said they had received,
+/// all asked after `asked`, and how many of those there are.
+///
+/// Load pattern: a primary is cut off or lost while the store is away, so that nobody can be promoted;
+/// for seconds no position of its log can be had, and all reads with an allowance are refused, though
+/// two replicas answer (3,600 of 100,000 statements in a day of 41 s with a data centre cut off).
+/// A commit that a caller was told of is on its primary and on `sync_replicas` more of those that
+/// count. So if no more than `sync_replicas` of them stay silent, one that answered has it, whoever
+/// leads; the highest position among the answers covers every such commit.
+pub fn surveyed(
+    asked: Moment,
+    received: &[Position],
+    counted: usize,
+    sync_replicas: usize,
+) -> Option<Mark> {
+    let enough = sync_replicas > 0 && received.len() + sync_replicas >= counted;
+    let position = received.iter().copied().max().filter(|_| enough)?;
+    Some(Mark { asked, position })
+}
+
 /// What a server's word says about a primary of `term`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Word {
--- a/crates/engine/src/registry.rs
+++ b/crates/engine/src/registry.rs
@@ -200,9 +200,10 @@
         }
     }
 
-    /// Whether any entry is missing and not yet dropped.
-    pub fn has_missing(&self) -> bool {
-        self.entries.values().any(|e| e.missing_since.is_some())
+    /// When the entry that has been missing longest is to be dropped.
+    pub fn next_expiry(&self) -> Option<Moment> {
+        let missing = self.entries.values().filter_map(|e| e.missing_since);
+        missing.min().map(|since| since + RETURN_LIMIT)
     }
 
     /// The servers of one group, in a fixed order.
--- a/crates/engine/tests/freshness.rs
+++ b/crates/engine/tests/freshness.rs
@@ -185,3 +185,34 @@
 
     assert_eq!(freshness::has_commit(received, position(3, 40)), expected);
 }
+
+fn lsns(lsns: &[u64]) -> Vec<Position> {
+    let position = |lsn: &u64| Position { term: 3, lsn: *lsn };
+    lsns.iter().map(position).collect()
+}
+
+/// The primary is cut off, the store is away, and nobody can be promoted. Callers' reads with an allowance
+/// go on: of three servers that count two answer, and each commit that a caller was told of is on
+/// two. With one answer, with a vanished server that may have the commit, or without synchronous
+/// replicas nothing is proved.
+#[parameterized(
+    both_replicas = { &[17, 19], 3, 1, Some(19) },
+    all_three = { &[17, 19, 20], 3, 1, Some(20) },
+    one_replica = { &[19], 3, 1, None },
+    one_has_vanished = { &[17, 19], 4, 1, None },
+    two_synchronous = { &[17, 19], 4, 2, Some(19) },
+    no_synchronous = { &[17, 19, 20], 3, 0, None },
+    nobody = { &[], 0, 1, None },
+)]
+fn answers_of_a_quorum_prove_a_position(
+    received: &[u64],
+    counted: usize,
+    sync_replicas: usize,
+    expected: Option<u64>,
+) {
+    let mark = freshness::surveyed(at(500), &lsns(received), counted, sync_replicas);
+
+    let position = expected.map(|lsn| Position { term: 3, lsn });
+    assert_eq!(mark.map(|mark| mark.position), position);
+    assert!(mark.is_none_or(|mark| mark.asked == at(500)));
+}
--- a/crates/engine/tests/ownership.rs
+++ b/crates/engine/tests/ownership.rs
@@ -139,7 +139,7 @@
     let all: Vec<String> = groups
         .flat_map(|group| owners(&peers, &group, room(21, 3)))
         .collect();
-    let weak = all.iter().filter(|id| **id < "proxy-15".to_owned()).count();
+    let weak = all.iter().filter(|id| id.as_str() < "proxy-15").count();
 
     assert!(weak * 3 < all.len(), "{weak} of {}", all.len());
 }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -71,6 +71,9 @@
     /// Where other proxies hand statements to this one; without it, it only hands on.
     #[serde(default)]
     pub peer: Option<SocketAddr>,
+    /// Within which a new configuration has to be in force on every proxy.
+    #[serde(default = "default_config_within", with = "humantime_serde")]
+    pub config_within: Duration,
     /// The VM's processor share, in cores: proxies with more run more statements for others.
     #[serde(default = "default_cores")]
     pub cores: f64,
@@ -79,6 +82,10 @@
     pub link_mbps: f64,
 }
 
+fn default_config_within() -> Duration {
+    Duration::from_secs(3)
+}
+
 fn default_cores() -> f64 {
     1.0
 }
@@ -205,6 +212,11 @@
         self.line.as_ref().map_or(Duration::MAX, |line| line.grace)
     }
 
+    fn config_within(&self) -> Duration {
+        let line = self.line.as_ref();
+        line.map_or(Duration::MAX, |line| line.config_within)
+    }
+
     /// A zero period would make a loop spin; the message names the key.
     fn check(&self) -> Result<(), Error> {
         let positive = [
@@ -217,6 +229,7 @@
             ("failover.claim_limit", self.failover.claim_limit),
             ("failover.step_timeout", self.failover.step_timeout),
             ("line.grace", self.grace()),
+            ("line.config_within", self.config_within()),
         ];
         match positive.iter().find(|(_, value)| value.is_zero()) {
             Some((key, _)) => Err(Error::Rule(format!("{key}: must be above zero"))),
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -13,7 +13,7 @@
     placement::Candidate,
     registry::{Entry, Server},
     session::Values,
-    takeover::Status,
+    takeover::{self, Status},
     time::Moment,
 };
 use dandelionpitch_platform::{backend::Order, Error};
@@ -51,6 +51,8 @@
     entry: RefCell<Entry>,
     /// It stands on the list of those that count for a promotion.
     pub counted: Cell<bool>,
+    /// What it said of itself last.
+    last: Cell<Option<Status>>,
     latency: Cell<Mean>,
     avoid_until: Cell<Moment>,
     /// When its VM last accepted a connection made to find out whether it is there.
@@ -66,6 +68,7 @@
             pool: Pool::new(entry.server.clone(), limit, metrics),
             entry: RefCell::new(entry.clone()),
             counted: Cell::default(),
+            last: Cell::default(),
             latency: Cell::new(Mean::new(FIRST_LATENCY)),
             avoid_until: Cell::default(),
             reached: Cell::default(),
@@ -180,6 +183,21 @@
             // Only for what it notes: a server that is there may just be busy.
             self.reachable().await;
         }
-        status
+        self.same_life(status?)
+    }
+
+    /// Takes the server's word only while it is the one that was asked before.
+    ///
+    /// Failure: a replica confirms a commit and starts again with an empty log before its new
+    /// registration is seen; its word would prove what its earlier life knew. Guard: a log that has
+    /// become shorter within a term is another one, and is not believed until it is registered as such.
+    fn same_life(&self, status: Status) -> Result<Status, Error> {
+        let before = self.last.get();
+        if before.is_some_and(|before| takeover::has_restarted(&before, &status)) {
+            let why = format!("{} has started again", self.server.incarnation);
+            return Err(Error::Protocol(why));
+        }
+        self.last.set(Some(status));
+        Ok(status)
     }
 }
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use dandelionpitch_core::hash::{Map, Set};
@@ -56,6 +57,8 @@
     pub id: String,
     pub dc: String,
     pub peer: PeerPort,
+    /// Within which a new configuration has to be in force.
+    pub config_within: Duration,
     pub metrics: Metrics,
     pub stopping: CancellationToken,
     pub store: RefCell<Store>,
@@ -93,6 +96,7 @@
     let promoter =
         dandelionpitch_platform::promoter::Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
+    let config_within = line.config_within;
     let start = move || {
         let mut registry = Registry::default();
         registry.known_until(Moment::default());
@@ -102,6 +106,7 @@
             id,
             dc,
             peer,
+            config_within,
             metrics,
             stopping,
             store: RefCell::new(store),
--- a/crates/proxy/src/line/follow.rs
+++ b/crates/proxy/src/line/follow.rs
@@ -3,17 +3,25 @@
 
 use std::{rc::Rc, time::Duration};
 
+use dandelionpitch_engine::time::Moment;
 use dandelionpitch_platform::{store::Watched, Error};
 
 use super::{clock, control::Control, journal};
 use crate::control::backoff::{self, Backoff};
 
-/// How long a watch waits. A watch that hangs for good is noticed within it, which keeps a new
-/// configuration inside its bound of 3 s; at rest it costs a call in two seconds.
-const WAIT: Duration = Duration::from_millis(2_000);
+/// The part of the time within which a configuration has to be in force that a watch waits. One that
+/// hangs for good is noticed within it and its slack, which leaves time to read everything again.
+const WAIT_PART: f64 = 0.66;
 
-/// The same while an entry is missing and may have to be dropped.
-const WAIT_MISSING: Duration = Duration::from_millis(500);
+/// The least time between two watches that bring changes, but for the first after a quiet time.
+///
+/// Load pattern: 75 proxies start within 0.3 s or are restarted in turn, each writes its entry, and each
+/// entry wakes all others: a call for each pair of proxies. Changes that come together are taken
+/// together; none needs to be known sooner. Calls of 75 proxies in a calm day of 52 s: 5,975 before.
+const GATHER: Duration = Duration::from_millis(500);
+
+/// The shortest wait, while an entry is missing and is about to be dropped.
+const SHORTEST_WAIT: Duration = Duration::from_millis(100);
 
 /// The pause after a first failed call, and the longest one: short enough for the bound of a
 /// configuration after an outage, and spread so that the proxies do not come back as one.
@@ -26,18 +34,23 @@
 pub async fn run(control: Rc<Control>) {
     let mut backoff = Backoff::new(RETRY.0, RETRY.1, backoff::salt(&control.id));
     let mut next = None;
+    let mut changed_at = Moment::default();
     loop {
         match step(&control, next).await {
-            Ok(revision) => {
+            Ok(step) => {
                 backoff.reset();
-                next = revision;
+                next = step.next;
                 if !control.store_answers.replace(true) {
                     journal::dependency("store", "answers", "");
                     control.registry.borrow_mut().forgive(clock::now());
                 }
                 control.expire();
-                let mut registry = control.registry.borrow_mut();
-                registry.known_until(clock::now());
+                let now = clock::now();
+                control.registry.borrow_mut().known_until(now);
+                if step.changed {
+                    tokio::time::sleep(now.until(changed_at + GATHER)).await;
+                    changed_at = clock::now();
+                }
             }
             Err(error) => {
                 control.metrics.store_error();
@@ -53,23 +66,37 @@
     }
 }
 
-/// One call; returns the revision to go on from, or `None` when everything has to be read again.
-async fn step(control: &Control, next: Option<u64>) -> Result<Option<u64>, Error> {
+/// What one call came to.
+#[derive(Default)]
+struct Step {
+    /// The revision to go on from; `None` when everything has to be read again.
+    next: Option<u64>,
+    changed: bool,
+}
+
+/// One call.
+async fn step(control: &Control, next: Option<u64>) -> Result<Step, Error> {
     let store = control.store();
     let Some(after) = next else {
         let (items, revision) = store.list(EVERYTHING).await?;
         control.replace(&items);
-        return Ok(Some(revision));
-    };
-    let wait = match control.registry.borrow().has_missing() {
-        true => WAIT_MISSING,
-        false => WAIT,
+        return Ok(Step {
+            next: Some(revision),
+            changed: true,
+        });
     };
+    let mut wait = control.config_within.mul_f64(WAIT_PART);
+    if let Some(expiry) = control.registry.borrow().next_expiry() {
+        wait = wait.min(clock::now().until(expiry).max(SHORTEST_WAIT));
+    }
     match store.watch(EVERYTHING, after, wait).await? {
         Watched::Changes { events, next } => {
             control.apply(&events);
-            Ok(Some(next))
+            Ok(Step {
+                next: Some(next),
+                changed: !events.is_empty(),
+            })
         }
-        Watched::HistoryGone => Ok(None),
+        Watched::HistoryGone => Ok(Step::default()),
     }
 }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -76,6 +76,8 @@
     lease: Cell<Lease>,
     sync_replicas: Cell<usize>,
     owned: Cell<bool>,
+    /// How many servers count for a promotion, those that have vanished included.
+    counted: Cell<usize>,
     /// A write to the primary is long without an answer, and none has been answered since.
     doubted: Cell<bool>,
     /// When a replica last spoke for another primary.
@@ -103,6 +105,7 @@
             lease: Cell::default(),
             sync_replicas: Cell::default(),
             owned: Cell::new(true),
+            counted: Cell::default(),
             denied: Cell::default(),
             doubted: Cell::default(),
             unconfirmed: Cell::default(),
@@ -161,6 +164,7 @@
             let counts = counted.is_none_or(|ids| ids.contains(&backend.server.incarnation));
             backend.counted.set(counts);
         }
+        self.counted.set(counted.map_or(servers.len(), <[Incarnation]>::len));
         *self.servers.borrow_mut() = servers;
         let primaries = |entry: &&Entry| entry.server.role == Role::Primary;
         let leader = self
@@ -278,9 +282,11 @@
         tokio::task::spawn_local(async move {
             let wait = clock::now().until(group.searched.get() + SEARCH_GAP);
             tokio::time::sleep(wait).await;
+            let asked = clock::now();
             let statuses = group.statuses().await;
             group.searched.set(clock::now());
             group.adopt(&statuses);
+            group.note_survey(asked, &statuses);
             group.search.end();
         });
     }
--- a/crates/proxy/src/line/group/proof.rs
+++ b/crates/proxy/src/line/group/proof.rs
@@ -21,6 +21,10 @@
 /// most of a second.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 
+/// How long the primary alone is asked for a position before all servers are: twice the usual time of a
+/// statement, behind which its answer may wait.
+const PRIMARY_FIRST: Duration = Duration::from_millis(80);
+
 /// How long the first answer of a poll is waited for.
 const STATUS_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -191,16 +195,31 @@
         });
     }
 
-    /// Asks the primary for the end of its log, and a replica whether it still leads.
+    /// Asks the primary for the end of its log, and a replica whether it still leads; all servers if that
+    /// takes too long.
     async fn ask_position(self: &Rc<Self>) {
         let Some(leader) = self.leader().await else {
             return;
         };
+        let survey = async {
+            tokio::time::sleep(PRIMARY_FIRST).await;
+            self.find_leader().await;
+        };
+        tokio::select! {
+            biased;
+            true = self.ask_primary(&leader) => {}
+            () = survey => {}
+        }
+    }
+
+    /// Asks the primary for the end of its log; whether it said so.
+    async fn ask_primary(self: &Rc<Self>, leader: &Leader) -> bool {
         let asked = clock::now();
         let (status, _) = tokio::join!(leader.backend.status(), self.confirm(asked));
         match status {
             Ok(status) if status.role == Role::Primary && status.term == leader.term => {
                 self.note_position(&leader.backend, asked, Some(status.received));
+                return true;
             }
             Ok(_) => self.depose(&leader.backend),
             Err(error) => {
@@ -208,5 +227,16 @@
                 journal::trouble("position", &format!("{server}: {error}"));
             }
         }
+        false
+    }
+
+    /// Notes what the answers of a search prove.
+    pub(super) fn note_survey(&self, asked: Moment, statuses: &[(Rc<Backend>, Status)]) {
+        let counting = statuses.iter().filter(|(backend, _)| backend.counted.get());
+        let received: Vec<Position> = counting.map(|(_, status)| status.received).collect();
+        let (counted, sync_replicas) = (self.counted.get(), self.sync_replicas.get());
+        if let Some(mark) = freshness::surveyed(asked, &received, counted, sync_replicas) {
+            self.marks.borrow_mut().note(mark);
+        }
     }
 }
