--- a/crates/e2e/tests/handover.rs
+++ b/crates/e2e/tests/handover.rs
@@ -209,3 +209,24 @@
     });
     assert!(both.await);
 }
+
+/// All other proxies are lost, the owner and those that would take its place among them. The one that is
+/// left serves its callers on a connection of its own, at once and not when the entries have lapsed.
+#[tokio::test]
+async fn proxy_that_reaches_no_owner_serves_its_callers() {
+    let (mut site, _, other) = site("alone").await;
+    let mut caller = site.caller(other, LATEST);
+    assert!(caller.ask("PUT a before").done());
+
+    for (index, proxy) in site.proxies.iter_mut().enumerate() {
+        if index != other {
+            proxy.process.kill();
+        }
+    }
+    let waited = caller.ask_until_done("PUT a after", OWNER_LOST * 2);
+
+    assert!(waited <= OWNER_LOST, "{waited:?}");
+    assert!(caller.ask("BEGIN").done());
+    assert!(caller.ask("PUT a inside").done());
+    assert!(caller.ask("COMMIT").done());
+}
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -26,6 +26,13 @@
 /// owners that are gone: those of a VM that lost its power count for three seconds more.
 const USED_PART: usize = 2;
 
+/// How many connections to each server a proxy may open that owns none of its group's: for when it reaches
+/// the servers but no owner.
+///
+/// Load pattern: a third of the proxies is cut off from the others for seconds and still gets its share
+/// of the callers. One connection each fits into the room that owners leave.
+pub const UNOWNED: usize = 1;
+
 /// Processor time that one statement of another proxy takes, in seconds: two messages read and
 /// written on each side.
 const STATEMENT_CORE_SECONDS: f64 = 0.4e-3;
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -15,7 +15,7 @@
 use dandelionpitch_engine::{
     catalog::Service,
     freshness::{Lease, Mark, Marks},
-    ownership::{Holding, Room},
+    ownership::{self, Holding, Room},
     placement,
     registry::{Entry, Incarnation, Role},
     takeover::Status,
@@ -131,10 +131,14 @@
         let old = std::mem::take(&mut *self.servers.borrow_mut());
         let mut servers = Vec::with_capacity(entries.len());
         for entry in entries {
-            let limit = holding.connections(Room {
+            let room = Room {
                 max_connections: service.max_connections,
                 slots: entry.server.slots,
-            });
+            };
+            let limit = match self.owned.get() {
+                true => holding.connections(room),
+                false => ownership::UNOWNED,
+            };
             let same = |backend: &&Rc<Backend>| {
                 backend.server.incarnation == entry.server.incarnation
                     && backend.server.address == entry.server.address
@@ -164,7 +168,8 @@
             let counts = counted.is_none_or(|ids| ids.contains(&backend.server.incarnation));
             backend.counted.set(counts);
         }
-        self.counted.set(counted.map_or(servers.len(), <[Incarnation]>::len));
+        self.counted
+            .set(counted.map_or(servers.len(), <[Incarnation]>::len));
         *self.servers.borrow_mut() = servers;
         let primaries = |entry: &&Entry| entry.server.role == Role::Primary;
         let leader = self
--- a/crates/proxy/src/line/handover.rs
+++ b/crates/proxy/src/line/handover.rs
@@ -22,44 +22,47 @@
     transaction::{fail, failed, lost, Holder, Pinned},
 };
 
+/// What handing a statement over came to.
+pub enum Handed {
+    Answered(Result<Success, Refusal>),
+    /// No proxy that holds connections could be reached; nothing was sent.
+    Nobody,
+}
+
 /// Runs a statement outside a transaction on one of `peers`.
 pub async fn alone(
     shared: &Shared,
     peers: &[Rc<Backend>],
     session: &mut Session,
     call: &Call<'_>,
-) -> Result<Success, Refusal> {
-    let mut last = no_peer(call);
+) -> Handed {
+    let mut last = None;
     let mut offers = 0;
     for peer in peers {
         if call.late() {
             break;
         }
         match offer(shared, peer, session, call).await {
-            Ok(success) => return Ok(success),
+            Ok(success) => return Handed::Answered(Ok(success)),
             // Nothing was sent: the next one is tried at once.
-            Err(Failure::NotRun(refusal) | Failure::Full(refusal)) => last = refusal,
+            Err(Failure::NotRun(_) | Failure::Full(_)) => {}
             Err(Failure::Lost(why)) if call.effect == Effect::Read => {
-                last = call.busy(&why, COME_BACK);
+                last = Some(call.busy(&why, COME_BACK));
             }
             Err(Failure::Lost(why)) => {
                 let why = format!("outcome unknown: {why}");
-                return Err(Refusal::new(Code::Unknown, why));
+                return Handed::Answered(Err(Refusal::new(Code::Unknown, why)));
             }
             Err(Failure::Ran(refusal)) => {
                 offers += 1;
                 if !handover::offers_again(refusal.code, offers, call.waited(), call.route.target) {
-                    return Err(refusal);
+                    return Handed::Answered(Err(refusal));
                 }
-                last = refusal;
+                last = Some(refusal);
             }
         }
     }
-    Err(last)
-}
-
-fn no_peer(call: &Call<'_>) -> Refusal {
-    call.busy("no proxy that holds connections can be reached", COME_BACK)
+    last.map_or(Handed::Nobody, |refusal| Handed::Answered(Err(refusal)))
 }
 
 /// Offers a statement to one proxy. [`Failure::Ran`] is its refusal, whatever it says.
@@ -99,23 +102,35 @@
     session: &mut Session,
     pinned: &mut Option<Pinned>,
     call: &Call<'_>,
-) -> Result<Success, Refusal> {
+) -> Handed {
     let Phase::Open(transaction) = session.phase() else {
-        return Err(Refusal::new(Code::Aborted, "no transaction is open"));
+        let why = "no transaction is open";
+        return Handed::Answered(Err(Refusal::new(Code::Aborted, why)));
     };
-    let begun = match pinned.take() {
-        Some(held) => Ok(held),
+    let held = match pinned.take() {
+        Some(held) => Some(held),
         None => begin(shared, peers, session, transaction, call).await,
     };
+    match held {
+        Some(held) => Handed::Answered(go_on(shared, held, session, pinned, call).await),
+        None => Handed::Nobody,
+    }
+}
+
+/// Runs a statement of a transaction that another proxy has begun.
+async fn go_on(
+    shared: &Shared,
+    held: Pinned,
+    session: &mut Session,
+    pinned: &mut Option<Pinned>,
+    call: &Call<'_>,
+) -> Result<Success, Refusal> {
+    let Phase::Open(transaction) = session.phase() else {
+        return Err(Refusal::new(Code::Aborted, "no transaction is open"));
+    };
     let Pinned {
         checkout, backend, ..
-    } = match begun {
-        Ok(held) => held,
-        Err(refusal) => {
-            fail(session, call);
-            return Err(refusal);
-        }
-    };
+    } = held;
     if call.effect == Effect::Write {
         session.sent_write();
     }
@@ -161,30 +176,22 @@
     }
 }
 
-/// Opens the transaction at the first of `peers` that can be reached. It takes a backend connection
-/// there with its first statement, so nothing is refused here yet.
+/// Opens the transaction at the first of `peers` that can be reached; `None` if there is none. It takes
+/// a backend connection there with its first statement, so nothing is refused here yet.
 async fn begin(
     shared: &Shared,
     peers: &[Rc<Backend>],
     session: &Session,
     transaction: Transaction,
     call: &Call<'_>,
-) -> Result<Pinned, Refusal> {
-    let mut last = no_peer(call);
+) -> Option<Pinned> {
     for peer in peers {
         if call.late() {
             break;
         }
-        let mut checkout = match checkout_peer(peer, session, call).await {
-            Ok(checkout) => checkout,
-            Err(Failure::NotRun(refusal) | Failure::Full(refusal) | Failure::Ran(refusal)) => {
-                last = refusal;
-                continue;
-            }
-            Err(Failure::Lost(why)) => {
-                last = call.busy(&why, COME_BACK);
-                continue;
-            }
+        // Nothing was sent: the next one is tried at once.
+        let Ok(mut checkout) = checkout_peer(peer, session, call).await else {
+            continue;
         };
         shared.metrics.handed_over();
         let terms = Terms::new(call.route, call.waited(), session.floor());
@@ -195,7 +202,7 @@
         let ask = checkout.connection().link.ask(begin);
         let why = match tokio::time::timeout(PEER_ANSWERS.min(call.left()), ask).await {
             Ok(Ok(answer)) if answer.result.is_ok() && answer.state == State::Open => {
-                return Ok(Pinned {
+                return Some(Pinned {
                     checkout,
                     backend: peer.clone(),
                     holder: Holder::Peer,
@@ -207,9 +214,8 @@
         };
         note_refused(&shared.metrics, peer, call, &why);
         peer.avoid();
-        last = call.busy(&why, COME_BACK);
     }
-    Err(last)
+    None
 }
 
 /// How long another proxy may take for what it answers by itself: fifty times a round trip between data
--- a/crates/proxy/src/line/session.rs
+++ b/crates/proxy/src/line/session.rs
@@ -30,7 +30,9 @@
 
 use super::{
     call::Call,
-    clock, handover, journal, run,
+    clock,
+    handover::{self, Handed},
+    journal, run,
     shared::Shared,
     transaction::{self, Holder, Pinned},
 };
@@ -295,14 +297,20 @@
         };
         let alone = self.state.phase() == Phase::Idle;
         let (state, pinned) = (&mut self.state, &mut self.pinned);
-        let result = match (peers, alone) {
+        let handed = match (peers, alone) {
             (Some(peers), true) => handover::alone(&shared, &peers, state, &call).await,
             (Some(peers), false) => handover::inside(&shared, &peers, state, pinned, &call).await,
-            (None, true) => run::alone(&shared.group(&route.service), state, &call).await,
-            (None, false) => {
-                let group = shared.group(&route.service);
-                transaction::inside(&group, state, pinned, &call).await
-            }
+            (None, _) => Handed::Nobody,
+        };
+        if let Handed::Answered(result) = handed {
+            return result.map(Some);
+        }
+        // Also where others hold the connections but none of them can be reached: a proxy that is cut
+        // off from the others may reach the servers, and its callers have nobody else.
+        let group = shared.group(&route.service);
+        let result = match alone {
+            true => run::alone(&group, state, &call).await,
+            false => transaction::inside(&group, state, pinned, &call).await,
         };
         result.map(Some)
     }
