A proxy that has just started owns nothing while there are others

Change: not in the list means no owner where there are others, and nothing is asked ahead before the own entry has come back.

--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -123,25 +123,22 @@
 /// How many proxies that are no owners are named in case all owners are lost at once.
 const SPARES: usize = 2;
 
-/// The plan of the proxy `own` for a group.
-pub fn plan(peers: &[Peer], own: &str, service: &str, holding: Holding) -> Plan {
+/// The plan of the proxy `own` in `dc` for a group. One that is not among the proxies, as it has just
+/// started or stops, owns nothing if there are others.
+pub fn plan(peers: &[Peer], own: &str, dc: &str, service: &str, holding: Holding) -> Plan {
     let Holding::Owners { per_dc, .. } = holding else {
         return Plan::Own;
     };
-    let Some(dc) = peers
-        .iter()
-        .find(|peer| peer.id == own)
-        .map(|peer| &peer.dc)
-    else {
+    if peers.is_empty() {
         return Plan::Own;
-    };
+    }
     let ranked = rank(peers, service);
     let mut near = Vec::new();
     let mut spare = Vec::new();
     let mut far: Vec<&Peer> = Vec::new();
     for peer in ranked {
         let of_its_dc = far.iter().filter(|other| other.dc == peer.dc).count();
-        match peer.dc == *dc {
+        match peer.dc == dc {
             true if near.len() < per_dc => near.push(peer.id.clone()),
             true if spare.len() < SPARES => spare.push(peer.id.clone()),
             false if of_its_dc < per_dc => far.push(peer),
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -363,7 +363,7 @@
         };
         let dcs: Set<&str> = peers.iter().map(|peer| peer.dc.as_str()).collect();
         let holding = Holding::new(members, dcs.len(), room);
-        let plan = ownership::plan(peers, &self.id, name, holding);
+        let plan = ownership::plan(peers, &self.id, &self.dc, name, holding);
         Ownership { holding, plan }
     }
 
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -76,6 +76,9 @@
     lease: Cell<Lease>,
     sync_replicas: Cell<usize>,
     owned: Cell<bool>,
+    settled: Cell<bool>,
+    /// Something has changed, and who leads is to be asked ahead.
+    search_due: Cell<bool>,
     /// How many servers count for a promotion, those that have vanished included.
     counted: Cell<usize>,
     /// A write to the primary is long without an answer, and none has been answered since.
@@ -105,6 +108,8 @@
             lease: Cell::default(),
             sync_replicas: Cell::default(),
             owned: Cell::new(true),
+            settled: Cell::default(),
+            search_due: Cell::default(),
             counted: Cell::default(),
             denied: Cell::default(),
             doubted: Cell::default(),
@@ -180,14 +185,23 @@
         let registered = entries.iter().filter(primaries);
         let registered = registered.map(|entry| &entry.server.incarnation);
         changed |= !registered.into_iter().any(|id| Some(id) == leader.as_ref());
-        if changed && self.owned.get() {
+        if changed {
+            self.search_due.set(true);
+        }
+        if self.owned.get() && self.settled.get() && self.search_due.take() {
             self.search_ahead();
         }
     }
 
-    /// Notes whether this proxy runs the group's statements on connections of its own.
-    pub fn set_owned(&self, owned: bool) {
+    /// Notes whether this proxy runs the group's statements on connections of its own, and whether the
+    /// other proxies know of it.
+    ///
+    /// Failure: proxies that start together each take themselves for owners, and their first questions are
+    /// more connections than the servers take. Guard: nothing is asked ahead before the entry of this
+    /// proxy has come back from the store; a caller's statement is still served at once.
+    pub fn set_owned(&self, owned: bool, settled: bool) {
         self.owned.set(owned);
+        self.settled.set(settled);
     }
 
     /// Closes idle connections of a group that others hold connections for.
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -90,6 +90,7 @@
 
     fn update(&self, view: &View) {
         self.peers.update(view, &self.id, &self.metrics);
+        let settled = view.peers.iter().any(|peer| peer.id == self.id);
         let mut groups = self.groups.borrow_mut();
         for (name, entries) in &view.servers {
             let group = groups
@@ -100,7 +101,7 @@
             let ownership = view.ownership.get(name);
             if let (Some(service), Some(ownership)) = (service, ownership) {
                 let counted = view.counted.get(name).map(Vec::as_slice);
-                group.set_owned(self.peers.owns(name));
+                group.set_owned(self.peers.owns(name), settled);
                 group.update(entries, service, ownership.holding, counted);
             }
         }
