Waiting statements are judged again when a connection is free

Hypothesis: under overload (both replicas of a group behind) those past their target are served before those that could still be on time, and overtaken ones wait until their deadline. Change: admission::turn picks the first in rank that can be on time, else the first that is still of use, and refuses the hopeless at once. Replay (tests/load.rs): 146 on time and 82 late of half again too much work, to 206 and 22.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::time::Moment;
+
 /// What is known when a statement arrives at a server's queue.
 #[derive(Clone, Copy, Debug)]
 pub struct Queue {
@@ -44,6 +46,47 @@
     }
 }
 
+/// What a waiting statement was admitted for.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// When it should be answered.
+    pub due: Moment,
+    /// When it is of no use any more.
+    pub deadline: Moment,
+}
+
+/// Who is served when a connection becomes free.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Turn {
+    pub next: Option<usize>,
+    /// Those that cannot be served before their deadline, to be refused now.
+    pub hopeless: Vec<usize>,
+}
+
+/// Judges the waiting statements again, which are in order of rank, for connections that are held for
+/// `hold`.
+///
+/// Load pattern: both replicas of a group are behind, its primary has a third more work than it can
+/// do, and what waits is overtaken by what ranks higher. A statement past its target was served
+/// before one that could still meet its own, so both were late; and one that had waited until just
+/// before its deadline was sent all the same, or refused only then. Half of the mean time is reckoned
+/// for the work itself: the mean counts transactions, which rest on their connections.
+pub fn turn(claims: &[Claim], hold: Duration, now: Moment) -> Turn {
+    let done = now + hold / 2;
+    let hopeless = |claim: &(usize, &Claim)| done > claim.1.deadline;
+    let numbered = || claims.iter().enumerate();
+    let useful = numbered().filter(|(_, claim)| done <= claim.deadline);
+    let on_time = useful.clone().find(|(_, claim)| done <= claim.due);
+    let next = on_time.or_else(|| useful.clone().next());
+    Turn {
+        next: next.map(|(index, _)| index),
+        hopeless: numbered()
+            .filter(hopeless)
+            .map(|(index, _)| index)
+            .collect(),
+    }
+}
+
 /// The part of a route's target for which a statement may look for a server that can take it.
 const LOOKING_PART: u32 = 5;
 
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dandelionpitch_engine::{
-    admission::{self, Mean, Obstacle, Queue, Verdict},
+    admission::{self, Claim, Mean, Obstacle, Queue, Turn, Verdict},
     placement::{self, Candidate},
     share::{self, Members},
     time::Moment,
@@ -187,3 +187,91 @@
     let counts = [at(2_000), at(15_000), at(22_000)].map(|now| members.count(now));
     assert_eq!(counts, [7, 7, 5]);
 }
+
+fn claim(due: u64, deadline: u64) -> Claim {
+    Claim {
+        due: at(due),
+        deadline: at(deadline),
+    }
+}
+
+/// A primary has more work than it can do. Of those that wait one is past its target, one has no time
+/// left before its deadline, and one came later and can still be answered in time: that one is next, and
+/// the one without time hears so now.
+#[test]
+fn waiting_statement_that_can_be_on_time_goes_first() {
+    let claims = [claim(900, 1_500), claim(700, 1_010), claim(1_300, 1_900)];
+
+    let turn = admission::turn(&claims, millis(60), at(1_000));
+
+    assert_eq!((turn.next, turn.hopeless), (Some(2), vec![1]));
+}
+
+/// A late answer is still worth something to its caller: where nobody can be on time, those past their
+/// target are served in their order.
+#[test]
+fn late_statements_are_served_when_nobody_else_waits() {
+    let claims = [claim(900, 1_500), claim(950, 1_500)];
+
+    let turn = admission::turn(&claims, millis(60), at(1_000));
+
+    assert_eq!((turn.next, turn.hopeless), (Some(0), Vec::new()));
+}
+
+/// Half again as much work as four connections can do comes for two seconds, all with a target of 400 ms
+/// and a deadline of a second, every fourth statement ranked higher; returns how many were served on
+/// time and how many late.
+fn overload(judge: impl Fn(&[Claim], u64) -> Turn) -> (usize, usize) {
+    let (connections, hold) = (4, 40);
+    let mut waiting: Vec<(u32, Claim)> = Vec::new();
+    let mut free_at = vec![0u64; connections];
+    let (mut on_time, mut late) = (0, 0);
+    for now in 0..3_000u64 {
+        if now < 2_000 && now % 7 == 0 {
+            let priority = u32::from(now % 28 != 0);
+            let place = waiting.iter().position(|(other, _)| *other > priority);
+            let place = place.unwrap_or(waiting.len());
+            let queue = Queue {
+                waiting: place,
+                connections,
+                hold: millis(hold),
+            };
+            if matches!(admission::decide(queue, millis(400)), Verdict::Wait { .. }) {
+                waiting.insert(place, (priority, claim(now + 400, now + 1_000)));
+            }
+        }
+        for free in free_at.iter_mut().filter(|free| **free <= now) {
+            let claims: Vec<Claim> = waiting.iter().map(|(_, claim)| *claim).collect();
+            let Turn { next, hopeless } = judge(&claims, now);
+            if let Some(next) = next {
+                *free = now + hold;
+                match at(now + hold) <= claims[next].due {
+                    true => on_time += 1,
+                    false => late += 1,
+                }
+            }
+            let mut index = 0..;
+            waiting.retain(|_| {
+                let index = index.next();
+                index != next && !hopeless.iter().any(|gone| Some(*gone) == index)
+            });
+        }
+    }
+    (on_time, late)
+}
+
+/// In order of rank alone 146 are served on time and 82 late, as each has waited behind others that were.
+/// Judged again when a connection is free it is 206 and 22.
+#[test]
+fn overload_serves_more_on_time_when_the_queue_is_judged_again() {
+    let in_order = |claims: &[Claim], _| Turn {
+        next: (!claims.is_empty()).then_some(0),
+        hopeless: Vec::new(),
+    };
+
+    let before = overload(in_order);
+    let after = overload(|claims, now| admission::turn(claims, millis(40), at(now)));
+
+    assert!(after.0 > before.0, "{before:?} {after:?}");
+    assert!(after.1 * 2 < before.1, "{before:?} {after:?}");
+}
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/pool.rs
@@ -10,7 +10,7 @@
 };
 
 use dandelionpitch_engine::{
-    admission::{self, Mean, Queue, Verdict},
+    admission::{self, Claim, Mean, Queue, Turn, Verdict},
     refusal::Code,
     registry::Server,
     session::Values,
@@ -69,10 +69,15 @@
 enum Grant {
     Connection(Checkout),
     Room(Place),
+    /// None: it would be of no use any more.
+    Refused {
+        come_back: Duration,
+    },
 }
 
 struct Waiter {
     rank: Rank,
+    deadline: Moment,
     grant: oneshot::Sender<Grant>,
 }
 
@@ -175,6 +180,7 @@
         match self.wait(wish).await? {
             Grant::Connection(checkout) => Ok(checkout),
             Grant::Room(place) => self.open(place, left).await,
+            Grant::Refused { come_back } => Err(Miss::Refused { come_back }),
         }
     }
 
@@ -269,9 +275,15 @@
                 .iter()
                 .position(|waiter| waiter.rank > rank)
                 .unwrap_or(state.waiting.len());
-            state.waiting.insert(place, Waiter { rank, grant });
+            let waiter = Waiter {
+                rank,
+                deadline,
+                grant,
+            };
+            state.waiting.insert(place, waiter);
         }
         match tokio::time::timeout(left, granted).await {
+            Ok(Ok(Grant::Refused { come_back })) => Err(Miss::Refused { come_back }),
             Ok(Ok(grant)) => Ok(grant),
             Ok(Err(_)) => Err(Miss::Unreachable),
             Err(_) => Err(Miss::Refused {
@@ -312,13 +324,29 @@
         // Dropped, the place is free.
     }
 
-    /// The next who waits, unless fewer connections are to be open.
+    /// The next who waits, unless fewer connections are to be open. Those who wait for nothing any more
+    /// are told so.
     fn next_waiter(&self) -> Option<Waiter> {
         let mut state = self.state.borrow_mut();
-        match state.closed || state.open > self.limit.get() {
-            true => None,
-            false => state.waiting.pop_front(),
+        if state.closed || state.open > self.limit.get() {
+            return None;
+        }
+        let hold = self.hold.get().value();
+        let claim = |waiter: &Waiter| Claim {
+            due: waiter.rank.due,
+            deadline: waiter.deadline,
+        };
+        let claims: Vec<Claim> = state.waiting.iter().map(claim).collect();
+        let Turn { next, hopeless } = admission::turn(&claims, hold, clock::now());
+        let next = next.and_then(|index| state.waiting.remove(index).map(|waiter| (index, waiter)));
+        for index in hopeless.into_iter().rev() {
+            let shift = usize::from(next.as_ref().is_some_and(|(taken, _)| *taken < index));
+            if let Some(waiter) = state.waiting.remove(index - shift) {
+                // Its receiver may be gone: then nobody has to be told.
+                let _ = waiter.grant.send(Grant::Refused { come_back: hold });
+            }
         }
+        next.map(|(_, waiter)| waiter)
     }
 
     fn held(&self, since: Moment) {
