Line side in folders, no import cycles; pools, sessions and the control state split

Change: line/{control,backend,group,traffic}; the control state below its tasks, keys and entries of the proxies in control/entry.rs, the record's type apart from its writing; reachability of a VM in reach.rs; connections take a Question, not a Call; terms of handed statements in platform/terms.rs; Members in its own module. Behaviour unchanged.

--- a/crates/e2e/tests/explain.rs
+++ b/crates/e2e/tests/explain.rs
@@ -38,6 +38,7 @@
 async fn refused_under_load() {
     let site = Site::start("explain-load", 1).await;
     site.configure(2, &[LATEST, URGENT]).await;
+    site.in_force(2).await;
     let mut holders: Vec<_> = (0..CONNECTIONS).map(|_| site.caller(0, LATEST)).collect();
     for holder in &mut holders {
         assert!(holder.ask("BEGIN").done());
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod freshness;
 pub mod handover;
 pub mod isolation;
+pub mod members;
 pub mod ownership;
 pub mod placement;
 pub mod refusal;
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -5,8 +5,9 @@
 
 use dandelionpitch_engine::{
     admission::{self, Claim, Mean, Obstacle, Queue, Turn, Verdict},
+    members::Members,
     placement::{self, Candidate},
-    share::{self, Members},
+    share,
     time::Moment,
 };
 use yare::parameterized;
--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -5,7 +5,6 @@
 //! and an open transaction its end first, up to the setting `drain_limit`.
 
 use std::{
-    io::Write,
     sync::{
         atomic::{AtomicUsize, Ordering},
         Arc,
@@ -72,7 +71,7 @@
     let check_limit = config.backend.status_timeout;
     let drain_limit = config.drain_limit;
     control::spawn(config, addresses, metrics.clone(), publish);
-    announce(listen, operator_address);
+    crate::announce::addresses(listen, operator_address);
     log::info!(target: "daemon", "Listening for callers on {listen}, operators on {operator_address}.");
     let shared = Arc::new(Shared {
         view,
@@ -125,13 +124,3 @@
     }
     log::info!(target: "daemon", "Stopped; {} sessions left.", open.load(Ordering::SeqCst));
 }
-
-/// Prints the bound addresses as the first line of standard output, for scripts and tests.
-pub fn announce(listen: std::net::SocketAddr, operator: std::net::SocketAddr) {
-    let mut out = std::io::stdout().lock();
-    let _ = writeln!(
-        out,
-        "{{\"listen\":\"{listen}\",\"operator\":\"{operator}\"}}"
-    );
-    let _ = out.flush();
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The proxy daemon's parts; the binary `dandelionpitch` only parses its command line, reads its
 //! settings and hands off to [`daemon::run`].
 
+pub mod announce;
 pub mod backend;
 pub mod config;
 pub mod control;
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -1,35 +1,22 @@
 //! The proxy on a platform whose callers and backend servers speak the line protocol: one thread
 //! for control state, one for traffic (`docs/PLATFORM.md`).
 //!
-//! A statement's way: [`session`] reads it and asks the engine what it comes to, [`run`] or
-//! [`transaction`] finds the server, [`group`] knows what the server must hold, [`pool`] lends the
-//! connection.
+//! A statement's way is told in [`traffic`]; [`group`] knows what its server must hold, and
+//! [`backend::pool`] lends the connection. What the process knows of the rest of the site is kept in
+//! [`control`] and published as a [`view`].
 
-pub mod attempt;
 pub mod backend;
-pub mod call;
 pub mod clock;
-pub mod connection;
 pub mod control;
-pub mod duty;
-pub mod exchange;
-pub mod failover;
-pub mod follow;
 pub mod group;
-pub mod handover;
 pub mod isolation;
 pub mod journal;
-pub mod member;
-pub mod observe;
 pub mod operator;
 pub mod peers;
-pub mod pool;
-pub mod record;
-pub mod run;
-pub mod session;
+pub mod reach;
 pub mod shared;
 pub mod stop;
-pub mod transaction;
+pub mod traffic;
 pub mod view;
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
@@ -37,7 +24,12 @@
 use dandelionpitch_engine::{isolation::Isolation, ownership};
 use tokio::{net::TcpListener, sync::watch, task::LocalSet};
 
-use self::{control::PeerPort, session::Origin, shared::Shared, view::View};
+use self::{
+    control::{state::PeerPort, thread},
+    shared::Shared,
+    traffic::{origin::Origin, session},
+    view::View,
+};
 use crate::{
     config::{Config, Line},
     error::Error,
@@ -78,14 +70,14 @@
         stopping: stop.token(),
         metrics: metrics.clone(),
     };
-    let operator = control::spawn(&config, &line, peer, publish, endpoint)?;
+    let operator = thread::spawn(&config, &line, peer, publish, endpoint)?;
     let operator = operator
         .await
         .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
-    crate::daemon::announce(listen, operator);
+    crate::announce::addresses(listen, operator);
     journal::start();
     journal::process("start", &config.id, &listen.to_string());
-    let suspicion = isolation::Suspicion::default();
+    let suspicion = reach::Suspicion::default();
     let shared = Rc::new(Shared {
         id: config.id.clone(),
         dc: config.dc.clone(),
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -1,6 +1,9 @@
 //! One backend server as traffic sees it: its pool, how long it lately took, and whether it is to
 //! be left alone for a moment.
 
+pub mod connection;
+pub mod pool;
+
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -18,12 +21,14 @@
 };
 use dandelionpitch_platform::{backend::Order, Error};
 
-use super::{
-    clock,
-    isolation::{self, Suspicion},
-    pool::{Pool, Rank, Wish},
+use crate::{
+    line::{
+        backend::pool::{Pool, Rank, Wish},
+        clock,
+        reach::{self, Suspicion},
+    },
+    metrics::Metrics,
 };
-use crate::metrics::Metrics;
 
 /// What a statement is first taken to last on a server: the mean of the measured ones.
 const FIRST_LATENCY: Duration = Duration::from_millis(30);
@@ -118,7 +123,7 @@
         if asked.since(self.reached.get()) < REACH_HOLDS {
             return true;
         }
-        let reached = isolation::connects(self, REACH_TIMEOUT).await;
+        let reached = reach::connects(self.server.address, REACH_TIMEOUT).await;
         match reached {
             true => self.reached.set(asked),
             false => self.unreachable(),
--- a/crates/proxy/src/line/connection.rs
+++ b/crates/proxy/src/line/backend/connection.rs
@@ -10,8 +10,6 @@
     Error,
 };
 
-use super::call::Call;
-
 /// An open connection and what was left on it.
 #[derive(Debug)]
 pub struct Connection {
@@ -81,14 +79,22 @@
     Ok(())
 }
 
+/// A caller's statement as it is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Question<'a> {
+    pub id: &'a str,
+    pub text: &'a str,
+    pub named: Option<&'a Named>,
+}
+
 /// Sends a statement and reads its answer, preparing the named statement first if it has to.
 pub async fn ask(
     connection: &mut Connection,
-    call: &Call<'_>,
+    question: Question<'_>,
     condition: Condition<'_>,
 ) -> Result<Answer, Error> {
-    let Call { id, text, .. } = call;
-    let Some(Named { shape, arguments }) = call.named else {
+    let Question { id, text, named } = question;
+    let Some(Named { shape, arguments }) = named else {
         let query = Query::Caller {
             id,
             text,
--- a/crates/proxy/src/line/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -1,5 +1,10 @@
 //! The connections of this proxy to one backend server, lent to one statement or transaction at a
-//! time. Whether a statement waits or is refused is decided by [`admission`].
+//! time. Whether a statement waits or is refused is decided by [`engine::admission`]; `waiting` carries it out.
+//!
+//! [`engine::admission`]: dandelionpitch_engine::admission
+
+pub mod loan;
+mod waiting;
 
 use std::{
     cell::{Cell, RefCell},
@@ -10,17 +15,16 @@
 };
 
 use dandelionpitch_engine::{
-    admission::{self, Claim, Mean, Queue, Turn, Verdict},
-    refusal::Code,
-    registry::Server,
-    session::Values,
-    time::Moment,
+    admission::Mean, refusal::Code, registry::Server, session::Values, time::Moment,
 };
 use dandelionpitch_platform::{backend::Link, Error};
 use tokio::sync::oneshot;
 
-use super::{clock, connection::Connection, journal};
-use crate::metrics::Metrics;
+use self::loan::{Checkout, Place};
+use crate::{
+    line::{backend::connection::Connection, clock, journal},
+    metrics::Metrics,
+};
 
 /// How long opening a connection may take. It takes a slot of the server for about 12 ms, behind
 /// whatever waits there.
@@ -101,14 +105,6 @@
     rest_until: Cell<Moment>,
 }
 
-/// A connection on loan. Dropped without [`Checkout::release`], it is closed, which rolls back
-/// whatever is open on it.
-pub struct Checkout {
-    connection: Option<Box<Connection>>,
-    pool: Rc<Pool>,
-    since: Moment,
-}
-
 impl Pool {
     /// An empty pool that may open `limit` connections.
     pub fn new(server: Arc<Server>, limit: usize, metrics: Metrics) -> Rc<Self> {
@@ -248,173 +244,9 @@
         Err(miss)
     }
 
-    async fn wait(&self, wish: Wish) -> Result<Grant, Miss> {
-        let (grant, granted) = oneshot::channel();
-        let Wish { rank, deadline } = wish;
-        let now = clock::now();
-        let left = now.until(deadline);
-        {
-            let mut state = self.state.borrow_mut();
-            if state.closed || state.open == 0 {
-                return Err(Miss::Unreachable);
-            }
-            let before = |waiter: &Waiter| waiter.rank <= rank && !waiter.grant.is_closed();
-            let ahead = state.waiting.iter().filter(|waiter| before(waiter)).count();
-            let queue = Queue {
-                waiting: ahead,
-                connections: state.open,
-                hold: self.hold.get().value(),
-            };
-            if let Verdict::Refuse { come_back } =
-                admission::decide(queue, now.until(rank.due).min(left))
-            {
-                return Err(Miss::Refused { come_back });
-            }
-            let place = state
-                .waiting
-                .iter()
-                .position(|waiter| waiter.rank > rank)
-                .unwrap_or(state.waiting.len());
-            let waiter = Waiter {
-                rank,
-                deadline,
-                grant,
-            };
-            state.waiting.insert(place, waiter);
-        }
-        match tokio::time::timeout(left, granted).await {
-            Ok(Ok(Grant::Refused { come_back })) => Err(Miss::Refused { come_back }),
-            Ok(Ok(grant)) => Ok(grant),
-            Ok(Err(_)) => Err(Miss::Unreachable),
-            Err(_) => Err(Miss::Refused {
-                come_back: self.hold.get().value(),
-            }),
-        }
-    }
-
-    /// Passes a connection that is free again to whoever waits.
-    fn give_back(self: &Rc<Self>, connection: Box<Connection>) {
-        let mut grant = Grant::Connection(self.lend(connection));
-        while let Some(waiter) = self.next_waiter() {
-            match waiter.grant.send(grant) {
-                Ok(()) => return,
-                Err(back) => grant = back,
-            }
-        }
-        if let Grant::Connection(mut checkout) = grant {
-            let mut state = self.state.borrow_mut();
-            match checkout.connection.take() {
-                Some(connection) if !state.closed && state.open <= self.limit.get() => {
-                    state.idle.push(*connection);
-                }
-                _ => state.open -= 1,
-            }
-        }
-    }
-
-    /// Passes the room of a closed connection to whoever waits.
-    fn give_room(self: &Rc<Self>) {
-        let mut grant = Grant::Room(Place::new(self.clone()));
-        while let Some(waiter) = self.next_waiter() {
-            match waiter.grant.send(grant) {
-                Ok(()) => return,
-                Err(back) => grant = back,
-            }
-        }
-        // Dropped, the place is free.
-    }
-
-    /// The next who waits, unless fewer connections are to be open. Those who wait for nothing any more
-    /// are told so.
-    fn next_waiter(&self) -> Option<Waiter> {
-        let mut state = self.state.borrow_mut();
-        if state.closed || state.open > self.limit.get() {
-            return None;
-        }
-        let hold = self.hold.get().value();
-        let claim = |waiter: &Waiter| Claim {
-            due: waiter.rank.due,
-            deadline: waiter.deadline,
-        };
-        let claims: Vec<Claim> = state.waiting.iter().map(claim).collect();
-        let Turn { next, hopeless } = admission::turn(&claims, hold, clock::now());
-        let next = next.and_then(|index| state.waiting.remove(index).map(|waiter| (index, waiter)));
-        for index in hopeless.into_iter().rev() {
-            let shift = usize::from(next.as_ref().is_some_and(|(taken, _)| *taken < index));
-            if let Some(waiter) = state.waiting.remove(index - shift) {
-                // Its receiver may be gone: then nobody has to be told.
-                let _ = waiter.grant.send(Grant::Refused { come_back: hold });
-            }
-        }
-        next.map(|(_, waiter)| waiter)
-    }
-
     fn held(&self, since: Moment) {
         let mut hold = self.hold.get();
         hold.note(clock::now().since(since));
         self.hold.set(hold);
     }
 }
-
-/// A counted place for a connection that is being opened; dropped, it is free again.
-struct Place {
-    pool: Rc<Pool>,
-    counted: bool,
-}
-
-impl Place {
-    fn new(pool: Rc<Pool>) -> Self {
-        let counted = true;
-        Self { pool, counted }
-    }
-
-    /// The place is taken by a connection now.
-    fn keep(mut self) {
-        self.counted = false;
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        if !self.counted {
-            return;
-        }
-        let mut state = self.pool.state.borrow_mut();
-        state.open -= 1;
-        // Those who wait for a connection that will not come are told at once.
-        if state.open == 0 {
-            state.waiting.clear();
-        }
-    }
-}
-
-impl Checkout {
-    /// The connection.
-    pub fn connection(&mut self) -> &mut Connection {
-        self.connection
-            .as_mut()
-            .expect("a checkout has its connection until it is released")
-    }
-
-    /// The server it leads to.
-    pub fn server(&self) -> &Arc<Server> {
-        &self.pool.server
-    }
-
-    /// Gives the connection back; no transaction may be open on it and no answer outstanding.
-    pub fn release(mut self) {
-        if let Some(connection) = self.connection.take() {
-            self.pool.held(self.since);
-            self.pool.give_back(connection);
-        }
-    }
-}
-
-impl Drop for Checkout {
-    fn drop(&mut self) {
-        if self.connection.take().is_some() {
-            self.pool.held(self.since);
-            self.pool.give_room();
-        }
-    }
-}
--- a/crates/proxy/src/line/attempt.rs
+++ b/crates/proxy/src/line/control/attempt.rs
@@ -12,19 +12,24 @@
 use futures::{stream::FuturesUnordered, StreamExt};
 use serde_json::json;
 
-use super::{
+use crate::line::{
     clock,
-    control::Control,
-    failover::RETRY,
+    control::{
+        observe::{Watcher, ORDER_TIMEOUT},
+        record::{Record, Stopped},
+        recorder::{resync, write_record},
+        state::Control,
+    },
     journal,
-    observe::{Watcher, ORDER_TIMEOUT},
-    record::{resync, write_record, Record, Stopped},
 };
 
 /// How long a group is left alone after an attempt: a promotion takes effect some hundred
 /// milliseconds after its call, and statuses from before it say nothing.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
+/// The pause after an attempt that did not promote.
+pub const RETRY: Duration = Duration::from_millis(400);
+
 /// How often a promotion is called for when its answer is lost; it is idempotent.
 const CALLS: usize = 3;
 
--- a/crates/proxy/src/line/duty.rs
+++ b/crates/proxy/src/line/control/duty.rs
@@ -12,11 +12,14 @@
 };
 use serde_json::json;
 
-use super::{clock, control::Control, journal};
-use crate::control::backoff;
-
-/// The key of the failover duty; its value is the holder's name.
-pub const KEY: &str = "dandelionpitch/duty";
+use crate::{
+    control::backoff,
+    line::{
+        clock,
+        control::{entry::DUTY, state::Control},
+        journal,
+    },
+};
 
 /// The pause before another try after a call failed: three of them fit into a lease.
 const RETRY: Duration = Duration::from_millis(200);
@@ -125,15 +128,15 @@
         return Ok(None);
     }
     let write = Write {
-        key: KEY,
+        key: DUTY,
         value: control.name.as_bytes(),
         lease,
     };
-    let token = match store.change(&[(KEY, 0)], &[write], &[]).await {
+    let token = match store.change(&[(DUTY, 0)], &[write], &[]).await {
         Ok(Change::Done { revision }) => Some(revision),
         Ok(Change::Conflict | Change::LeaseGone) => None,
         Err(_) => {
-            let found = store.get(KEY).await?;
+            let found = store.get(DUTY).await?;
             let own = found.filter(|item| item.value == control.name.as_bytes());
             own.map(|item| item.revision)
         }
--- a/crates/proxy/src/line/failover.rs
+++ b/crates/proxy/src/line/control/failover.rs
@@ -12,21 +12,21 @@
 };
 use dandelionpitch_platform::backend::Order;
 
-use super::{
-    attempt::Attempt,
+use crate::line::{
     clock,
-    control::Control,
+    control::{
+        attempt::{Attempt, RETRY},
+        observe::Watcher,
+        record::Record,
+        recorder::write_record,
+        state::Control,
+    },
     journal,
-    observe::Watcher,
-    record::{write_record, Record},
 };
 
 /// How often the groups are judged.
 const TICK: Duration = Duration::from_millis(100);
 
-/// The pause after an attempt that did not promote.
-pub const RETRY: Duration = Duration::from_millis(400);
-
 /// What is kept of one group.
 struct Watched {
     memory: Memory,
--- a/crates/proxy/src/line/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -6,8 +6,10 @@
 use dandelionpitch_engine::time::Moment;
 use dandelionpitch_platform::{store::Watched, Error};
 
-use super::{clock, control::Control, journal};
-use crate::control::backoff::{self, Backoff};
+use crate::{
+    control::backoff::{self, Backoff},
+    line::{clock, control::state::Control, journal},
+};
 
 /// The part of the time within which a configuration has to be in force that a watch waits. One that
 /// hangs for good is noticed within it and its slack, which leaves time to read everything again.
--- a/crates/proxy/src/line/member.rs
+++ b/crates/proxy/src/line/control/member.rs
@@ -2,18 +2,16 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use dandelionpitch_engine::ownership::Peer;
 use dandelionpitch_platform::{
     store::{Write, CALL_TIMEOUT},
     Error,
 };
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use super::{control::Control, journal};
-
-/// The prefix of the keys by which proxies show that they are there.
-const MEMBERS: &str = "dandelionpitch/member/";
+use crate::line::{
+    control::{entry, state::Control},
+    journal,
+};
 
 /// How long the entry stays after its last renewal. Three renewals fit in, so one lost answer does
 /// not remove it.
@@ -25,34 +23,6 @@
 /// The pause before another try after a call failed.
 const RETRY: Duration = Duration::from_millis(400);
 
-/// What an entry says.
-#[derive(Deserialize, Serialize)]
-struct Wire<'a> {
-    /// The process, unique among all that ever ran.
-    name: &'a str,
-    dc: &'a str,
-    /// Where it takes statements of other proxies, if it does.
-    peer: Option<SocketAddr>,
-    capacity: f64,
-}
-
-/// The proxy that a key names.
-pub fn name(key: &str) -> Option<&str> {
-    key.strip_prefix(MEMBERS)
-}
-
-/// How the proxy `id` is reached for statements, by its entry.
-pub fn peer(id: &str, value: &[u8]) -> Result<Option<Peer>, serde_json::Error> {
-    let wire: Wire<'_> = serde_json::from_slice(value)?;
-    let capacity = wire.capacity.max(1.0);
-    Ok(wire.peer.map(|address| Peer {
-        id: id.to_owned(),
-        dc: wire.dc.to_owned(),
-        address,
-        capacity,
-    }))
-}
-
 /// Keeps the entry until the process stops.
 pub async fn run(control: Rc<Control>) {
     let mut lease = None;
@@ -89,14 +59,9 @@
 
 /// Writes the entry, with the address at which statements are taken.
 async fn write(control: &Control, lease: u64, peer: Option<SocketAddr>) -> Result<(), Error> {
-    let key = format!("{MEMBERS}{}", control.id);
-    let wire = Wire {
-        name: &control.name,
-        dc: &control.dc,
-        peer,
-        capacity: control.peer.capacity,
-    };
-    let value = serde_json::to_vec(&wire).map_err(|error| Error::Protocol(error.to_string()))?;
+    let key = entry::key(&control.id);
+    let value = entry::encode(&control.name, &control.dc, peer, control.peer.capacity)
+        .map_err(|error| Error::Protocol(error.to_string()))?;
     let write = Write {
         key: &key,
         value: &value,
--- a/crates/proxy/src/line/observe.rs
+++ b/crates/proxy/src/line/control/observe.rs
@@ -18,9 +18,8 @@
     backend::{Link, Order},
     Error,
 };
-use tokio::net::TcpStream;
 
-use super::clock;
+use crate::line::{clock, reach};
 
 /// How long a server may take to answer before its VM is asked for a new connection as well. A
 /// status waits behind the statements before it.
@@ -141,8 +140,7 @@
     /// Failure: a server under full load answers late, and its group would lose a second of writes
     /// to a failover that helps nobody. Guard: only a VM that accepts nothing is lost at once.
     async fn accepts(&self) -> bool {
-        let reach = TcpStream::connect(self.server.address);
-        matches!(tokio::time::timeout(REACH_TIMEOUT, reach).await, Ok(Ok(_)))
+        reach::connects(self.server.address, REACH_TIMEOUT).await
     }
 
     /// Whether the server has answered within [`SLOW_LIMIT`], or is being watched no longer.
--- /dev/null
+++ b/crates/proxy/src/line/control/state.rs
@@ -0,0 +1,318 @@
+//! The control state of the process, all of it on one thread: the configuration, the servers, the
+//! other proxies and the failover duty. Traffic only sees the published [`View`].
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use dandelionpitch_core::hash::{Map, Set};
+use dandelionpitch_engine::{
+    catalog::{Catalog, Service},
+    duty::Duty,
+    members::Members,
+    ownership::{self, Holding, Peer, Room},
+    registry::{Entry, Registry, Server},
+    time::Moment,
+};
+use dandelionpitch_platform::{
+    registration,
+    store::{self, Event, Item, Store, Subject},
+};
+use serde_json::json;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    line::{
+        clock,
+        control::{
+            entry::{self, DUTY},
+            record,
+        },
+        journal,
+        view::{Ownership, View},
+    },
+    metrics::Metrics,
+};
+
+/// The most unreadable entries that are remembered, so that another writer cannot fill the memory.
+const MOST_UNREADABLE: usize = 500;
+
+/// How this proxy takes statements of others.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerPort {
+    pub address: Option<SocketAddr>,
+    pub capacity: f64,
+}
+
+/// The control state.
+pub struct Control {
+    /// This process's name and incarnation, unique among all that ever ran.
+    pub name: String,
+    pub started: Moment,
+    pub id: String,
+    pub dc: String,
+    pub peer: PeerPort,
+    /// Within which a new configuration has to be in force.
+    pub config_within: Duration,
+    pub metrics: Metrics,
+    pub stopping: CancellationToken,
+    pub store: RefCell<Store>,
+    pub promoter: dandelionpitch_platform::promoter::Promoter,
+    pub duty: RefCell<Duty>,
+    /// How many primaries are being replaced by this process.
+    pub attempts: Cell<usize>,
+    pub registry: RefCell<Registry>,
+    pub records: RefCell<Map<String, record::Noted>>,
+    pub(super) catalog: RefCell<Option<Arc<Catalog>>>,
+    pub(super) members: RefCell<Members>,
+    /// Entries among the registrations that are none.
+    pub(super) unreadable: RefCell<Set<String>>,
+    /// Whether the store answered the last call that follows it.
+    pub store_answers: Cell<bool>,
+    pub(super) publish: watch::Sender<Arc<View>>,
+}
+
+impl Control {
+    /// A client of the store as it now is.
+    pub fn store(&self) -> Store {
+        self.store.borrow().clone()
+    }
+
+    /// The servers of a group and what is noted of them.
+    pub fn servers_of(&self, service: &str) -> Vec<Entry> {
+        self.registry.borrow().of(service)
+    }
+
+    /// The groups of the configuration in force.
+    pub fn services(&self) -> Vec<String> {
+        let catalog = self.catalog.borrow();
+        let services = catalog.iter().flat_map(|catalog| catalog.services.keys());
+        services.cloned().collect()
+    }
+
+    /// How many replicas a commit of the group waits for.
+    pub fn sync_replicas(&self, service: &str) -> u32 {
+        let catalog = self.catalog.borrow();
+        let service = catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(service));
+        service.map_or(0, |service| service.sync_replicas)
+    }
+
+    /// Takes everything that is in the store.
+    pub fn replace(&self, items: &[Item]) {
+        let now = clock::now();
+        let mut servers = Vec::new();
+        let mut members = Vec::new();
+        let mut holder = None;
+        for item in items {
+            match store::subject(&item.key) {
+                Subject::Config => self.configure(&item.value),
+                Subject::Server(id) => servers.extend(self.read_server(id, &item.value)),
+                Subject::Own(key) => {
+                    if key == DUTY {
+                        let name = String::from_utf8_lossy(&item.value).into_owned();
+                        holder = Some((name, item.revision));
+                    } else if let Some(name) = entry::name(key) {
+                        members.push((name.to_owned(), self.read_peer(name, &item.value)));
+                    } else {
+                        self.note_record(item, now);
+                    }
+                }
+                Subject::Other => {}
+            }
+        }
+        self.registry.borrow_mut().replace(servers, now);
+        self.members.borrow_mut().replace(members.into_iter(), now);
+        let holder = holder
+            .as_ref()
+            .map(|(name, revision)| (name.as_str(), *revision));
+        self.duty.borrow_mut().seen(holder);
+        self.publish();
+    }
+
+    /// Takes changes of the store.
+    pub fn apply(&self, events: &[Event]) {
+        if events.is_empty() {
+            return;
+        }
+        let now = clock::now();
+        for event in events {
+            match event {
+                Event::Written(item) => self.written(item, now),
+                Event::Removed { key, .. } => self.removed(key, now),
+            }
+        }
+        self.publish();
+    }
+
+    fn written(&self, item: &Item, now: Moment) {
+        match store::subject(&item.key) {
+            Subject::Config => self.configure(&item.value),
+            Subject::Server(id) => {
+                let Some(server) = self.read_server(id, &item.value) else {
+                    return self.registry.borrow_mut().missing(id, now);
+                };
+                if self.registry.borrow_mut().put(server.clone(), now) {
+                    journal::write(
+                        "server",
+                        json!({ "id": server.incarnation, "service": server.service,
+                            "leaving": server.leaving, "role": format!("{:?}", server.role),
+                            "revision": item.revision }),
+                    );
+                }
+            }
+            Subject::Own(key) if key == DUTY => {
+                let name = String::from_utf8_lossy(&item.value);
+                self.duty.borrow_mut().seen(Some((&name, item.revision)));
+            }
+            Subject::Own(key) => match entry::name(key) {
+                Some(name) => {
+                    let peer = self.read_peer(name, &item.value);
+                    self.members.borrow_mut().present(name, peer);
+                }
+                None => self.note_record(item, now),
+            },
+            Subject::Other => {}
+        }
+    }
+
+    fn removed(&self, key: &str, now: Moment) {
+        match store::subject(key) {
+            Subject::Server(id) => {
+                journal::write("server", json!({ "id": id, "missing": true }));
+                self.registry.borrow_mut().missing(id, now);
+            }
+            Subject::Own(key) if key == DUTY => self.duty.borrow_mut().seen(None),
+            Subject::Own(key) => {
+                if let Some(name) = entry::name(key) {
+                    self.members.borrow_mut().missing(name, now);
+                }
+            }
+            Subject::Config | Subject::Other => {}
+        }
+    }
+
+    /// Reads a registration; `None` if it is none, as other writers use the same store. That is said
+    /// once, until the entry is readable again.
+    fn read_server(&self, id: &str, value: &[u8]) -> Option<Server> {
+        let mut unreadable = self.unreadable.borrow_mut();
+        match registration::decode(id, value) {
+            Ok(server) => {
+                if unreadable.remove(id) {
+                    journal::write("registration", json!({ "id": id, "readable": true }));
+                }
+                Some(server)
+            }
+            Err(error) => {
+                self.metrics.entry_passed_over();
+                let known =
+                    unreadable.len() >= MOST_UNREADABLE || !unreadable.insert(id.to_owned());
+                if !known {
+                    journal::trouble("registration", &error.to_string());
+                }
+                None
+            }
+        }
+    }
+
+    /// Reads another proxy's entry; one that is none still counts as a proxy, but gets no statements.
+    fn read_peer(&self, name: &str, value: &[u8]) -> Option<Peer> {
+        entry::peer(name, value).unwrap_or_else(|error| {
+            self.metrics.entry_passed_over();
+            journal::trouble("member", &format!("{name}: {error}"));
+            None
+        })
+    }
+
+    fn note_record(&self, item: &Item, now: Moment) {
+        record::Noted::read(item, &mut self.records.borrow_mut(), now);
+    }
+
+    /// Drops servers whose entries stayed missing; only called while the store answers.
+    pub fn expire(&self) {
+        let gone = self.registry.borrow_mut().expire(clock::now());
+        let members = self.members.borrow_mut().count(clock::now());
+        let peers = self.members.borrow().peers(clock::now());
+        let view = self.publish.borrow().clone();
+        if (members, &peers) != (view.members, &view.peers) {
+            self.publish();
+        }
+        if !gone.is_empty() {
+            journal::write("servers gone", json!({ "ids": gone }));
+            self.publish();
+        }
+    }
+
+    fn configure(&self, value: &[u8]) {
+        let catalog = match dandelionpitch_platform::config::decode(value) {
+            Ok(catalog) => catalog,
+            Err(error) => return journal::trouble("configuration", &error.to_string()),
+        };
+        let current = self.catalog.borrow().clone();
+        if catalog.replaces(current.as_deref()) {
+            let before = current.map_or(0, |current| current.version);
+            journal::write(
+                "configuration",
+                json!({ "version": catalog.version, "before": before, "routes": catalog.routes.len() }),
+            );
+            self.metrics.version(catalog.version);
+            *self.catalog.borrow_mut() = Some(Arc::new(catalog));
+        }
+    }
+
+    fn ownership(
+        &self,
+        name: &str,
+        service: &Service,
+        servers: &[Entry],
+        peers: &[Peer],
+        members: usize,
+    ) -> Ownership {
+        let slots = servers.iter().map(|entry| entry.server.slots).min();
+        let room = Room {
+            max_connections: service.max_connections,
+            slots: slots.unwrap_or(1),
+        };
+        let dcs: Set<&str> = peers.iter().map(|peer| peer.dc.as_str()).collect();
+        let holding = Holding::new(members, dcs.len(), room);
+        let plan = ownership::plan(peers, &self.id, &self.dc, name, holding);
+        Ownership { holding, plan }
+    }
+
+    fn publish(&self) {
+        let registry = self.registry.borrow();
+        let catalog = self.catalog.borrow().clone();
+        let mut servers = Map::default();
+        for service in catalog.iter().flat_map(|catalog| catalog.services.keys()) {
+            servers.insert(service.clone(), registry.of(service));
+        }
+        let records = self.records.borrow();
+        let counted = |(name, noted): (&String, &record::Noted)| {
+            let members = noted.record.members.clone();
+            (name.clone(), members)
+        };
+        let now = clock::now();
+        let mut members = self.members.borrow_mut();
+        let (count, peers) = (members.count(now), members.peers(now));
+        let services = catalog.iter().flat_map(|catalog| &catalog.services);
+        let ownership = services.map(|(name, service)| {
+            let ownership = self.ownership(name, service, &servers[name], &peers, count);
+            (name.clone(), ownership)
+        });
+        let ownership = ownership.collect();
+        let view = View {
+            catalog,
+            servers,
+            counted: records.iter().map(counted).collect(),
+            members: count,
+            peers,
+            ownership,
+        };
+        self.publish.send_replace(Arc::new(view));
+    }
+}
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -25,8 +25,10 @@
 use serde_json::json;
 use tokio::{sync::Notify, time::timeout};
 
-use super::{backend::Backend, clock, isolation::Suspicion, journal};
-use crate::metrics::Metrics;
+use crate::{
+    line::{backend::Backend, clock, journal, reach::Suspicion},
+    metrics::Metrics,
+};
 
 /// The least time between two searches for the primary.
 const SEARCH_GAP: Duration = Duration::from_millis(150);
--- a/crates/proxy/src/line/group/kept.rs
+++ b/crates/proxy/src/line/group/kept.rs
@@ -13,6 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Group;
+
 use crate::line::{backend::Backend, clock};
 
 /// How long the nearest replica is waited for before the next is asked as well: a status behind
--- a/crates/proxy/src/line/group/proof.rs
+++ b/crates/proxy/src/line/group/proof.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::{Group, Leader};
+
 use crate::line::{backend::Backend, clock, journal};
 
 /// The least time until replicas are asked again that spoke for another primary: a promotion takes
--- a/crates/proxy/src/line/isolation.rs
+++ b/crates/proxy/src/line/isolation.rs
@@ -1,16 +1,18 @@
 //! Finds out whether this proxy is cut off with its data centre, once a server could not be reached.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use dandelionpitch_engine::isolation::Isolation;
 use futures::{stream::FuturesUnordered, StreamExt};
 use serde_json::json;
-use tokio::{
-    net::TcpStream,
-    sync::{watch, Notify},
-};
+use tokio::sync::watch;
 
-use super::{backend::Backend, clock, journal, shared::Shared};
+use crate::line::{
+    backend::Backend,
+    clock, journal,
+    reach::{self, Suspicion},
+    shared::Shared,
+};
 
 /// How long a live VM in another data centre needs to accept a connection.
 const REACH_TIMEOUT: Duration = Duration::from_millis(200);
@@ -26,12 +28,6 @@
 /// price.
 const PEERS_ASKED: usize = 4;
 
-/// What is known, for those who only read it.
-pub type Receiver = watch::Receiver<Isolation>;
-
-/// Where servers that could not be reached are reported.
-pub type Suspicion = Arc<Notify>;
-
 /// Looks outside whenever there is a suspicion, and goes on until something is reached.
 pub async fn run(shared: Rc<Shared>, suspicion: Suspicion, publish: watch::Sender<Isolation>) {
     loop {
@@ -65,7 +61,7 @@
 async fn any_connects(outside: &[Rc<Backend>]) -> bool {
     let mut attempts: FuturesUnordered<_> = outside
         .iter()
-        .map(|backend| connects(backend, REACH_TIMEOUT))
+        .map(|backend| reach::connects(backend.server.address, REACH_TIMEOUT))
         .collect();
     while let Some(reached) = attempts.next().await {
         if reached {
@@ -74,10 +70,3 @@
     }
     false
 }
-
-/// Whether the server's VM accepts a connection in time. The kernel does that, however busy
-/// the server is.
-pub async fn connects(backend: &Backend, limit: Duration) -> bool {
-    let connect = TcpStream::connect(backend.server.address);
-    matches!(tokio::time::timeout(limit, connect).await, Ok(Ok(_)))
-}
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -2,14 +2,18 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use dandelionpitch_engine::isolation::Isolation;
 use dandelionpitch_engine::ownership::Plan;
 use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use super::{clock, isolation, journal, view::View};
-use crate::{metrics::Metrics, operator};
+use crate::{
+    line::{clock, journal, view::View},
+    metrics::Metrics,
+    operator,
+};
 
 /// What `GET /status` answers.
 #[derive(Debug, Serialize)]
@@ -44,7 +48,7 @@
     pub id: String,
     pub dc: String,
     pub view: watch::Receiver<Arc<View>>,
-    pub isolated: isolation::Receiver,
+    pub isolated: watch::Receiver<Isolation>,
     pub stopping: CancellationToken,
     pub metrics: Metrics,
 }
--- a/crates/proxy/src/line/peers.rs
+++ b/crates/proxy/src/line/peers.rs
@@ -13,8 +13,10 @@
 };
 use dandelionpitch_platform::peer;
 
-use super::{backend::Backend, clock, isolation::Suspicion, view::View};
-use crate::metrics::Metrics;
+use crate::{
+    line::{backend::Backend, clock, reach::Suspicion, view::View},
+    metrics::Metrics,
+};
 
 /// The most connections to one other proxy. Its own queue decides who waits, so this only bounds the
 /// descriptors that one proxy takes of another.
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -7,19 +7,21 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::catalog::Catalog;
+use dandelionpitch_engine::{catalog::Catalog, isolation::Isolation};
 use tokio::sync::watch;
 
-use super::{
-    backend::Backend,
-    clock,
-    group::{Group, Groups},
-    isolation,
-    peers::Peers,
-    stop::Stop,
-    view::View,
+use crate::{
+    line::{
+        backend::Backend,
+        clock,
+        group::{Group, Groups},
+        peers::Peers,
+        reach::Suspicion,
+        stop::Stop,
+        view::View,
+    },
+    metrics::Metrics,
 };
-use crate::metrics::Metrics;
 
 /// How often connections are closed that a proxy has to servers of groups it does not own: it took
 /// statements while their owners were away.
@@ -35,8 +37,8 @@
     pub peers: Peers,
     pub metrics: Metrics,
     pub stop: Stop,
-    pub isolated: isolation::Receiver,
-    pub suspicion: isolation::Suspicion,
+    pub isolated: watch::Receiver<Isolation>,
+    pub suspicion: Suspicion,
     /// How many callers are connected.
     pub open: Rc<Cell<usize>>,
 }
--- a/crates/proxy/src/line/stop.rs
+++ b/crates/proxy/src/line/stop.rs
@@ -13,8 +13,7 @@
 use tokio::signal::unix;
 use tokio_util::sync::CancellationToken;
 
-use super::journal;
-use crate::{config::Config, error::Error};
+use crate::{config::Config, error::Error, line::journal};
 
 /// How long the balancer needs to stop sending new callers: it asks once a second and believes the
 /// second miss.
--- a/crates/proxy/src/line/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -11,14 +11,19 @@
 };
 use serde_json::json;
 
-use super::{
-    backend::Backend,
-    clock,
-    group::Group,
-    journal,
-    pool::{Miss, Rank, Wish},
+use crate::{
+    line::{
+        backend::{
+            connection::Question,
+            pool::{Miss, Rank, Wish},
+            Backend,
+        },
+        clock,
+        group::Group,
+        journal,
+    },
+    metrics::Metrics,
 };
-use crate::metrics::Metrics;
 
 /// The pause before a statement that was not run is offered again.
 pub const OFFER_AGAIN: Duration = Duration::from_millis(15);
@@ -58,6 +63,15 @@
 }
 
 impl Call<'_> {
+    /// The statement as it is sent to a server.
+    pub fn question(&self) -> Question<'_> {
+        Question {
+            id: self.id,
+            text: self.text,
+            named: self.named,
+        }
+    }
+
     /// When the statement's time is up.
     pub fn deadline(&self) -> Moment {
         self.arrived + self.route.timeout
--- a/crates/proxy/src/line/exchange.rs
+++ b/crates/proxy/src/line/traffic/exchange.rs
@@ -6,12 +6,14 @@
 use dandelionpitch_engine::session::Session;
 use dandelionpitch_platform::backend::{Answer, Condition, State};
 
-use super::{
-    backend::Backend,
-    call::{missed, Call, Failure, OFFER_AGAIN},
-    connection::{ask, dress},
+use crate::line::{
+    backend::{
+        connection::{ask, dress},
+        pool::{loan::Checkout, Miss},
+        Backend,
+    },
     group::Group,
-    pool::{Checkout, Miss},
+    traffic::call::{missed, Call, Failure, OFFER_AGAIN},
 };
 
 /// After this many times the usual length without an answer, the server's VM is asked whether
@@ -106,7 +108,7 @@
     let least = call.route.timeout.mul_f64(part);
     let patience = (backend.latency() * PATIENCE).max(least).min(call.left());
     let result = {
-        let sent = ask(checkout.connection(), call, condition);
+        let sent = ask(checkout.connection(), call.question(), condition);
         tokio::select! {
             biased;
             answer = tokio::time::timeout(patience, sent) => match answer {
--- a/crates/proxy/src/line/handover.rs
+++ b/crates/proxy/src/line/traffic/handover.rs
@@ -13,13 +13,15 @@
 };
 use dandelionpitch_platform::backend::{Condition, Query, State, Success};
 
-use super::{
+use crate::line::{
     backend::Backend,
-    call::{note_refused, Call, Failure, COME_BACK},
     clock,
-    exchange::{checkout_peer, exchange, settle},
     shared::Shared,
-    transaction::{fail, failed, lost, Holder, Pinned},
+    traffic::{
+        call::{note_refused, Call, Failure, COME_BACK},
+        exchange::{checkout_peer, exchange, settle},
+        transaction::{fail, failed, lost, Holder, Pinned},
+    },
 };
 
 /// What handing a statement over came to.
--- a/crates/proxy/src/line/run.rs
+++ b/crates/proxy/src/line/traffic/run.rs
@@ -13,14 +13,18 @@
 };
 use dandelionpitch_platform::backend::{Condition, Success};
 
-use super::{
-    backend::Backend,
-    call::{note_failure, Call, Failure, COME_BACK, OFFER_AGAIN},
-    clock,
-    exchange::{checkout, exchange, settle},
-    group::{Group, Leader},
+use crate::{
+    line::{
+        backend::Backend,
+        clock,
+        group::{Group, Leader},
+        traffic::{
+            call::{note_failure, Call, Failure, COME_BACK, OFFER_AGAIN},
+            exchange::{checkout, exchange, settle},
+        },
+    },
+    metrics::Target,
 };
-use crate::metrics::Target;
 
 /// When the answer to a write is overdue, at least: longer than the longest usual work (82 ms) and
 /// two round trips to a replica.
--- a/crates/proxy/src/line/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -3,7 +3,9 @@
 //!
 //! [`engine::session`]: dandelionpitch_engine::session
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+mod reply;
+
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
     catalog::Route,
@@ -15,27 +17,27 @@
 };
 use dandelionpitch_platform::{
     backend::{keep_alive, Success},
-    caller::{self, Request, Stand},
+    caller::{self, Request},
     line::{self, Buffer},
     peer::{self, Message},
 };
 use serde_json::json;
-use tokio::{
-    io::AsyncWriteExt,
-    net::{
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-        TcpStream,
-    },
+use tokio::net::{
+    tcp::{OwnedReadHalf, OwnedWriteHalf},
+    TcpStream,
 };
 
-use super::{
+use crate::line::{
     backend::Backend,
-    call::Call,
-    clock,
-    handover::{self, Handed},
-    journal, run,
+    clock, journal,
     shared::Shared,
-    transaction::{self, Holder, Pinned},
+    traffic::{
+        call::Call,
+        handover::{self, Handed},
+        origin::{Origin, UnderWay},
+        run,
+        transaction::{self, Holder, Pinned},
+    },
 };
 
 /// How long an answer may take to be taken by its caller before the connection counts as lost.
@@ -44,14 +46,6 @@
 /// How long a caller has for its first message.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Who is at the other end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    Caller,
-    /// Another proxy, with statements of many sessions one after the other.
-    Peer,
-}
-
 /// Serves a new connection in a task of its own.
 pub fn spawn(stream: TcpStream, shared: Rc<Shared>, origin: Origin) {
     tokio::task::spawn_local(async move {
@@ -335,17 +329,6 @@
         self.route = Some(Arc::new(Route::from(terms)));
     }
 
-    fn stand(&self) -> Stand {
-        let position = match self.origin {
-            Origin::Caller => None,
-            Origin::Peer => self.state.floor(),
-        };
-        Stand {
-            phase: self.state.phase(),
-            position,
-        }
-    }
-
     /// A transaction keeps the route that it began with; everything else follows the configuration
     /// in force.
     fn choose_route(&mut self) -> Result<(), Refusal> {
@@ -374,53 +357,6 @@
             }
         }
     }
-
-    fn answer(&mut self, id: &str, arrived: Moment, result: Result<Option<Success>, Refusal>) {
-        let stand = self.stand();
-        let metrics = &self.shared.metrics;
-        match &result {
-            Ok(Some(success)) => caller::success(&mut self.out, success, stand),
-            Ok(None) => caller::done(&mut self.out, stand),
-            Err(refusal) => {
-                caller::refused(&mut self.out, refusal, stand);
-                journal::write(
-                    "refused",
-                    json!({ "id": id, "database": self.database, "code": refusal.code.to_string(),
-                        "why": refusal.reason, "version": self.shared.view.borrow().version(),
-                        "after_ms": clock::now().since(arrived).as_millis() as u64 }),
-                );
-            }
-        }
-        if self.origin == Origin::Peer {
-            // The proxy that has the caller counts it.
-            return;
-        }
-        metrics.statement(result.is_ok());
-        let outcome = match &result {
-            Ok(_) => "ok".to_owned(),
-            Err(refusal) => refusal.code.to_string(),
-        };
-        let route = self.route.as_ref().map_or("none", |route| &route.name);
-        let seconds = clock::now().since(arrived).as_secs_f64();
-        metrics.answer(route, &outcome, seconds);
-        let target = self.route.as_ref().map(|route| route.target);
-        if result.is_ok() && target.is_some_and(|target| seconds > target.as_secs_f64()) {
-            journal::write(
-                "late",
-                json!({ "id": id, "route": route, "database": self.database,
-                    "after_ms": clock::now().since(arrived).as_millis() as u64 }),
-            );
-        }
-    }
-
-    /// Writes what is ready; `false` when the caller does not take it.
-    async fn flush(&mut self) -> bool {
-        let write = self.writer.write_all(&self.out);
-        let written = matches!(tokio::time::timeout(WRITE_TIMEOUT, write).await, Ok(Ok(())));
-        self.out.clear();
-        self.out.shrink_to(line::LONGEST / 64);
-        written
-    }
 }
 
 /// One log line for a statement that no owner of its group could be offered.
@@ -432,27 +368,6 @@
     );
 }
 
-/// A statement of another proxy that a planned stop waits for.
-struct UnderWay(Option<Rc<Cell<usize>>>);
-
-impl UnderWay {
-    fn new(open: &Rc<Cell<usize>>, origin: Origin) -> Self {
-        let counted = (origin == Origin::Peer).then(|| open.clone());
-        if let Some(open) = &counted {
-            open.set(open.get() + 1);
-        }
-        Self(counted)
-    }
-}
-
-impl Drop for UnderWay {
-    fn drop(&mut self) {
-        if let Some(open) = &self.0 {
-            open.set(open.get() - 1);
-        }
-    }
-}
-
 fn no_database(name: &str, version: u64) -> Refusal {
     let why = format!("no database {name:?} in version {version} of the configuration");
     Refusal::new(Code::NoDatabase, why)
--- a/crates/proxy/src/line/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -10,14 +10,15 @@
 };
 use dandelionpitch_platform::backend::{Condition, Query, State, Success};
 
-use super::{
-    backend::Backend,
-    call::{note_failure, Call, Failure},
+use crate::line::{
+    backend::{pool::loan::Checkout, Backend},
     clock,
-    exchange::{checkout, exchange},
     group::Group,
-    pool::Checkout,
-    run,
+    traffic::{
+        call::{note_failure, Call, Failure},
+        exchange::{checkout, exchange},
+        run,
+    },
 };
 
 /// How long a connection may take to roll back before it is closed instead.
