--- a/crates/e2e/tests/line_faults.rs
+++ b/crates/e2e/tests/line_faults.rs
@@ -423,3 +423,28 @@
     assert!(served.count() >= 45, "{answers:?}");
     assert_eq!(caller.ask("PUT a two").code(), "BUSY");
 }
+
+/// The primary starts again under its id with an empty log. Its proxies still hold the proof that nobody
+/// else leads, and reach it at once; what callers read must not come from the empty log.
+#[tokio::test]
+async fn primary_that_starts_again_empty_is_not_read() {
+    let site = Site::start("empty-primary", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a one").done());
+    for _ in 0..5 {
+        assert_eq!(rows(&caller.ask("FETCH a")), ["one"]);
+    }
+
+    site.restart(0).await;
+    let until = std::time::Instant::now() + FAILOVER_LIMIT;
+    let mut served = 0;
+    while std::time::Instant::now() < until {
+        let answer = caller.ask("FETCH a");
+        if answer.done() {
+            assert_eq!(rows(&answer), ["one"]);
+            served += 1;
+        }
+    }
+
+    assert!(served > 0);
+}
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -44,9 +44,15 @@
     ///
     /// A position of a later term drops the earlier marks: the primary's log may have ended in
     /// entries that were rolled back, and no server will ever hold those.
+    ///
+    /// Failure: the primary starts again with an empty log, and the answer that says so carries its
+    /// position, asked for while the lease still held; taken for a mark, it lets reads miss
+    /// everything. Guard: a log does not get shorter within a term, so a lower position than the last
+    /// one is not the primary's.
     pub fn note(&mut self, mark: Mark) {
         if let Some(last) = self.marks.back().copied() {
-            if mark.position.term < last.position.term {
+            let lower = mark.position < last.position && mark.asked >= last.asked;
+            if lower || mark.position.term < last.position.term {
                 return;
             }
             if mark.position.term > last.position.term {
--- a/crates/engine/tests/freshness.rs
+++ b/crates/engine/tests/freshness.rs
@@ -216,3 +216,20 @@
     assert_eq!(mark.map(|mark| mark.position), position);
     assert!(mark.is_none_or(|mark| mark.asked == at(500)));
 }
+
+/// The primary starts again with an empty log, and one of its answers comes while nobody else can lead yet.
+/// Its position must not become what reads have to see.
+#[test]
+fn shorter_log_is_no_mark() {
+    let mut marks = Marks::default();
+    let mark = |asked, lsn| Mark {
+        asked: at(asked),
+        position: Position { term: 3, lsn },
+    };
+    marks.note(mark(0, 40));
+
+    marks.note(mark(200, 0));
+
+    assert_eq!(marks.floor(at(100)), None);
+    assert_eq!(marks.newest(), Some(mark(0, 40)));
+}
--- a/crates/proxy/src/line/group/proof.rs
+++ b/crates/proxy/src/line/group/proof.rs
@@ -138,8 +138,9 @@
     /// Notes the end of a server's log, from its answer to a question sent at `asked`. Returns
     /// whether the answer may be the primary's, if the server is known as that.
     ///
-    /// Failure: the primary was superseded and already follows another, and its answer is taken for
-    /// a primary's. Guard: its log then has entries of a later term.
+    /// Failure: the primary was superseded and already follows another, or has started again with an
+    /// empty log, and its answer is taken for a primary's. Guard: its log then has entries of a later
+    /// term, or ends before a position that it had before the question.
     pub fn note_position(
         &self,
         backend: &Rc<Backend>,
@@ -152,7 +153,10 @@
         let (true, Some(position)) = (Rc::ptr_eq(&leader.backend, backend), position) else {
             return true;
         };
-        if position.term > leader.term {
+        let lost_log = self
+            .newest_mark_before(asked)
+            .is_some_and(|mark| position < mark);
+        if position.term > leader.term || lost_log {
             self.depose(backend);
             return false;
         }
@@ -160,6 +164,23 @@
         true
     }
 
+    fn newest_mark_before(&self, asked: Moment) -> Option<Position> {
+        let newest = self.marks.borrow().newest();
+        newest
+            .filter(|mark| mark.asked <= asked)
+            .map(|mark| mark.position)
+    }
+
+    /// The newest position that the primary's log is known to have had.
+    ///
+    /// Failure: the primary starts again under its id with an empty log. Nobody else leads, so its lease
+    /// still holds, and a read on a new connection to it finds nothing. Guard: reads that must see
+    /// every commit run only on a log that goes up to this position, which an empty one does not.
+    pub fn newest_mark(&self) -> Option<Position> {
+        let marks = self.marks.borrow();
+        marks.newest().map(|mark| mark.position)
+    }
+
     fn note(&self, mark: Mark) {
         match self.lease.get().valid(mark.asked) {
             true => self.marks.borrow_mut().note(mark),
--- a/crates/proxy/src/line/traffic/run.rs
+++ b/crates/proxy/src/line/traffic/run.rs
@@ -46,7 +46,10 @@
     let mut tried = Tried::new();
     while !call.late() {
         let (servers, after) = match call.route.consistency {
-            Consistency::Latest => (confirmed_leader(group, call).await?, None),
+            Consistency::Latest => {
+                let leader = confirmed_leader(group, call).await?;
+                (leader, group.newest_mark())
+            }
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let own = session.floor();
                 let Some(floor) = group.floor(call.since(call.arrived), own).await else {
@@ -191,7 +194,8 @@
     settle(checkout, &answer);
     let trusted = group.note_position(backend, asked, answer.position);
     backend.took(clock::now().since(asked));
-    if after.is_none() && !trusted {
+    let latest = call.route.consistency == Consistency::Latest;
+    if latest && !trusted {
         let why = "its server does not lead any more";
         return Err(Failure::NotRun(call.busy(why, OFFER_AGAIN)));
     }
@@ -205,7 +209,9 @@
         note_failure(group, backend, call, &refusal.to_string());
         match refusal.code.not_run() {
             true => {
-                if refusal.code == Code::ReadOnly {
+                // A primary that lacks its own log has started again.
+                let lost_log = latest && refusal.code == Code::Lagging;
+                if lost_log || refusal.code == Code::ReadOnly {
                     group.depose(backend);
                 }
                 Failure::NotRun(refusal)
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -202,7 +202,7 @@
     }
     loop {
         let after = match call.route.consistency {
-            Consistency::Latest => None,
+            Consistency::Latest => group.newest_mark(),
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let since = call.since(transaction.begun);
                 match group.floor(since, session.floor()).await {
@@ -211,10 +211,11 @@
                 }
             }
         };
-        let servers = match (after, transaction.read_only) {
-            (None, _) => run::confirmed_leader(group, call).await?,
-            (Some(_), true) => group.order(clock::now()),
-            (Some(_), false) => match run::wait_for_leader(group, call).await {
+        let latest = call.route.consistency == Consistency::Latest;
+        let servers = match (latest, transaction.read_only) {
+            (true, _) => run::confirmed_leader(group, call).await?,
+            (false, true) => group.order(clock::now()),
+            (false, false) => match run::wait_for_leader(group, call).await {
                 Some(leader) => vec![leader.backend],
                 None => return Err(call.busy("no primary is known", SEND_AGAIN)),
             },
@@ -249,7 +250,7 @@
                 Ok(Ok(answer)) => {
                     let trusted = group.note_position(&backend, asked, answer.position);
                     match answer.result {
-                        Ok(_) if after.is_none() && !trusted => {
+                        Ok(_) if latest && !trusted => {
                             last = call.busy("its server does not lead any more", SEND_AGAIN);
                         }
                         Ok(_) if answer.state == State::Open => {
@@ -258,7 +259,8 @@
                         Ok(_) => last = call.busy("the server opened none", SEND_AGAIN),
                         Err(refusal) => {
                             note_failure(group, &backend, call, &refusal.to_string());
-                            if refusal.code == Code::ReadOnly {
+                            let lost_log = latest && refusal.code == Code::Lagging;
+                            if lost_log || refusal.code == Code::ReadOnly {
                                 group.depose(&backend);
                             }
                             if answer.state == State::Idle {
--- a/crates/standin/src/line/server.rs
+++ b/crates/standin/src/line/server.rs
@@ -91,7 +91,8 @@
             let Some(answer) = self.answer(&line).await else {
                 return;
             };
-            if writer.write_all(answer.as_bytes()).await.is_err() {
+            // A server that crashes while it works on a statement answers nothing.
+            if self.has_ended() || writer.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
         }
