--- /dev/null
+++ b/crates/e2e/tests/soak/plan.rs
@@ -0,0 +1,110 @@
+//! The faults of a soak, drawn from a seed.
+
+use std::time::Duration;
+
+use rand::{rngs::StdRng, Rng, SeedableRng};
+
+/// How many proxies there are.
+pub const PROXIES: usize = 5;
+
+/// How many faults a seed draws, and within what time they begin.
+const FAULTS: usize = 7;
+const BEGIN_WITHIN: Duration = Duration::from_secs(9);
+
+/// How long a fault lasts.
+const LASTS: std::ops::Range<u64> = 300..3_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    ProxyKilled(usize),
+    ProxyFrozen(usize),
+    ProxyStopped(usize),
+    ServerDead(usize),
+    ServerSilent(usize),
+    ServerCut(usize),
+    ServerDeaf(usize),
+    ServerReborn(usize),
+    StoreDown,
+    StoreForgets,
+    Configured,
+}
+
+impl Fault {
+    fn draw(random: &mut StdRng) -> Self {
+        let (proxy, server) = (random.random_range(0..PROXIES), random.random_range(0..3));
+        match random.random_range(0..11) {
+            0 => Self::ProxyKilled(proxy),
+            1 => Self::ProxyFrozen(proxy),
+            2 => Self::ProxyStopped(proxy),
+            3 => Self::ServerDead(server),
+            4 => Self::ServerSilent(server),
+            5 => Self::ServerCut(server),
+            6 => Self::ServerDeaf(server),
+            7 => Self::ServerReborn(server),
+            8 => Self::StoreDown,
+            9 => Self::StoreForgets,
+            _ => Self::Configured,
+        }
+    }
+
+    /// Whether it concerns a server: two at once may take the only copies of a commit.
+    fn is_of_server(self) -> bool {
+        matches!(
+            self,
+            Self::ServerDead(_)
+                | Self::ServerSilent(_)
+                | Self::ServerCut(_)
+                | Self::ServerDeaf(_)
+                | Self::ServerReborn(_)
+        )
+    }
+}
+
+/// A fault and when it begins and ends, from the start of the callers.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    pub fault: Fault,
+    pub begins: Duration,
+    pub ends: Duration,
+}
+
+/// How long a server needs after another's fault until it has everything again.
+const CATCH_UP: Duration = Duration::from_secs(2);
+
+/// The faults of a seed, in the order in which they begin.
+pub fn draw(seed: u64) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut steps: Vec<Step> = Vec::new();
+    while steps.len() < FAULTS {
+        let begins = random.random_range(500..BEGIN_WITHIN.as_millis() as u64);
+        let begins = Duration::from_millis(begins);
+        let ends = begins + Duration::from_millis(random.random_range(LASTS));
+        let step = Step {
+            fault: Fault::draw(&mut random),
+            begins,
+            ends,
+        };
+        if steps.iter().all(|other| compatible(&step, other)) {
+            steps.push(step);
+        }
+    }
+    steps.sort_by_key(|step| step.begins);
+    steps
+}
+
+/// Whether two faults may come in one run: one server at a time, and each proxy one thing at a time.
+fn compatible(a: &Step, b: &Step) -> bool {
+    let apart = |gap: Duration| a.begins > b.ends + gap || b.begins > a.ends + gap;
+    let proxy = |fault| match fault {
+        Fault::ProxyKilled(proxy) | Fault::ProxyFrozen(proxy) | Fault::ProxyStopped(proxy) => {
+            Some(proxy)
+        }
+        _ => None,
+    };
+    let same_proxy = proxy(a.fault).is_some() && proxy(a.fault) == proxy(b.fault);
+    let servers = a.fault.is_of_server() && b.fault.is_of_server();
+    let store = matches!(a.fault, Fault::StoreDown) && matches!(b.fault, Fault::StoreDown);
+    (!servers || apart(CATCH_UP))
+        && (!same_proxy || apart(CATCH_UP * 4))
+        && (!store || apart(CATCH_UP))
+}
