--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -9,7 +9,7 @@
 mod plan;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
@@ -21,8 +21,10 @@
 use plan::{draw, Fault, PROXIES};
 
 /// The seeds that CI plays. Seed 2 failed once: the primary started again with an empty log, was read as
-/// long as its lease held, and its position was taken for one that reads have to see.
-const SEEDS: &str = "1-3";
+/// long as its lease held, and its position was taken for one that reads have to see. Seed 27 failed
+/// in three of six runs: a proxy that was frozen ran, on waking, a write whose caller had heard meanwhile
+/// that its outcome was unknown, after later ones; the check took no account of such writes.
+const SEEDS: &str = "1-3,27";
 
 /// How many connections each server takes: so few that one proxy holds them all.
 const CONNECTIONS: usize = 10;
@@ -39,6 +41,8 @@
     stop: AtomicBool,
     /// The number of the last write of each item that its writer heard was kept.
     kept: Vec<AtomicU64>,
+    /// Writes, by caller and number, that may take effect at any later time.
+    unknown: Mutex<BTreeSet<(usize, u64)>>,
     broken: Mutex<Vec<String>>,
     statements: AtomicU64,
 }
@@ -48,6 +52,11 @@
         self.listen.lock().expect("no holder panics")[proxy].clone()
     }
 
+    fn may_come_late(&self, caller: usize, number: u64) -> bool {
+        let unknown = self.unknown.lock().expect("no holder panics");
+        unknown.contains(&(caller, number))
+    }
+
     fn break_rule(&self, what: String) {
         self.broken.lock().expect("no holder panics").push(what);
     }
@@ -102,6 +111,10 @@
         };
         outcomes.insert(number, result);
         shared.statements.fetch_add(1, Ordering::Relaxed);
+        if result == Outcome::Unknown {
+            let mut unknown = shared.unknown.lock().expect("no holder panics");
+            unknown.insert((index, number));
+        }
         if result == Outcome::Kept {
             shared.kept[index].store(number, Ordering::SeqCst);
         }
@@ -157,7 +170,8 @@
             .and_then(|row| row.parse().ok())
             .unwrap_or(0);
         let own_session = item == index && database == SESSION;
-        if seen < at_least && (database == LATEST || own_session) {
+        let older = seen < at_least && !shared.may_come_late(item, seen);
+        if older && (database == LATEST || own_session) {
             shared.break_rule(format!(
                 "caller {index} read {seen} of own{item} after {at_least} was kept: {answer:?}"
             ));
@@ -207,6 +221,7 @@
         listen: Mutex::new(site.proxies.iter().map(|p| p.listen.clone()).collect()),
         stop: AtomicBool::new(false),
         kept: (0..CALLERS).map(|_| AtomicU64::new(0)).collect(),
+        unknown: Mutex::default(),
         broken: Mutex::default(),
         statements: AtomicU64::new(0),
     });
@@ -237,6 +252,8 @@
     broken.extend(compare(&site, &outcomes).await);
     if !broken.is_empty() {
         broken.push(format!("seed {seed}: {steps:#?}"));
+        let unknown = shared.unknown.lock().expect("no holder panics");
+        broken.push(format!("unknown outcomes, by caller: {unknown:?}"));
         broken.extend(
             site.lines("\"failover\"")
                 .into_iter()
