--- a/crates/e2e/tests/line_faults.rs
+++ b/crates/e2e/tests/line_faults.rs
@@ -13,6 +13,10 @@
 /// How long the promoter's list of servers takes to follow a change of their registrations.
 const ROSTER_FOLLOWS: Duration = Duration::from_millis(1_500);
 
+/// How long the promoter's list goes on counting a server that has vanished: until every proxy that
+/// still counted it has stopped, and a question to the others after that.
+const ROSTER_FORGETS: Duration = Duration::from_millis(7_500);
+
 /// The holder's lease (2 s), a claim, and a failover of 1.7 s as measured here.
 const BOTH_LOST_LIMIT: Duration = Duration::from_millis(4_500);
 
@@ -157,7 +161,7 @@
         site.logged(0, "\"kind\":\"servers gone\"")
     });
     assert!(forgotten.await);
-    tokio::time::sleep(ROSTER_FOLLOWS).await;
+    tokio::time::sleep(ROSTER_FORGETS).await;
 
     site.fault(1, "deaf", true).await;
     let answer = caller.ask("PUT a unlisted");
--- /dev/null
+++ b/crates/engine/src/commit.rs
@@ -0,0 +1,114 @@
+//! Whether a commit is certain to be in the log of whichever server is promoted, before its caller
+//! is told that it is kept (`docs/DESIGN.md`, "Commits are confirmed").
+//!
+//! A primary takes a commit for acknowledged as soon as any replica has received it. That is no proof:
+//! the replica may be one that no promoter counts, or a promotion may already have taken effect when
+//! it received the commit.
+
+use dandelionpitch_core::position::Position;
+
+use crate::{
+    freshness::{has_commit, Lease},
+    registry::Incarnation,
+    takeover::Status,
+    time::Moment,
+};
+
+/// The list of servers that count for a promotion, as the proxy has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum List {
+    /// Read from the store within [`crate::roster::LIST_HOLDS`].
+    Current,
+    /// Older, as the store is out of reach.
+    Old,
+    /// Nobody has written one yet.
+    Missing,
+}
+
+/// What the store says of a group's last promotion, in answer to a question sent at `asked`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Testimony {
+    pub asked: Moment,
+    /// The server that was promoted last, or is about to be; `None` while none was.
+    pub promoted: Option<String>,
+    /// The servers that count.
+    pub members: Vec<Incarnation>,
+}
+
+/// What is known of one commit.
+#[derive(Clone, Debug)]
+pub struct Commit {
+    position: Position,
+    /// How many servers there are besides its primary, those that have vanished included.
+    others: usize,
+    holders: Vec<Holder>,
+}
+
+/// A server that is known to have a commit.
+#[derive(Clone, Debug)]
+struct Holder {
+    id: Incarnation,
+    /// It stands on the proxy's list of those that count.
+    counts: bool,
+    /// By when it had said so.
+    at: Moment,
+}
+
+impl Commit {
+    /// A commit at `position` of a primary beside which there are `others`.
+    pub fn new(position: Position, others: usize) -> Self {
+        Self {
+            position,
+            others,
+            holders: Vec::new(),
+        }
+    }
+
+    /// Notes what a server said by `now`, one that `counts` or not; returns whether it has the commit.
+    pub fn note(&mut self, id: &Incarnation, counts: bool, status: &Status, now: Moment) -> bool {
+        let has = has_commit(status.received, self.position);
+        if has && !self.holders.iter().any(|known| known.id == *id) {
+            self.holders.push(Holder {
+                id: id.clone(),
+                counts,
+                at: now,
+            });
+        }
+        has
+    }
+
+    /// Whether any server is known to have it.
+    pub fn is_held(&self) -> bool {
+        !self.holders.is_empty()
+    }
+
+    /// Whether the caller may be told that the commit is kept.
+    ///
+    /// Failure: the replicas are held for a promotion, and the primary, which has not heard of it,
+    /// commits. When the promotion takes effect the holds end, and a replica that the new primary does
+    /// not reach receives the commit from the old one; its caller hears that it is kept, and it is
+    /// rolled back. Guard: one replica's word counts only while the lease proves that no promotion
+    /// can have taken effect by then. Without a lease all have to have it: whichever of them is
+    /// promoted then has it too.
+    pub fn is_kept(&self, lease: &Lease, list: List) -> bool {
+        if self.others > 0 && self.holders.len() >= self.others {
+            return true;
+        }
+        let proved = |holder: &Holder| holder.counts && lease.leads(holder.at);
+        list == List::Current && self.holders.iter().any(proved)
+    }
+
+    /// As [`Self::is_kept`], by the store's word, for a commit of the primary `leader`.
+    ///
+    /// It was asked for after a server that counts had the commit. No promotion was written down by
+    /// then but the primary's own, and whoever promotes asks its members once more after writing: that
+    /// server is then found with the commit.
+    pub fn is_witnessed(&self, testimony: &Testimony, leader: &Incarnation) -> bool {
+        let promoted = testimony.promoted.as_deref();
+        let leads = promoted.is_none_or(|promoted| promoted == leader.id);
+        let counts = |holder: &Holder| {
+            holder.at <= testimony.asked && testimony.members.contains(&holder.id)
+        };
+        leads && self.holders.iter().any(counts)
+    }
+}
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -93,6 +93,8 @@
     pub obey: usize,
     /// How many members there are besides it.
     pub others: usize,
+    /// How many more count for a promotion that are not registered: one of them may have been promoted.
+    pub unseen: usize,
     /// How many replicas a commit of the group waits for.
     pub sync_replicas: usize,
 }
@@ -100,7 +102,7 @@
 impl Poll {
     /// Whether all others obey: none was promoted before, and none is held for a promotion.
     fn is_complete(&self) -> bool {
-        self.obey == self.others
+        self.obey == self.others && self.unseen == 0
     }
 
     /// Whether one of those that obey would be held if a promotion were under way: a promoter holds
@@ -145,6 +147,16 @@
         }
     }
 
+    /// Takes the store's word that at `asked` no promotion had been called for since the primary's own,
+    /// together with a replica that obeyed the primary before.
+    ///
+    /// A promoter writes a promotion down before it asks its members once more and calls for it, so
+    /// one that comes now has yet to hold that replica, for [`PROMOTION_WAIT`].
+    pub fn witnessed(&mut self, obeyed: Moment) {
+        self.renewed = self.renewed.max(Some(obeyed));
+        self.until = self.until.max(Some(obeyed + LEADER_LEASE));
+    }
+
     /// Whether a poll asked at `asked` needs only some of the members.
     pub fn renewable(&self, asked: Moment) -> bool {
         self.renewed
@@ -156,6 +168,13 @@
         self.until.is_some_and(|until| at <= until)
     }
 
+    /// Whether no promotion can have taken effect by `at`. Unlike [`Self::valid`] this needs the lease
+    /// itself: a single replica's word says only what a newer primary has acknowledged by then.
+    pub fn leads(&self, at: Moment) -> bool {
+        self.renewed
+            .is_some_and(|renewed| at <= renewed + LEADER_LEASE)
+    }
+
     /// Whether the lease is to be renewed before a read has to wait for it.
     pub fn runs_out(&self, now: Moment) -> bool {
         self.renewed
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,7 +4,9 @@
 
 pub mod admission;
 pub mod catalog;
+pub mod commit;
 pub mod duty;
+pub mod fence;
 pub mod freshness;
 pub mod handover;
 pub mod isolation;
--- a/crates/engine/src/roster.rs
+++ b/crates/engine/src/roster.rs
@@ -8,6 +8,8 @@
 //! goes on from it. A server that starts again under its id is another one here: its log is gone, so
 //! its earlier life has vanished.
 
+use std::time::Duration;
+
 use dandelionpitch_core::{hash::Map, position::Position};
 
 use crate::{
@@ -16,6 +18,15 @@
     time::Moment,
 };
 
+/// How long a proxy goes by the list of servers that it last read from the store: longer than the
+/// longest wait of its watch (4.7 s).
+///
+/// Failure: a replica is cut off from the store with a proxy; its entry lapses, the promoter forgets
+/// it, and the proxy goes on taking its word for commits that no quorum of the new list has. Guard: a
+/// proxy with an older list takes no single server's word for it, and a vanished server is forgotten
+/// only on what the others had after the last proxy can have counted it.
+pub const LIST_HOLDS: Duration = Duration::from_millis(6_000);
+
 /// The servers of one group that count, present or vanished.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roster {
@@ -53,7 +64,17 @@
                 .count();
             // The primary itself and all others but one: then any quorum of the rest has it.
             if held + 1 >= members.len() && held >= 2 {
-                self.vanished.retain(|_, since| asked <= *since);
+                self.vanished
+                    .retain(|_, since| asked <= *since + LIST_HOLDS);
+            }
+        }
+    }
+
+    /// Takes a list that another process has recorded: what is on it counts, whether it is seen or not.
+    pub fn merge(&mut self, recorded: &[Incarnation], now: Moment) {
+        for id in recorded {
+            if !self.present.contains(id) {
+                self.vanished.entry(id.clone()).or_insert(now);
             }
         }
     }
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -53,6 +53,15 @@
 /// replacement by another one waits this long, more than any lease of the duty.
 pub const TURN_GAP: Duration = Duration::from_secs(5);
 
+/// How long after its call a promotion may still take effect: a second on the slowest platform, and
+/// what a call that was held up on its way takes.
+///
+/// Failure: the answer to a promotion call is lost, the group is judged again, and another server is
+/// chosen; then the first promotion takes effect, ends the holds, and what its server acknowledges is
+/// lost with the second one. Guard: until the promoted server is seen leading, or this has passed,
+/// nobody else is promoted.
+const EFFECT_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// What a server says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Status {
@@ -88,7 +97,7 @@
 }
 
 impl Member {
-    fn status(&self) -> Option<Status> {
+    pub(crate) fn status(&self) -> Option<Status> {
         match self.sight {
             Sight::Answered(status) => Some(status),
             Sight::Unknown | Sight::Lost { .. } => None,
@@ -129,7 +138,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
     /// The server that was last seen leading.
-    pub leader: Option<Incarnation>,
+    leader: Option<Incarnation>,
+    /// The highest term that any member was seen in, and when that was first heard of.
+    newest: Option<(u64, Moment)>,
+    /// A promotion that was called for and has not been seen to take effect.
+    promoting: Option<Promotion>,
     /// A position of the primary's log that no replica has been seen to have received, and since
     /// when the primary has it.
     ahead: Option<(Moment, Position)>,
@@ -137,41 +150,82 @@
     held_since: Option<Moment>,
 }
 
+/// A promotion that was called for.
+#[derive(Clone, Copy, Debug)]
+struct Promotion {
+    /// The term that the promoted server will lead, at least.
+    term: u64,
+    /// Until when it may take effect.
+    until: Moment,
+}
+
 impl Memory {
     /// Judges a group whose members are all of `members`.
     pub fn judge(&mut self, members: &[Member], now: Moment) -> Verdict {
-        let leader = leader(members);
+        let heard = self.hear(members, now);
+        let leader = leader(members).filter(|(_, status)| status.term >= heard.0);
+        if self.is_promoting(leader.map(|(_, status)| status), now) {
+            return Verdict::Unsure;
+        }
         if let Some((member, status)) = leader {
             self.leader = Some(member.id.clone());
             self.leaderless_since = None;
             return self.judge_led(member, status, members, now);
         }
         self.ahead = None;
-        if members.iter().any(|member| member.sight == Sight::Unknown) {
+        if members.iter().any(|member| may_lead(member, heard)) {
             return Verdict::Unsure;
         }
-        let old = self.leader.clone();
-        let lost = members
-            .iter()
-            .find(|member| Some(&member.id) == old.as_ref());
+        self.judge_leaderless(members, now)
+    }
+
+    /// The newest term that is known.
+    pub fn newest_term(&self) -> u64 {
+        self.newest.map_or(0, |(term, _)| term)
+    }
+
+    /// Notes the highest term that the members speak of; returns it and when it was first heard of.
+    fn hear(&mut self, members: &[Member], now: Moment) -> (u64, Moment) {
+        let term = newest_term(members);
+        match self.newest {
+            Some(newest) if newest.0 >= term => newest,
+            _ => *self.newest.insert((term, now)),
+        }
+    }
+
+    /// Whether a promotion that was called for may still take effect.
+    fn is_promoting(&mut self, leader: Option<Status>, now: Moment) -> bool {
+        self.promoting = self.promoting.filter(|promotion| {
+            let effective = leader.is_some_and(|status| status.term >= promotion.term);
+            !effective && now < promotion.until
+        });
+        self.promoting.is_some()
+    }
+
+    /// Judges a group of which no member that answers leads.
+    fn judge_leaderless(&mut self, members: &[Member], now: Moment) -> Verdict {
+        let old = self.leader.as_ref().and_then(|id| {
+            let lost = |member: &&Member| matches!(member.sight, Sight::Lost { .. });
+            members.iter().filter(lost).find(|member| member.id == *id)
+        });
         let leaderless = *self.leaderless_since.get_or_insert(now);
-        let since = match (lost.map(|member| member.sight), &old) {
-            (Some(Sight::Lost { since }), _) => since,
+        let since = match old.map(|member| member.sight) {
+            Some(Sight::Lost { since }) => since,
             // This process has never seen the primary: it is the one out of sight.
-            (_, None) => first_lost(members).unwrap_or(leaderless),
+            _ if self.leader.is_none() => first_lost(members).unwrap_or(leaderless),
             // It answers and does not lead, or its entry is gone.
             _ => leaderless,
         };
-        let waited = now.since(since);
-        if waited < MISSED_AFTER || !members.iter().any(|m| m.status().is_some()) {
+        let answered = members.iter().any(|member| member.status().is_some());
+        if now.since(since) < MISSED_AFTER || !answered {
             return Verdict::Unsure;
         }
-        let cause = match lost.map(|member| member.sight) {
-            Some(Sight::Lost { .. }) => Cause::Missing,
-            _ => Cause::Leaderless,
+        let cause = match old {
+            Some(_) => Cause::Missing,
+            None => Cause::Leaderless,
         };
         // Out of sight is not the same as gone: it may lead on behind a cut.
-        let old = old.filter(|_| lost.is_some());
+        let old = old.map(|member| member.id.clone());
         Verdict::Replace { old, cause }
     }
 
@@ -238,12 +292,36 @@
 
     /// Notes that an attempt has just ended: what was seen before it says nothing any more.
     pub fn attempted(&mut self) {
-        let leader = self.leader.take();
         *self = Self {
-            leader,
+            leader: self.leader.take(),
+            newest: self.newest,
+            promoting: self.promoting,
             ..Self::default()
         };
     }
+
+    /// Notes that the promotion of `server` to `term` was called for, whatever the answer was.
+    pub fn promoted(&mut self, server: &Incarnation, term: u64, now: Moment) {
+        self.attempted();
+        self.leader = Some(server.clone());
+        let until = now + EFFECT_LIMIT;
+        self.promoting = Some(Promotion { term, until });
+    }
+}
+
+/// Whether a member may lead the newest term though it does not say so.
+///
+/// Failure: a server was promoted and is busy, so its last answer is from before it led, while the
+/// others already follow it. Side by side the answers show a group without a primary, and the sound
+/// one is replaced (40 acknowledged commits lost in one day of 60 s). Guard: only an answer to a
+/// question asked after the newest term was heard of denies that its server leads that term; one
+/// that is in that term itself follows another.
+fn may_lead(member: &Member, (term, heard): (u64, Moment)) -> bool {
+    match member.sight {
+        Sight::Unknown => true,
+        Sight::Answered(status) => status.term < term && member.asked < heard,
+        Sight::Lost { .. } => false,
+    }
 }
 
 /// Keeps the start of a condition while it lasts; returns for how long it has.
@@ -266,13 +344,14 @@
     lost.min()
 }
 
-/// The member that leads with the highest term.
+/// The member that leads the newest term. A primary of an earlier term has been replaced, though it
+/// may not know it.
 pub fn leader(members: &[Member]) -> Option<(&Member, Status)> {
+    let term = newest_term(members);
     members
         .iter()
         .filter_map(|member| Some((member, member.status()?)))
-        .filter(|(_, status)| status.role == Role::Primary)
-        .max_by_key(|(_, status)| status.term)
+        .find(|(_, status)| status.role == Role::Primary && status.term == term)
 }
 
 /// The highest term that any member has followed or led.
@@ -295,46 +374,3 @@
 pub fn has_restarted(before: &Status, after: &Status) -> bool {
     after.term <= before.term && after.received < before.received
 }
-
-/// What a member said when it was told to follow nobody but the promoter.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fenced {
-    pub id: Incarnation,
-    pub leaving: bool,
-    /// The end of its log, which cannot grow any more.
-    pub received: Position,
-}
-
-/// How many members must be held as replicas before one of them may be promoted.
-///
-/// An acknowledged commit is on its primary and on `sync_replicas` members more. With all but
-/// `sync_replicas` members held, whichever those others are, one of the held has the commit, and
-/// the others are too few to acknowledge another: a primary among them lacks a replica. Without
-/// synchronous replicas every member must be held.
-pub fn quorum(members: usize, sync_replicas: u32) -> usize {
-    members.saturating_sub(sync_replicas as usize).max(1)
-}
-
-/// The server to promote, or `None` if no safe choice exists.
-///
-/// `fenced` are the members that are held as replicas, and `stepped_down` the old primary if it
-/// obeyed. Safe are two cases: a [`quorum`] is held, and the longest of their logs has every
-/// acknowledged commit; or the old primary stepped down, and its own log has them all, so a server
-/// that has as much, or the old primary itself, will do.
-pub fn choose<'a>(
-    quorum: usize,
-    fenced: &'a [Fenced],
-    stepped_down: Option<&'a Fenced>,
-) -> Option<&'a Fenced> {
-    let best = fenced
-        .iter()
-        .max_by_key(|fenced| (fenced.received, !fenced.leaving, &fenced.id));
-    if fenced.len() >= quorum && best.is_some() {
-        return best;
-    }
-    let old = stepped_down?;
-    match best {
-        Some(best) if best.received >= old.received => Some(best),
-        _ => Some(old),
-    }
-}
--- a/crates/engine/tests/freshness.rs
+++ b/crates/engine/tests/freshness.rs
@@ -29,6 +29,7 @@
 /// A group of three: two members besides the primary, one synchronous replica.
 fn poll(millis: u64, obey: usize) -> Poll {
     Poll {
+        unseen: 0,
         asked: at(millis),
         obey,
         others: 2,
@@ -146,6 +147,7 @@
     let mut lease = Lease::default();
 
     lease.confirm(Poll {
+        unseen: 0,
         sync_replicas: 0,
         ..poll(0, 1)
     });
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -4,9 +4,10 @@
 
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
+    fence::{self, Fenced},
     registry::{Incarnation, Role},
-    roster::Roster,
-    takeover::{self, Cause, Fenced, Member, Memory, Sight, Status, Verdict},
+    roster::{Roster, LIST_HOLDS},
+    takeover::{self, Cause, Member, Memory, Sight, Status, Verdict},
     time::Moment,
 };
 use yare::parameterized;
@@ -249,7 +250,7 @@
     let held: Vec<Fenced> = held.iter().map(|(id, lsn)| fenced(id, *lsn)).collect();
     let old = stepped_down.map(|lsn| fenced("a", lsn));
 
-    let chosen = takeover::choose(quorum, &held, old.as_ref());
+    let chosen = fence::choose(quorum, &held, old.as_ref());
 
     assert_eq!(chosen.map(|chosen| chosen.id.id.as_str()), expected);
 }
@@ -261,7 +262,7 @@
     leaving.leaving = true;
     let held = [fenced("b", 9), leaving];
 
-    let chosen = takeover::choose(2, &held, None);
+    let chosen = fence::choose(2, &held, None);
 
     assert_eq!(chosen.map(|chosen| chosen.id.id.as_str()), Some("b"));
 }
@@ -273,7 +274,7 @@
     five_two_synchronous = { 5, 2, 3 },
 )]
 fn quorum(members: usize, sync_replicas: u32, expected: usize) {
-    assert_eq!(takeover::quorum(members, sync_replicas), expected);
+    assert_eq!(fence::quorum(members, sync_replicas), expected);
 }
 
 /// Acknowledged writes vanish: the primary and the replica that acknowledged them are cut off
@@ -297,8 +298,9 @@
     assert_eq!(roster.len(), 4);
 }
 
-/// A replica leaves for good under a primary that goes on: once another has all that the primary
-/// had after that, the one that left does not matter any more.
+/// A replica leaves for good under a primary that goes on. A proxy that is cut off from the store goes
+/// on counting it for a while, so it matters until another has all that the primary had after that
+/// while; then it does not matter any more.
 #[test]
 fn vanished_server_is_forgotten_once_others_have_everything() {
     let mut roster = Roster::default();
@@ -307,16 +309,24 @@
         replica("b", 19, 0),
         replica("c", 19, 0),
     ];
+    let listed = LIST_HOLDS.as_millis() as u64;
     roster.update(&all, at(0));
     roster.update(&[primary("a", 30, 900), replica("b", 29, 900)], at(1_000));
-    let before = roster.len();
+    let vanished = roster.len();
+    let early = 1_000 + listed;
+    roster.update(
+        &[primary("a", 31, early), replica("b", 31, early)],
+        at(early + 100),
+    );
+    let counted = roster.len();
 
+    let late = early + 200;
     roster.update(
-        &[primary("a", 31, 1_100), replica("b", 31, 1_200)],
-        at(1_200),
+        &[primary("a", 32, late), replica("b", 32, late)],
+        at(late + 100),
     );
 
-    assert_eq!((before, roster.len()), (3, 2));
+    assert_eq!((vanished, counted, roster.len()), (3, 3, 2));
 }
 
 /// The failover duty passes on after entries have lapsed: the list in the store is what counts.
@@ -351,8 +361,8 @@
     roster.update(&after, at(100));
     let held = [fenced("b@2", 0), fenced("c@1", 5)];
 
-    let quorum = takeover::quorum(roster.len(), 1);
-    assert_eq!(takeover::choose(quorum, &held, None), None);
+    let quorum = fence::quorum(roster.len(), 1);
+    assert_eq!(fence::choose(quorum, &held, None), None);
 }
 
 /// As above, and the new life is not registered yet: only its log shows that it is another. A log that
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -14,6 +14,7 @@
 pub mod operator;
 pub mod peers;
 pub mod reach;
+pub mod records;
 pub mod shared;
 pub mod stop;
 pub mod traffic;
@@ -62,6 +63,7 @@
     let metrics = Metrics::default();
     let stop = stop::Stop::new(line.grace);
     let (isolation, isolated) = watch::channel(Isolation::default());
+    let (records, desk) = records::channel();
     let endpoint = operator::Context {
         id: config.id.clone(),
         dc: config.dc.clone(),
@@ -70,7 +72,7 @@
         stopping: stop.token(),
         metrics: metrics.clone(),
     };
-    let operator = thread::spawn(&config, &line, peer, publish, endpoint)?;
+    let operator = thread::spawn(&config, &line, peer, publish, desk, endpoint)?;
     let operator = operator
         .await
         .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
@@ -88,6 +90,7 @@
         stop: stop.clone(),
         isolated,
         suspicion: suspicion.clone(),
+        records,
         open: Rc::default(),
     });
     let looking = isolation::run(shared.clone(), suspicion, isolation);
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -101,6 +101,11 @@
         self.entry.borrow().missing_since.is_some()
     }
 
+    /// Whether it counts for a promotion, as far as this proxy knows.
+    pub fn vouches(&self) -> bool {
+        self.counted.get() && !self.is_missing()
+    }
+
     /// Notes how long a statement took.
     pub fn took(&self, length: Duration) {
         let mut latency = self.latency.get();
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -11,4 +11,5 @@
 pub mod record;
 pub mod recorder;
 pub mod state;
+pub mod testify;
 pub mod thread;
--- a/crates/proxy/src/line/control/attempt.rs
+++ b/crates/proxy/src/line/control/attempt.rs
@@ -3,12 +3,14 @@
 use std::{rc::Rc, time::Duration};
 
 use dandelionpitch_engine::{
+    fence::{self, Again, Fence, Fenced, Heard, Objection},
     freshness::PROMOTION_WAIT,
-    registry::{Entry, Incarnation, Role},
+    refusal::Code,
+    registry::{Entry, Incarnation},
     roster::Roster,
-    takeover::{self, Cause, Fenced, Member, Sight, Status},
+    takeover::{Cause, Member, Sight, Status},
 };
-use dandelionpitch_platform::{backend::Order, promoter::Outcome};
+use dandelionpitch_platform::{backend::Order, promoter::Outcome, Error};
 use futures::{stream::FuturesUnordered, StreamExt};
 use serde_json::json;
 
@@ -16,20 +18,13 @@
     clock,
     control::{
         observe::{Watcher, ORDER_TIMEOUT},
-        record::{Record, Stopped},
+        record::{Noted, Record, Stopped},
         recorder::{resync, write_record},
         state::Control,
     },
     journal,
 };
 
-/// How long a group is left alone after an attempt: a promotion takes effect some hundred
-/// milliseconds after its call, and statuses from before it say nothing.
-const SETTLE: Duration = Duration::from_millis(1_200);
-
-/// The pause after an attempt that did not promote.
-pub const RETRY: Duration = Duration::from_millis(400);
-
 /// How often a promotion is called for when its answer is lost; it is idempotent.
 const CALLS: usize = 3;
 
@@ -37,37 +32,61 @@
 /// wait would lengthen every failover.
 const RECHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How often the held members are asked whether they still are, until enough have said so: a busy
+/// one answers a little later.
+const RECHECKS: usize = 3;
+
+/// The pause before an order is given again to a server that has no time for it: less than one
+/// statement of usual length.
+const ORDER_AGAIN: Duration = Duration::from_millis(20);
+
 /// One attempt to replace a primary.
 pub struct Attempt {
     pub control: Rc<Control>,
     pub service: String,
     pub members: Vec<Member>,
+    /// The newest term that is known of.
+    pub newest: u64,
     pub roster: Roster,
+    /// The record in the store on which the roster rests.
+    pub recorded: Option<Noted>,
     pub watchers: Vec<Rc<Watcher>>,
     pub old: Option<Incarnation>,
     pub cause: Cause,
 }
 
+/// How an attempt ended.
+pub enum Ended {
+    /// The promotion of `server` to `term` was called for, and may take effect even if no answer came.
+    Called {
+        server: Incarnation,
+        term: u64,
+    },
+    NotCalled,
+}
+
 impl Attempt {
-    /// Runs the attempt; returns how long the group is to be left alone.
-    pub async fn run(&self) -> Duration {
-        let term = takeover::newest_term(&self.members) + 1;
+    /// Runs the attempt.
+    pub async fn run(&self) -> Ended {
+        let mut fence = self.begin();
         let begun = clock::now();
         journal::write(
             "failover",
             json!({ "service": self.service, "cause": format!("{:?}", self.cause),
-                "old": self.old, "term": term, "members": format!("{:?}", self.members) }),
+                "old": self.old, "term": fence.term(), "quorum": fence.quorum(),
+                "members": format!("{:?}", self.members) }),
         );
-        let result = self.replace(term).await;
+        let result = self.replace(&mut fence).await;
         let took = clock::now().since(begun).as_millis() as u64;
+        let term = fence.term();
         match result {
             Ok(server) => {
                 self.control.metrics.promotion();
                 journal::write(
                     "promoted",
-                    json!({ "service": self.service, "server": server, "term": term, "took_ms": took }),
+                    json!({ "service": self.service, "server": server.id, "term": term, "took_ms": took }),
                 );
-                SETTLE
+                Ended::Called { server, term }
             }
             Err(stopped) => {
                 journal::write(
@@ -75,78 +94,83 @@
                     json!({ "service": self.service, "term": term, "why": stopped.to_string(),
                         "took_ms": took }),
                 );
-                RETRY
+                match stopped {
+                    Stopped::Unanswered { server, .. } => Ended::Called { server, term },
+                    _ => Ended::NotCalled,
+                }
             }
         }
     }
 
-    async fn replace(&self, term: u64) -> Result<String, Stopped> {
+    fn begin(&self) -> Fence {
         let sync_replicas = self.control.sync_replicas(&self.service);
-        let quorum = takeover::quorum(self.roster.len(), sync_replicas);
-        let (fenced, stepped_down) = self.fence(term, quorum).await;
+        let quorum = fence::quorum(self.roster.len(), sync_replicas);
+        let last = self
+            .recorded
+            .as_ref()
+            .and_then(|noted| noted.record.promoted());
+        Fence::new(&self.members, self.newest, last, quorum)
+    }
+
+    async fn replace(&self, fence: &mut Fence) -> Result<Incarnation, Stopped> {
+        let late = self.fence(fence).await;
         let held_at = clock::now();
-        let Some(chosen) = takeover::choose(quorum, &fenced, stepped_down.as_ref()) else {
-            self.resume(&fenced).await;
-            let fenced = fenced.len();
+        let Some(chosen) = fence.choice().cloned() else {
+            self.resume(fence.held()).await;
+            let (fenced, quorum) = (fence.held().len(), fence.quorum());
             return Err(Stopped::NoChoice { fenced, quorum });
         };
-        tokio::time::sleep(clock::now().until(held_at + PROMOTION_WAIT)).await;
+        tokio::join!(
+            tokio::time::sleep(clock::now().until(held_at + PROMOTION_WAIT)),
+            self.depose(late),
+        );
         if self.has_grown() {
             return Err(Stopped::Grown);
         }
-        self.still_held(term, &fenced, chosen).await?;
         let duty = self.control.duty.borrow().token(clock::now());
         let token = duty.ok_or(Stopped::NoDuty)?;
-        self.record(token, &chosen.id.id).await?;
-        self.promote(token, &chosen.id.id).await?;
-        Ok(chosen.id.id.clone())
-    }
-
-    /// Whether the held members, and the one to be promoted, are still what they were.
-    ///
-    /// Failure: a held replica starts again while the leases run out. It has forgotten the order, follows
-    /// the old primary and confirms its commits, none of which the promoted server has; or the server
-    /// to be promoted has lost its log. Guard: all are asked once more just before the promotion. One
-    /// that does not answer cannot be told from one that is busy; it follows nobody it was not
-    /// following when it was held.
-    async fn still_held(
-        &self,
-        term: u64,
-        fenced: &[Fenced],
-        chosen: &Fenced,
-    ) -> Result<(), Stopped> {
-        let asked = |watcher: &&Rc<Watcher>| {
-            let id = &watcher.server.incarnation;
-            *id == chosen.id || fenced.iter().any(|fenced| fenced.id == *id)
+        let revision = self.record(token, &chosen.id.id).await?;
+        let called = match self.recheck(fence).await {
+            Ok(()) => self.promote(token, &chosen.id).await,
+            Err(stopped) => Err(stopped),
         };
-        let questions = self
-            .watchers
-            .iter()
-            .filter(asked)
-            .map(|watcher| async move {
-                let answer = watcher.order(Order::Status, RECHECK_TIMEOUT).await;
-                (&watcher.server.incarnation, answer)
-            });
-        for (id, answer) in futures::future::join_all(questions).await {
-            let Ok(status) = answer else { continue };
-            let held = fenced.iter().find(|fenced| fenced.id == *id);
-            let shorter = |before: &Fenced| status.received < before.received;
-            let forgot = held.is_some() && status.held < term && status.term < term;
-            if forgot || held.is_some_and(shorter) || (*id == chosen.id && shorter(chosen)) {
-                self.resume(fenced).await;
-                let server = id.clone();
-                return Err(Stopped::Restarted { server });
+        if let Err(stopped) = called {
+            if !matches!(stopped, Stopped::Unanswered { .. }) {
+                self.withdraw(token, revision).await;
+                self.resume(fence.held()).await;
             }
+            return Err(stopped);
         }
-        Ok(())
+        Ok(chosen.id)
     }
 
-    /// Whether a member's answer shows that it has started again since it was last seen.
-    fn has_restarted(&self, member: &Member, after: &Status) -> bool {
-        match member.sight {
-            Sight::Answered(before) => takeover::has_restarted(&before, after),
-            Sight::Unknown | Sight::Lost { .. } => false,
+    /// Asks those on whom the choice rests once more, until enough have answered.
+    async fn recheck(&self, fence: &Fence) -> Result<(), Stopped> {
+        let mut result = Ok(());
+        for _ in 0..RECHECKS {
+            let answers = self.ask_again().await;
+            result = fence.recheck(&answers);
+            if !matches!(result, Err(Objection::Unheard { .. })) {
+                break;
+            }
         }
+        result.map_err(|objection| match objection {
+            Objection::Changed(server) => Stopped::Restarted { server },
+            Objection::Unheard { again, quorum } => Stopped::Unheard { again, quorum },
+        })
+    }
+
+    async fn ask_again(&self) -> Vec<(Incarnation, Again)> {
+        let ask = |watcher: &Rc<Watcher>| {
+            let watcher = watcher.clone();
+            async move {
+                let before = watcher.connections();
+                let answer = watcher.order(Order::Status, RECHECK_TIMEOUT).await;
+                let same = watcher.connections() == before;
+                (watcher.server.incarnation.clone(), again(answer, same))
+            }
+        };
+        futures::future::join_all(self.watchers.iter().map(ask)).await
     }
 
     /// Whether a server has come that was not held.
@@ -161,57 +185,70 @@
     }
 
     /// Holds every other member and tells the old primary to step down, all at once. A member that
-    /// is out of sight is not waited for once the others suffice.
-    async fn fence(&self, term: u64, quorum: usize) -> (Vec<Fenced>, Option<Fenced>) {
+    /// is out of sight is not waited for once the others suffice; nor is an old primary that has no
+    /// time, which is returned and told meanwhile.
+    async fn fence(&self, fence: &mut Fence) -> Option<Rc<Watcher>> {
+        let term = fence.term();
         let orders = self
             .members
             .iter()
             .zip(&self.watchers)
             .map(|(member, watcher)| {
-                let is_old = Some(&member.id) == self.old.as_ref();
-                let order = match is_old {
+                let order = match Some(&member.id) == self.old.as_ref() {
                     true => Order::StepDown(term),
                     false => Order::Hold(term),
                 };
-                async move { (member, is_old, watcher.order(order, ORDER_TIMEOUT).await) }
+                async move { (member, obey(watcher, order).await) }
             });
         let mut orders: FuturesUnordered<_> = orders.collect();
-        let mut fenced = Vec::new();
-        let mut stepped_down = None;
-        let seen = |member: &&Member| matches!(member.sight, Sight::Answered(_));
-        let mut awaited = self.members.iter().filter(seen).count();
-        while let Some((member, is_old, answer)) = orders.next().await {
-            awaited -= usize::from(seen(&member));
-            let status = match answer {
-                Ok(status) => status,
-                Err(error) => {
-                    journal::write(
-                        "order failed",
-                        json!({ "server": member.id, "old": is_old, "why": error.to_string() }),
-                    );
-                    continue;
-                }
-            };
-            if self.has_restarted(member, &status) {
-                journal::write("restarted", json!({ "server": member.id, "while": "held" }));
-                continue;
-            }
-            let one = Fenced {
-                id: member.id.clone(),
-                leaving: member.leaving,
-                received: status.received,
-            };
-            match is_old {
-                true if status.role == Role::Replica => stepped_down = Some(one),
-                true => {}
-                false if status.held >= term && status.role == Role::Replica => fenced.push(one),
-                false => {}
+        let is_old = |member: &Member| Some(&member.id) == self.old.as_ref();
+        let seen = |member: &Member| matches!(member.sight, Sight::Answered(_)) && !is_old(member);
+        let mut awaited = self.members.iter().filter(|member| seen(member)).count();
+        let mut late = self.watcher_of_old();
+        while let Some((member, answer)) = orders.next().await {
+            awaited -= usize::from(seen(member));
+            self.hear(fence, member, answer);
+            if is_old(member) {
+                late = None;
             }
-            if fenced.len() >= quorum && awaited == 0 {
+            if fence.is_complete() && awaited == 0 {
                 break;
             }
         }
-        (fenced, stepped_down)
+        late
+    }
+
+    fn watcher_of_old(&self) -> Option<Rc<Watcher>> {
+        let is_old =
+            |watcher: &&Rc<Watcher>| Some(&watcher.server.incarnation) == self.old.as_ref();
+        self.watchers.iter().find(is_old).cloned()
+    }
+
+    /// Notes a member's answer to its order.
+    fn hear(&self, fence: &mut Fence, member: &Member, answer: Result<Status, Error>) {
+        let heard = match &answer {
+            Ok(status) => fence.note(member, status),
+            Err(_) => Heard::Nothing,
+        };
+        journal::write(
+            "ordered",
+            json!({ "service": self.service, "server": member.id, "term": fence.term(),
+                "old": Some(&member.id) == self.old.as_ref(), "heard": format!("{heard:?}"),
+                "answer": answer.map_or_else(|error| error.to_string(), |status| format!("{status:?}")) }),
+        );
+    }
+
+    /// Goes on telling the old primary to step down while the replicas are held.
+    ///
+    /// Failure: it is busy and refuses the order; it goes on as the primary after its replacement, and
+    /// its callers' commits wait in vain until it is told again. Guard: it is told until it obeys.
+    async fn depose(&self, old: Option<Rc<Watcher>>) {
+        let Some(old) = old else { return };
+        let term = self.newest + 1;
+        if let Err(error) = obey(&old, Order::StepDown(term)).await {
+            let server = &old.server.incarnation;
+            journal::trouble("step down", &format!("{server}: {error}"));
+        }
     }
 
     /// Lets the held members follow the old primary again: nothing was promoted.
@@ -230,41 +267,90 @@
         }
     }
 
-    /// Writes the promotion down before it is called for.
-    async fn record(&self, token: u64, server: &str) -> Result<(), Stopped> {
-        let known = self.control.records.borrow().get(&self.service).cloned();
-        let record = Record {
+    /// Writes the promotion down before it is called for; returns the record's revision.
+    async fn record(&self, token: u64, server: &str) -> Result<u64, Stopped> {
+        let revision = self.recorded.as_ref().map(|noted| noted.revision);
+        let record = self.next_record(token, server);
+        let written = write_record(&self.control, &self.service, &record, revision).await;
+        if matches!(written, Err(Stopped::Conflict)) {
+            resync(&self.control, &self.service, token).await;
+        }
+        written
+    }
+
+    /// Takes the promotion back that was written down and not called for, so that the old primary
+    /// counts as the one promoted last.
+    async fn withdraw(&self, token: u64, revision: u64) {
+        let last = self
+            .recorded
+            .as_ref()
+            .map_or("", |noted| &noted.record.server);
+        let record = self.next_record(token, last);
+        let written = write_record(&self.control, &self.service, &record, Some(revision)).await;
+        if let Err(stopped) = written {
+            journal::trouble("record", &stopped.to_string());
+        }
+    }
+
+    fn next_record(&self, token: u64, server: &str) -> Record {
+        let known = self
+            .recorded
+            .as_ref()
+            .map_or(0, |noted| noted.record.promotions);
+        Record {
             holder: self.control.name.clone(),
             token,
             server: server.to_owned(),
-            promotions: known.map_or(0, |noted| noted.record.promotions) + 1,
+            promotions: known + 1,
             members: self.roster.ids(),
-        };
-        let written = write_record(&self.control, &self.service, &record).await;
-        if matches!(written, Err(Stopped::Conflict)) {
-            resync(&self.control, &self.service, token).await;
         }
-        written
     }
 
-    async fn promote(&self, token: u64, server: &str) -> Result<(), Stopped> {
+    async fn promote(&self, token: u64, server: &Incarnation) -> Result<(), Stopped> {
         let control = &self.control;
-        let mut last = String::new();
+        let mut last = None;
         for _ in 0..CALLS {
             if control.duty.borrow().token(clock::now()) != Some(token) {
-                return Err(Stopped::NoDuty);
+                return Err(last.unwrap_or(Stopped::NoDuty));
             }
             let call = control
                 .promoter
-                .promote(&self.service, server, &control.id, token);
+                .promote(&self.service, &server.id, &control.id, token);
             match call.await {
                 Ok(Outcome::Accepted) => return Ok(()),
-                Ok(Outcome::NotRunning) => {
-                    return Err(Stopped::Promotion("it is not running".to_owned()))
+                Ok(Outcome::NotRunning) if last.is_none() => return Err(Stopped::NotRunning),
+                Ok(Outcome::NotRunning) => break,
+                Err(error) => {
+                    let (server, why) = (server.clone(), error.to_string());
+                    last = Some(Stopped::Unanswered { server, why });
                 }
-                Err(error) => last = error.to_string(),
             }
         }
-        Err(Stopped::Promotion(last))
+        Err(last.unwrap_or(Stopped::NotRunning))
+    }
+}
+
+/// Gives an order until the server carries it out, or for as long as an order may take.
+async fn obey(watcher: &Rc<Watcher>, order: Order) -> Result<Status, Error> {
+    let until = clock::now() + ORDER_TIMEOUT;
+    loop {
+        let left = clock::now().until(until);
+        match watcher.order(order, left).await {
+            Err(Error::Refused(refusal)) if refusal.code == Code::Busy && left > ORDER_AGAIN => {
+                tokio::time::sleep(ORDER_AGAIN).await;
+            }
+            answer => return answer,
+        }
+    }
+}
+
+/// What an answer to a second question says, on the same connection or another.
+fn again(answer: Result<Status, Error>, same_connection: bool) -> Again {
+    match answer {
+        Ok(status) => Again::Answered(status),
+        Err(Error::Refused(refusal)) if refusal.code == Code::Busy && same_connection => {
+            Again::Busy
+        }
+        Err(_) => Again::Silent,
     }
 }
--- a/crates/proxy/src/line/control/failover.rs
+++ b/crates/proxy/src/line/control/failover.rs
@@ -15,9 +15,9 @@
 use crate::line::{
     clock,
     control::{
-        attempt::{Attempt, RETRY},
+        attempt::{Attempt, Ended},
         observe::Watcher,
-        record::Record,
+        record::{Noted, Record},
         recorder::write_record,
         state::Control,
     },
@@ -27,10 +27,19 @@
 /// How often the groups are judged.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How long a group is left alone after a promotion: it takes effect some hundred milliseconds after
+/// its call, and statuses from before it say nothing.
+const SETTLE: Duration = Duration::from_millis(1_200);
+
+/// The pause after an attempt that did not promote.
+const RETRY: Duration = Duration::from_millis(400);
+
 /// What is kept of one group.
 struct Watched {
     memory: Memory,
     roster: Roster,
+    /// The record in the store on which the roster rests.
+    recorded: Option<Noted>,
     /// The roster is being written to the store.
     writing: bool,
     not_before: Moment,
@@ -113,6 +122,7 @@
         let watched = groups
             .entry(service.to_owned())
             .or_insert_with(|| Watched::new(control, service, now));
+        watched.follow_record(control, service, now);
         watched.roster.update(&members, now);
         self.keep_roster(control, service, watched);
         let calm = takeover::leader(&members).is_some() && !watched.memory.suspects(now);
@@ -129,29 +139,32 @@
         if !turn_is_ours(control, service, now) {
             return;
         }
+        let settled = watchers.iter().filter(|watcher| watcher.cancel_resume());
+        if settled.count() < watchers.len() {
+            return;
+        }
         watched.trying = true;
         control.attempts.set(control.attempts.get() + 1);
-        let roster = watched.roster.clone();
-        drop(groups);
         let attempt = Attempt {
             control: control.clone(),
             service: service.to_owned(),
             members,
-            roster,
+            newest: watched.memory.newest_term(),
+            roster: watched.roster.clone(),
+            recorded: watched.recorded.clone(),
             watchers,
             old,
             cause,
         };
+        drop(groups);
         let failover = self.clone();
         tokio::task::spawn_local(async move {
-            let pause = attempt.run().await;
+            let ended = attempt.run().await;
             let attempts = &attempt.control.attempts;
             attempts.set(attempts.get() - 1);
             let mut groups = failover.groups.borrow_mut();
             if let Some(watched) = groups.get_mut(&attempt.service) {
-                watched.trying = false;
-                watched.memory.attempted();
-                watched.not_before = clock::now() + pause;
+                watched.ended(&ended, clock::now());
             }
         });
     }
@@ -159,23 +172,59 @@
 
 impl Watched {
     fn new(control: &Control, service: &str, now: Moment) -> Self {
-        let records = control.records.borrow();
-        let recorded = records.get(service).map(|noted| &noted.record.members[..]);
+        let recorded = control.records.borrow().get(service).cloned();
+        let members = recorded.as_ref().map(|noted| &noted.record.members[..]);
+        let promoted = recorded
+            .as_ref()
+            .filter(|noted| noted.record.promotions > 0);
         Self {
             memory: Memory::default(),
-            roster: Roster::new(recorded.unwrap_or_default(), now),
+            roster: Roster::new(members.unwrap_or_default(), now),
+            // A promotion of this process's own, before it lost the duty, may still take effect.
+            not_before: promoted.map_or(now, |noted| noted.promoted + TURN_GAP),
+            recorded,
             writing: false,
-            not_before: now,
             trying: false,
         }
     }
+
+    /// Takes a record that has changed in the store since the roster was built on it.
+    ///
+    /// Failure: a new holder has not seen the last list of the one before, on which a server stands
+    /// that confirms commits; it holds all but one of a list without it. Guard: what is recorded
+    /// counts, and a promotion is written down only over the very record on which its roster rests.
+    fn follow_record(&mut self, control: &Control, service: &str, now: Moment) {
+        let records = control.records.borrow();
+        let Some(noted) = records.get(service) else {
+            return;
+        };
+        let known = self.recorded.as_ref().map(|known| known.revision);
+        if known != Some(noted.revision) {
+            self.roster.merge(&noted.record.members, now);
+            self.recorded = Some(noted.clone());
+        }
+    }
+
+    fn ended(&mut self, ended: &Ended, now: Moment) {
+        self.trying = false;
+        match ended {
+            Ended::Called { server, term } => {
+                self.memory.promoted(server, *term, now);
+                self.not_before = now + SETTLE;
+            }
+            Ended::NotCalled => {
+                self.memory.attempted();
+                self.not_before = now + RETRY;
+            }
+        }
+    }
 }
 
 impl Failover {
     /// Writes the roster to the store when it has changed.
     fn keep_roster(self: &Rc<Self>, control: &Rc<Control>, service: &str, watched: &mut Watched) {
         let members = watched.roster.ids();
-        let known = control.records.borrow().get(service).cloned();
+        let known = watched.recorded.clone();
         let same = known
             .as_ref()
             .is_some_and(|noted| noted.record.members == members);
@@ -197,7 +246,8 @@
                 promotions: known.as_ref().map_or(0, |n| n.record.promotions),
                 members,
             };
-            if let Err(stopped) = write_record(&control, &service, &record).await {
+            let revision = known.map(|noted| noted.revision);
+            if let Err(stopped) = write_record(&control, &service, &record, revision).await {
                 journal::trouble("roster", &stopped.to_string());
                 tokio::time::sleep(RETRY).await;
             }
@@ -219,19 +269,11 @@
 
 /// Tells primaries of earlier terms to stop leading when they are next asked.
 fn depose_old(members: &[Member], watchers: &[Rc<Watcher>]) {
-    let Some((leader, led)) = takeover::leader(members) else {
-        return;
-    };
+    let newest = takeover::newest_term(members);
     for (member, watcher) in members.iter().zip(watchers) {
-        let leads = matches!(
-            member.sight,
-            Sight::Answered(Status {
-                role: Role::Primary,
-                ..
-            })
-        );
-        if leads && member.id != leader.id {
-            watcher.order.set(Some(Order::StepDown(led.term)));
+        let superseded = |status: Status| status.role == Role::Primary && status.term < newest;
+        if matches!(member.sight, Sight::Answered(status) if superseded(status)) {
+            watcher.order.set(Some(Order::StepDown(newest)));
         }
     }
 }
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     control::backoff::{self, Backoff},
-    line::{clock, control::state::Control, journal},
+    line::{clock, control::state::Control, journal, records},
 };
 
 /// The part of the time within which a configuration has to be in force that a watch waits. One that
@@ -49,6 +49,7 @@
                 control.expire();
                 let now = clock::now();
                 control.registry.borrow_mut().known_until(now);
+                records::note_followed(&control.followed, now);
                 if step.changed {
                     tokio::time::sleep(now.until(changed_at + GATHER)).await;
                     changed_at = clock::now();
--- a/crates/proxy/src/line/control/observe.rs
+++ b/crates/proxy/src/line/control/observe.rs
@@ -51,6 +51,10 @@
     answered: Cell<Moment>,
     asked: Cell<Moment>,
     busy: Cell<bool>,
+    /// It is being told to receive again.
+    resuming: Cell<bool>,
+    /// How many connections to it were opened.
+    connections: Cell<u64>,
     /// What it is to be told when it is next asked.
     pub order: Cell<Option<Order>>,
 }
@@ -65,6 +69,8 @@
             answered: Cell::new(clock::now()),
             asked: Cell::default(),
             busy: Cell::default(),
+            resuming: Cell::default(),
+            connections: Cell::default(),
             order: Cell::default(),
         })
     }
@@ -101,8 +107,32 @@
         });
     }
 
+    /// How many connections to it were opened: if it answers and there was none in between, it has not
+    /// started again.
+    pub fn connections(&self) -> u64 {
+        self.connections.get()
+    }
+
+    /// Takes back an order to receive again that is yet to be given; whether none is under way either.
+    ///
+    /// Failure: replicas are let go, the order is given with the next question, and meanwhile an
+    /// attempt holds them: they are let go in the middle of it. Guard: an attempt begins only when no
+    /// such order is left.
+    pub fn cancel_resume(&self) -> bool {
+        if self.order.get() == Some(Order::Resume) {
+            self.order.set(None);
+        }
+        !self.resuming.get()
+    }
+
     async fn ask(&self, asked: Moment) {
         let order = self.order.take().unwrap_or(Order::Status);
+        self.resuming.set(order == Order::Resume);
+        self.ask_with(order, asked).await;
+        self.resuming.set(false);
+    }
+
+    async fn ask_with(&self, order: Order, asked: Moment) {
         let answer = self.order(order, ASK_TIMEOUT);
         let reached = async {
             tokio::time::sleep(LOOK_AFTER).await;
@@ -156,6 +186,7 @@
                 Some(link) => link,
                 None => {
                     let server = &self.server;
+                    self.connections.set(self.connections.get() + 1);
                     Link::open(server.address, &server.service, server.id()).await?
                 }
             };
--- a/crates/proxy/src/line/control/record.rs
+++ b/crates/proxy/src/line/control/record.rs
@@ -20,14 +20,18 @@
     Grown,
     #[display("{server} has started again since it was held")]
     Restarted { server: Incarnation },
+    #[display("only {again} of {quorum} say that they are still held")]
+    Unheard { again: usize, quorum: usize },
     #[display("the duty is no longer held")]
     NoDuty,
     #[display("the store says that the duty is another's, or the record changed")]
     Conflict,
     #[display("the store did not take the record: {_0}")]
     Store(String),
-    #[display("the platform did not promote: {_0}")]
-    Promotion(String),
+    #[display("the server to be promoted is not running")]
+    NotRunning,
+    #[display("whether {server} is promoted is not known: {why}")]
+    Unanswered { server: Incarnation, why: String },
 }
 
 /// The record of a promotion in the store.
@@ -43,6 +47,13 @@
     pub members: Vec<Incarnation>,
 }
 
+impl Record {
+    /// The server that was promoted last, or is about to be.
+    pub fn promoted(&self) -> Option<&str> {
+        Some(self.server.as_str()).filter(|server| !server.is_empty())
+    }
+}
+
 /// A record and when this process saw it.
 #[derive(Clone, Debug)]
 pub struct Noted {
--- a/crates/proxy/src/line/control/recorder.rs
+++ b/crates/proxy/src/line/control/recorder.rs
@@ -13,7 +13,7 @@
 };
 
 /// Writes a group's record, on the condition that this process still holds the duty and that the
-/// record is the one it knows.
+/// record is at the revision `known`, on which the new one rests; returns its revision.
 ///
 /// Failure: the store took the duty away without this process being told, and another holder
 /// promotes as well; or a new holder has not seen yet that its predecessor promotes a server this
@@ -23,7 +23,8 @@
     control: &Control,
     service: &str,
     record: &Record,
-) -> Result<(), Stopped> {
+    known: Option<u64>,
+) -> Result<u64, Stopped> {
     let value = serde_json::to_vec(record).map_err(|error| Stopped::Store(error.to_string()))?;
     let key = format!("{RECORDS}{service}");
     let write = Write {
@@ -31,7 +32,6 @@
         value: &value,
         lease: 0,
     };
-    let known = control.records.borrow().get(service).map(|n| n.revision);
     let conditions = [
         (DUTY, record.token),
         (key.as_str(), known.unwrap_or_default()),
@@ -46,7 +46,7 @@
                 &mut records,
                 clock::now(),
             );
-            Ok(())
+            Ok(revision)
         }
         Ok(Change::Conflict | Change::LeaseGone) => Err(Stopped::Conflict),
         Err(error) => Err(Stopped::Store(error.to_string())),
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -4,7 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
-    sync::Arc,
+    sync::{atomic::AtomicU64, Arc},
     time::Duration,
 };
 
@@ -73,6 +73,8 @@
     pub(super) unreadable: RefCell<Set<String>>,
     /// Whether the store answered the last call that follows it.
     pub store_answers: Cell<bool>,
+    /// Up to when no change of the store was missed, in milliseconds, as traffic sees it.
+    pub followed: Arc<AtomicU64>,
     pub(super) publish: watch::Sender<Arc<View>>,
 }
 
--- /dev/null
+++ b/crates/proxy/src/line/control/testify.rs
@@ -0,0 +1,50 @@
+//! Answers what traffic asks about groups' records, from the store itself.
+
+use std::rc::Rc;
+
+use dandelionpitch_engine::commit::Testimony;
+use tokio::sync::mpsc;
+
+use crate::line::{
+    clock,
+    control::{
+        record::{Noted, RECORDS},
+        state::Control,
+    },
+    journal,
+    records::Inquiry,
+};
+
+/// Answers until the process ends.
+pub async fn run(control: Rc<Control>, mut inquiries: mpsc::UnboundedReceiver<Inquiry>) {
+    while let Some(inquiry) = inquiries.recv().await {
+        tokio::task::spawn_local(answer(control.clone(), inquiry));
+    }
+}
+
+async fn answer(control: Rc<Control>, inquiry: Inquiry) {
+    let testimony = testimony(&control, &inquiry.service).await;
+    // Whoever asked may have given up meanwhile.
+    let _ = inquiry.answer.send(testimony);
+}
+
+async fn testimony(control: &Control, service: &str) -> Option<Testimony> {
+    let asked = clock::now();
+    let key = format!("{RECORDS}{service}");
+    let item = match control.store().get(&key).await {
+        Ok(item) => item?,
+        Err(error) => {
+            control.metrics.store_error();
+            journal::trouble("testimony", &format!("{service}: {error}"));
+            return None;
+        }
+    };
+    let mut records = control.records.borrow_mut();
+    Noted::read(&item, &mut records, clock::now());
+    let record = &records.get(service)?.record;
+    Some(Testimony {
+        asked,
+        promoted: record.promoted().map(str::to_owned),
+        members: record.members.clone(),
+    })
+}
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -10,7 +10,7 @@
 use dandelionpitch_engine::{registry::Registry, time::Moment};
 use dandelionpitch_platform::{promoter::Promoter, store::Store};
 use tokio::{
-    sync::{oneshot, watch},
+    sync::{mpsc, oneshot, watch},
     task::LocalSet,
 };
 
@@ -22,8 +22,10 @@
         control::{
             duty, failover, follow, member,
             state::{Control, PeerPort},
+            testify,
         },
         journal, operator,
+        records::{Desk, Inquiry},
         view::View,
     },
 };
@@ -34,6 +36,7 @@
     line: &Line,
     peer: PeerPort,
     publish: watch::Sender<Arc<View>>,
+    desk: Desk,
     endpoint: operator::Context,
 ) -> Result<oneshot::Receiver<SocketAddr>, Error> {
     let started = clock::now();
@@ -69,9 +72,10 @@
             members: RefCell::default(),
             unreadable: RefCell::default(),
             store_answers: Cell::new(false),
+            followed: desk.followed,
             publish,
         });
-        run(control, endpoint, counters);
+        run(control, desk.inquiries, endpoint, counters);
     };
     std::thread::Builder::new()
         .name("control".to_owned())
@@ -82,7 +86,12 @@
 
 type Endpoint = rocket::Rocket<rocket::Build>;
 
-fn run(control: Rc<Control>, endpoint: Endpoint, counters: Option<Endpoint>) {
+fn run(
+    control: Rc<Control>,
+    inquiries: mpsc::UnboundedReceiver<Inquiry>,
+    endpoint: Endpoint,
+    counters: Option<Endpoint>,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -92,6 +101,7 @@
         tokio::task::spawn_local(member::run(control.clone()));
         tokio::task::spawn_local(duty::run(control.clone()));
         tokio::task::spawn_local(failover::run(control.clone()));
+        tokio::task::spawn_local(testify::run(control.clone(), inquiries));
         if let Some(counters) = counters {
             tokio::task::spawn_local(serve_counters(counters));
         }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -26,7 +26,7 @@
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
-    line::{backend::Backend, clock, journal, reach::Suspicion},
+    line::{backend::Backend, clock, journal, reach::Suspicion, records::Records},
     metrics::Metrics,
 };
 
@@ -81,8 +81,11 @@
     settled: Cell<bool>,
     /// Something has changed, and who leads is to be asked ahead.
     search_due: Cell<bool>,
-    /// How many servers count for a promotion, those that have vanished included.
-    counted: Cell<usize>,
+    /// The servers that count for a promotion, those that have vanished included, if a holder of the
+    /// failover duty has written them down.
+    counted: RefCell<Option<Vec<Incarnation>>>,
+    records: Records,
+    testimony: Flight,
     /// A write to the primary is long without an answer, and none has been answered since.
     doubted: Cell<bool>,
     /// When a replica last spoke for another primary.
@@ -98,7 +101,13 @@
 
 impl Group {
     /// A group that nothing is known of.
-    pub fn new(name: &str, dc: &str, suspicion: Suspicion, metrics: Metrics) -> Rc<Self> {
+    pub fn new(
+        name: &str,
+        dc: &str,
+        suspicion: Suspicion,
+        records: Records,
+        metrics: Metrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
             name: name.to_owned(),
             dc: dc.to_owned(),
@@ -112,7 +121,9 @@
             owned: Cell::new(true),
             settled: Cell::default(),
             search_due: Cell::default(),
-            counted: Cell::default(),
+            counted: RefCell::default(),
+            records,
+            testimony: Flight::default(),
             denied: Cell::default(),
             doubted: Cell::default(),
             unconfirmed: Cell::default(),
@@ -172,11 +183,10 @@
             }
         }
         for backend in &servers {
-            let counts = counted.is_none_or(|ids| ids.contains(&backend.server.incarnation));
+            let counts = counted.is_some_and(|ids| ids.contains(&backend.server.incarnation));
             backend.counted.set(counts);
         }
-        self.counted
-            .set(counted.map_or(servers.len(), <[Incarnation]>::len));
+        *self.counted.borrow_mut() = counted.map(<[Incarnation]>::to_vec);
         *self.servers.borrow_mut() = servers;
         let primaries = |entry: &&Entry| entry.server.role == Role::Primary;
         let leader = self
--- a/crates/proxy/src/line/group/proof.rs
+++ b/crates/proxy/src/line/group/proof.rs
@@ -77,7 +77,6 @@
         let asked = clock::now();
         let mut replicas = self.servers();
         replicas.retain(|backend| !Rc::ptr_eq(backend, &leader.backend));
-        let others = replicas.len();
         let sync_replicas = self.sync_replicas.get();
         replicas.retain(|backend| !backend.avoided(asked));
         replicas.sort_by_key(|backend| backend.server.dc != self.dc);
@@ -103,13 +102,7 @@
             }
             patience = LATE_ANSWER;
         }
-        let poll = Poll {
-            asked,
-            obey,
-            others,
-            sync_replicas,
-        };
-        self.confirmed(poll);
+        self.confirmed(self.poll(asked, obey));
     }
 
     pub(super) fn superseded(&self, leader: &Leader, by: &Rc<Backend>, status: &Status) {
@@ -256,7 +249,10 @@
     pub(super) fn note_survey(&self, asked: Moment, statuses: &[(Rc<Backend>, Status)]) {
         let counting = statuses.iter().filter(|(backend, _)| backend.counted.get());
         let received: Vec<Position> = counting.map(|(_, status)| status.received).collect();
-        let (counted, sync_replicas) = (self.counted.get(), self.sync_replicas.get());
+        let Some(counted) = self.counted.borrow().as_ref().map(Vec::len) else {
+            return;
+        };
+        let sync_replicas = self.sync_replicas.get();
         if let Some(mark) = freshness::surveyed(asked, &received, counted, sync_replicas) {
             self.marks.borrow_mut().note(mark);
         }
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -17,6 +17,7 @@
         group::{Group, Groups},
         peers::Peers,
         reach::Suspicion,
+        records::Records,
         stop::Stop,
         view::View,
     },
@@ -39,6 +40,7 @@
     pub stop: Stop,
     pub isolated: watch::Receiver<Isolation>,
     pub suspicion: Suspicion,
+    pub records: Records,
     /// How many callers are connected.
     pub open: Rc<Cell<usize>>,
 }
@@ -54,7 +56,8 @@
     }
 
     fn new_group(&self, name: &str) -> Rc<Group> {
-        Group::new(name, &self.dc, self.suspicion.clone(), self.metrics.clone())
+        let (suspicion, records) = (self.suspicion.clone(), self.records.clone());
+        Group::new(name, &self.dc, suspicion, records, self.metrics.clone())
     }
 
     /// Returns when callers at rest are better served elsewhere.
