Test: a commit of the old primary is confirmed by the new one's lease

Ruled out: chance of the stand-in; the order of events is the incident's with the new primary reached again 100 ms after its promotion.

--- a/crates/e2e/tests/line_commits.rs
+++ b/crates/e2e/tests/line_commits.rs
@@ -34,3 +34,31 @@
     assert_eq!(site.count("a", "second").await, 0);
     assert!(!answer.done(), "{answer:?}");
 }
+
+/// As above, but the new primary is reached again while the old one's commit still waits, and serves
+/// other callers. What a replica said of the commit before is about another primary than the one that
+/// is proved to lead now: the caller must not hear that it is kept.
+#[tokio::test]
+async fn later_lease_of_another_primary_does_not_confirm_a_commit() {
+    let site = Site::start("later-lease", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    let mut other = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a first").done());
+    site.fault(2, "cut", true).await;
+    for held in [1, 2] {
+        assert!(site.order(held, "PAUSE 2").await.done());
+    }
+    tokio::time::sleep(HOLD).await;
+
+    caller.send("QUERY late PUT a second");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    site.promote(2).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    site.fault(2, "cut", false).await;
+    let third = other.ask("PUT a third");
+    let answer = caller.answer();
+
+    assert_eq!(site.group().await["leader"], 2);
+    assert_eq!(site.count("a", "second").await, 0);
+    assert!(!answer.done(), "{answer:?}, after {third:?}");
+}
