--- a/crates/engine/src/commit.rs
+++ b/crates/engine/src/commit.rs
@@ -39,8 +39,8 @@
 #[derive(Clone, Debug)]
 pub struct Commit {
     position: Position,
-    /// How many servers there are besides its primary, those that have vanished included.
-    others: usize,
+    /// How many replicas a commit of the group waits for.
+    sync_replicas: usize,
     holders: Vec<Holder>,
 }
 
@@ -55,26 +55,30 @@
 }
 
 impl Commit {
-    /// A commit at `position` of a primary beside which there are `others`.
-    pub fn new(position: Position, others: usize) -> Self {
+    /// A commit at `position`, in a group whose commits wait for `sync_replicas`.
+    pub fn new(position: Position, sync_replicas: usize) -> Self {
         Self {
             position,
-            others,
+            sync_replicas,
             holders: Vec::new(),
         }
     }
 
-    /// Notes what a server said by `now`, one that `counts` or not; returns whether it has the commit.
-    pub fn note(&mut self, id: &Incarnation, counts: bool, status: &Status, now: Moment) -> bool {
-        let has = has_commit(status.received, self.position);
-        if has && !self.holders.iter().any(|known| known.id == *id) {
+    /// The term of the primary that made it.
+    pub fn term(&self) -> u64 {
+        self.position.term
+    }
+
+    /// Notes what a server said by `now`, one that `counts` or not.
+    pub fn note(&mut self, id: &Incarnation, counts: bool, status: &Status, now: Moment) {
+        let known = self.holders.iter().any(|holder| holder.id == *id);
+        if has_commit(status.received, self.position) && !known {
             self.holders.push(Holder {
                 id: id.clone(),
                 counts,
                 at: now,
             });
         }
-        has
     }
 
     /// Whether any server is known to have it.
@@ -82,33 +86,43 @@
         !self.holders.is_empty()
     }
 
-    /// Whether the caller may be told that the commit is kept.
+    /// Whether the caller may be told that the commit is kept, by the lease of the primary that made
+    /// it, if that one is still known as the primary of the commit's term. `others` are all servers
+    /// besides it, those included that count and have vanished.
     ///
     /// Failure: the replicas are held for a promotion, and the primary, which has not heard of it,
     /// commits. When the promotion takes effect the holds end, and a replica that the new primary does
     /// not reach receives the commit from the old one; its caller hears that it is kept, and it is
-    /// rolled back. Guard: one replica's word counts only while the lease proves that no promotion
-    /// can have taken effect by then. Without a lease all have to have it: whichever of them is
-    /// promoted then has it too.
-    pub fn is_kept(&self, lease: &Lease, list: List) -> bool {
-        if self.others > 0 && self.holders.len() >= self.others {
+    /// rolled back. Guard: the word of as many replicas as commits wait for counts only while the
+    /// lease proves that no promotion can have taken effect by then. Without a lease all have to have
+    /// the commit: whichever of them is promoted then has it too.
+    pub fn is_kept(&self, lease: Option<&Lease>, list: List, others: &[Incarnation]) -> bool {
+        let has = |id: &Incarnation| self.holders.iter().any(|holder| holder.id == *id);
+        if !others.is_empty() && others.iter().all(has) {
             return true;
         }
-        let proved = |holder: &Holder| holder.counts && lease.leads(holder.at);
-        list == List::Current && self.holders.iter().any(proved)
+        let Some(lease) = lease.filter(|_| list == List::Current) else {
+            return false;
+        };
+        self.is_enough(|holder| holder.counts && lease.leads(holder.at))
     }
 
     /// As [`Self::is_kept`], by the store's word, for a commit of the primary `leader`.
     ///
-    /// It was asked for after a server that counts had the commit. No promotion was written down by
-    /// then but the primary's own, and whoever promotes asks its members once more after writing: that
-    /// server is then found with the commit.
+    /// It was asked for after servers that count had the commit. No promotion was written down by then
+    /// but the primary's own, and whoever promotes asks its members once more after writing: those
+    /// servers are then found with the commit.
     pub fn is_witnessed(&self, testimony: &Testimony, leader: &Incarnation) -> bool {
         let promoted = testimony.promoted.as_deref();
         let leads = promoted.is_none_or(|promoted| promoted == leader.id);
         let counts = |holder: &Holder| {
             holder.at <= testimony.asked && testimony.members.contains(&holder.id)
         };
-        leads && self.holders.iter().any(counts)
+        leads && self.is_enough(counts)
+    }
+
+    fn is_enough(&self, counts: impl Fn(&Holder) -> bool) -> bool {
+        let holders = self.holders.iter().filter(|holder| counts(holder));
+        holders.count() >= self.sync_replicas.max(1)
     }
 }
--- a/crates/engine/src/fence.rs
+++ b/crates/engine/src/fence.rs
@@ -40,9 +40,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Again {
     Answered(Status),
-    /// It has no time to say, on the connection on which it was given its order: it has not
-    /// started again.
-    Busy,
+    /// It has no time to say, or cannot be reached. It may have started again or been let go.
     Silent,
 }
 
@@ -158,21 +156,14 @@
     pub fn recheck(&self, answers: &[(Incarnation, Again)]) -> Result<(), Objection> {
         let mut again = 0;
         for (id, answer) in answers {
-            let held = self.held.iter().find(|one| one.id == *id);
-            let stepped_down = self.stepped_down.as_ref().filter(|one| one.id == *id);
-            let same = match (answer, held.or(stepped_down)) {
-                (_, None) | (Again::Silent, _) => continue,
-                (Again::Busy, _) => true,
-                (Again::Answered(status), Some(one)) => {
-                    let obeys = held.is_none() || status.held >= self.term;
-                    let follows = status.role == Role::Replica && status.term < self.term;
-                    obeys && follows && status.received == one.received
-                }
+            let Again::Answered(status) = answer else {
+                continue;
             };
-            if !same {
-                return Err(Objection::Changed(id.clone()));
+            match self.is_as_before(id, status) {
+                Some(true) => again += 1,
+                Some(false) => return Err(Objection::Changed(id.clone())),
+                None => {}
             }
-            again += 1;
         }
         let needed = self.needed();
         match again >= needed {
@@ -184,6 +175,19 @@
         }
     }
 
+    /// Whether a member is as it was when it obeyed; `None` if the choice does not rest on it.
+    fn is_as_before(&self, id: &Incarnation, status: &Status) -> Option<bool> {
+        if status.term >= self.term {
+            return Some(false);
+        }
+        let held = self.held.iter().find(|one| one.id == *id);
+        let stepped_down = self.stepped_down.as_ref().filter(|one| one.id == *id);
+        let before = held.or(stepped_down)?;
+        let obeys = held.is_none() || status.held >= self.term;
+        let same = status.role == Role::Replica && status.received == before.received;
+        Some(obeys && same)
+    }
+
     /// On how many members the choice rests.
     fn needed(&self) -> usize {
         match self.is_complete() {
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -86,9 +86,14 @@
 }
 
 /// What the other members said when they were asked, all after `asked`, about the primary.
+///
+/// A lease that is renewed counts from `asked`, but only if the answers came within
+/// [`PROMOTION_WAIT`] of the last time: one that took longer may be from after a promotion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Poll {
     pub asked: Moment,
+    /// When the last of the answers came.
+    pub answered: Moment,
     /// How many obey it.
     pub obey: usize,
     /// How many members there are besides it.
@@ -114,7 +119,8 @@
     /// Whether one of those that obey would have received whatever a newer primary acknowledged
     /// before: it needs `sync_replicas` members besides itself.
     fn meets_commits(&self) -> bool {
-        self.obey >= self.others.saturating_sub(self.sync_replicas).max(1)
+        let others = self.others + self.unseen;
+        self.obey >= others.saturating_sub(self.sync_replicas).max(1)
     }
 }
 
@@ -138,7 +144,7 @@
 impl Lease {
     /// Takes a poll in which no member spoke for another primary.
     pub fn confirm(&mut self, poll: Poll) {
-        let renews = self.renewable(poll.asked) && poll.meets_promoter();
+        let renews = self.renewable(poll.answered) && poll.meets_promoter();
         if poll.is_complete() || renews {
             self.renewed = self.renewed.max(Some(poll.asked));
             self.until = self.until.max(Some(poll.asked + LEADER_LEASE));
@@ -157,10 +163,10 @@
         self.until = self.until.max(Some(obeyed + LEADER_LEASE));
     }
 
-    /// Whether a poll asked at `asked` needs only some of the members.
-    pub fn renewable(&self, asked: Moment) -> bool {
+    /// Whether a poll answered at `answered` needs only some of the members.
+    pub fn renewable(&self, answered: Moment) -> bool {
         self.renewed
-            .is_some_and(|renewed| asked < renewed + PROMOTION_WAIT)
+            .is_some_and(|renewed| answered < renewed + PROMOTION_WAIT)
     }
 
     /// Whether a read that came at `at` misses nothing on the primary.
--- a/crates/engine/tests/freshness.rs
+++ b/crates/engine/tests/freshness.rs
@@ -29,6 +29,7 @@
 /// A group of three: two members besides the primary, one synchronous replica.
 fn poll(millis: u64, obey: usize) -> Poll {
     Poll {
+        answered: at(millis),
         unseen: 0,
         asked: at(millis),
         obey,
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -56,8 +56,8 @@
     entry: RefCell<Entry>,
     /// It stands on the list of those that count for a promotion.
     pub counted: Cell<bool>,
-    /// What it said of itself last.
-    last: Cell<Option<Status>>,
+    /// What it said of itself last, and by when.
+    last: Cell<Option<(Status, Moment)>>,
     latency: Cell<Mean>,
     avoid_until: Cell<Moment>,
     /// When its VM last accepted a connection made to find out whether it is there.
@@ -166,6 +166,7 @@
 
     /// Asks the server how it stands.
     pub async fn status(&self) -> Result<Status, Error> {
+        let asked = clock::now();
         let ask = async {
             let values = Values::default();
             let deadline = clock::now() + STATUS_TIMEOUT;
@@ -193,7 +194,7 @@
             // Only for what it notes: a server that is there may just be busy.
             self.reachable().await;
         }
-        self.same_life(status?)
+        self.same_life(status?, asked)
     }
 
     /// Takes the server's word only while it is the one that was asked before.
@@ -201,13 +202,15 @@
     /// Failure: a replica confirms a commit and starts again with an empty log before its new
     /// registration is seen; its word would prove what its earlier life knew. Guard: a log that has
     /// become shorter within a term is another one, and is not believed until it is registered as such.
-    fn same_life(&self, status: Status) -> Result<Status, Error> {
-        let before = self.last.get();
-        if before.is_some_and(|before| takeover::has_restarted(&before, &status)) {
+    ///
+    /// Answers to questions that were under way together say nothing of each other.
+    fn same_life(&self, status: Status, asked: Moment) -> Result<Status, Error> {
+        let before = self.last.get().filter(|(_, said)| *said <= asked);
+        if before.is_some_and(|(before, _)| takeover::has_restarted(&before, &status)) {
             let why = format!("{} has started again", self.server.incarnation);
             return Err(Error::Protocol(why));
         }
-        self.last.set(Some(status));
+        self.last.set(Some((status, clock::now())));
         Ok(status)
     }
 }
--- a/crates/proxy/src/line/control/attempt.rs
+++ b/crates/proxy/src/line/control/attempt.rs
@@ -32,9 +32,9 @@
 /// wait would lengthen every failover.
 const RECHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How often the held members are asked whether they still are, until enough have said so: a busy
-/// one answers a little later.
-const RECHECKS: usize = 3;
+/// How long the held members are asked whether they still are, until enough have said so: a busy one
+/// answers a little later, and to begin anew takes longer than this.
+const RECHECK_LIMIT: Duration = Duration::from_millis(800);
 
 /// The pause before an order is given again to a server that has no time for it: less than one
 /// statement of usual length.
@@ -125,6 +125,7 @@
             self.depose(late),
         );
         if self.has_grown() {
+            self.resume(fence.held()).await;
             return Err(Stopped::Grown);
         }
         let duty = self.control.duty.borrow().token(clock::now());
@@ -146,28 +147,27 @@
 
     /// Asks those on whom the choice rests once more, until enough have answered.
     async fn recheck(&self, fence: &Fence) -> Result<(), Stopped> {
-        let mut result = Ok(());
-        for _ in 0..RECHECKS {
+        let until = clock::now() + RECHECK_LIMIT;
+        loop {
             let answers = self.ask_again().await;
-            result = fence.recheck(&answers);
-            if !matches!(result, Err(Objection::Unheard { .. })) {
-                break;
+            match fence.recheck(&answers) {
+                Ok(()) => return Ok(()),
+                Err(Objection::Changed(server)) => return Err(Stopped::Restarted { server }),
+                Err(Objection::Unheard { again, quorum }) if clock::now() >= until => {
+                    return Err(Stopped::Unheard { again, quorum });
+                }
+                Err(Objection::Unheard { .. }) => tokio::time::sleep(ORDER_AGAIN).await,
             }
         }
-        result.map_err(|objection| match objection {
-            Objection::Changed(server) => Stopped::Restarted { server },
-            Objection::Unheard { again, quorum } => Stopped::Unheard { again, quorum },
-        })
     }
 
     async fn ask_again(&self) -> Vec<(Incarnation, Again)> {
         let ask = |watcher: &Rc<Watcher>| {
             let watcher = watcher.clone();
             async move {
-                let before = watcher.connections();
                 let answer = watcher.order(Order::Status, RECHECK_TIMEOUT).await;
-                let same = watcher.connections() == before;
-                (watcher.server.incarnation.clone(), again(answer, same))
+                let again = answer.map_or(Again::Silent, Again::Answered);
+                (watcher.server.incarnation.clone(), again)
             }
         };
         futures::future::join_all(self.watchers.iter().map(ask)).await
@@ -251,8 +251,12 @@
         }
     }
 
-    /// Lets the held members follow the old primary again: nothing was promoted.
+    /// Lets the held members follow the old primary again: nothing was promoted. Once the duty is
+    /// another's, so are the holds.
     async fn resume(&self, fenced: &[Fenced]) {
+        if self.control.duty.borrow().token(clock::now()).is_none() {
+            return;
+        }
         let held =
             |watcher: &&Rc<Watcher>| fenced.iter().any(|f| f.id == watcher.server.incarnation);
         let orders = self
@@ -320,13 +324,15 @@
                 Ok(Outcome::Accepted) => return Ok(()),
                 Ok(Outcome::NotRunning) if last.is_none() => return Err(Stopped::NotRunning),
                 Ok(Outcome::NotRunning) => break,
+                Ok(Outcome::Refused) if last.is_none() => tokio::time::sleep(ORDER_AGAIN).await,
+                Ok(Outcome::Refused) => {}
                 Err(error) => {
                     let (server, why) = (server.clone(), error.to_string());
                     last = Some(Stopped::Unanswered { server, why });
                 }
             }
         }
-        Err(last.unwrap_or(Stopped::NotRunning))
+        Err(last.unwrap_or(Stopped::Refused))
     }
 }
 
@@ -343,14 +349,3 @@
         }
     }
 }
-
-/// What an answer to a second question says, on the same connection or another.
-fn again(answer: Result<Status, Error>, same_connection: bool) -> Again {
-    match answer {
-        Ok(status) => Again::Answered(status),
-        Err(Error::Refused(refusal)) if refusal.code == Code::Busy && same_connection => {
-            Again::Busy
-        }
-        Err(_) => Again::Silent,
-    }
-}
--- a/crates/proxy/src/line/control/observe.rs
+++ b/crates/proxy/src/line/control/observe.rs
@@ -53,8 +53,6 @@
     busy: Cell<bool>,
     /// It is being told to receive again.
     resuming: Cell<bool>,
-    /// How many connections to it were opened.
-    connections: Cell<u64>,
     /// What it is to be told when it is next asked.
     pub order: Cell<Option<Order>>,
 }
@@ -70,7 +68,6 @@
             asked: Cell::default(),
             busy: Cell::default(),
             resuming: Cell::default(),
-            connections: Cell::default(),
             order: Cell::default(),
         })
     }
@@ -107,12 +104,6 @@
         });
     }
 
-    /// How many connections to it were opened: if it answers and there was none in between, it has not
-    /// started again.
-    pub fn connections(&self) -> u64 {
-        self.connections.get()
-    }
-
     /// Takes back an order to receive again that is yet to be given; whether none is under way either.
     ///
     /// Failure: replicas are let go, the order is given with the next question, and meanwhile an
@@ -186,8 +177,9 @@
                 Some(link) => link,
                 None => {
                     let server = &self.server;
-                    self.connections.set(self.connections.get() + 1);
-                    Link::open(server.address, &server.service, server.id()).await?
+                    let link = Link::open(server.address, &server.service, server.id()).await?;
+                    link.reset_on_close()?;
+                    link
                 }
             };
             let status = link.status(order).await;
--- a/crates/proxy/src/line/control/record.rs
+++ b/crates/proxy/src/line/control/record.rs
@@ -30,6 +30,8 @@
     Store(String),
     #[display("the server to be promoted is not running")]
     NotRunning,
+    #[display("the platform has no time for the promotion")]
+    Refused,
     #[display("whether {server} is promoted is not known: {why}")]
     Unanswered { server: Incarnation, why: String },
 }
@@ -48,6 +50,13 @@
 }
 
 impl Record {
+    /// Reads a record; `None` if the item is none, as other writers use the same store.
+    pub fn read(item: &Item) -> Option<Self> {
+        serde_json::from_slice(&item.value)
+            .inspect_err(|error| journal::trouble("record", &format!("{}: {error}", item.key)))
+            .ok()
+    }
+
     /// The server that was promoted last, or is about to be.
     pub fn promoted(&self) -> Option<&str> {
         Some(self.server.as_str()).filter(|server| !server.is_empty())
@@ -69,11 +78,9 @@
         let Some(service) = item.key.strip_prefix(RECORDS) else {
             return;
         };
-        let record = match serde_json::from_slice::<Record>(&item.value) {
-            Ok(record) => record,
-            Err(error) => return journal::trouble("record", &format!("{}: {error}", item.key)),
-        };
-        Self::note(service, record, item.revision, known, now);
+        if let Some(record) = Record::read(item) {
+            Self::note(service, record, item.revision, known, now);
+        }
     }
 
     /// Notes a record at `revision`, unless a later one is known.
--- a/crates/proxy/src/line/control/testify.rs
+++ b/crates/proxy/src/line/control/testify.rs
@@ -8,7 +8,7 @@
 use crate::line::{
     clock,
     control::{
-        record::{Noted, RECORDS},
+        record::{Record, RECORDS},
         state::Control,
     },
     journal,
@@ -39,12 +39,10 @@
             return None;
         }
     };
-    let mut records = control.records.borrow_mut();
-    Noted::read(&item, &mut records, clock::now());
-    let record = &records.get(service)?.record;
+    let record = Record::read(&item)?;
     Some(Testimony {
         asked,
         promoted: record.promoted().map(str::to_owned),
-        members: record.members.clone(),
+        members: record.members,
     })
 }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -258,6 +258,12 @@
             .is_some_and(|leader| Rc::ptr_eq(&leader.backend, backend))
     }
 
+    /// The term that `backend` is known to lead.
+    pub fn term_of(&self, backend: &Rc<Backend>) -> Option<u64> {
+        let leader = self.known_leader()?;
+        Rc::ptr_eq(&leader.backend, backend).then_some(leader.term)
+    }
+
     /// Notes that `backend` does not lead, or cannot be reached.
     pub fn depose(&self, backend: &Rc<Backend>) {
         if self.led_by(backend) {
@@ -347,11 +353,25 @@
         }
     }
 
+    /// Takes the known primary's own word that it does not lead.
+    ///
+    /// Failure: it has stepped down and nobody is promoted yet, so none has a higher term; it stays the
+    /// known primary, a replica that was not held renews its lease, and reads there miss what its
+    /// successor acknowledges. Guard: whoever says that it is a replica is none.
+    fn depose_deniers(&self, statuses: &[(Rc<Backend>, Status)]) {
+        for (backend, status) in statuses {
+            if status.role != Role::Primary {
+                self.depose(backend);
+            }
+        }
+    }
+
     fn adopt(&self, statuses: &[(Rc<Backend>, Status)]) {
         let best = statuses
             .iter()
             .filter(|(_, status)| status.role == Role::Primary)
             .max_by_key(|(_, status)| status.term);
+        self.depose_deniers(statuses);
         let known = self.leader.borrow().clone();
         let Some((backend, status)) = best else {
             return;
--- a/crates/proxy/src/line/group/kept.rs
+++ b/crates/proxy/src/line/group/kept.rs
@@ -33,12 +33,13 @@
 /// centres.
 const LATE_ANSWER: Duration = Duration::from_millis(25);
 
-/// The pause before the replicas are asked again. A commit reaches them within some milliseconds.
-const ASK_AGAIN: Duration = Duration::from_millis(10);
+/// The pause before the replicas are asked again, and the longest one. A commit reaches them within some
+/// milliseconds; one that does not may wait for the end of a promotion, and each question takes a slot.
+const ASK_AGAIN: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(80));
 
 impl Group {
-    /// Whether a commit at `position` of `backend` will be in the log of whoever is promoted; asks until
-    /// `limit` has passed.
+    /// Whether a commit at `position` of `backend`, sent to it as the primary of `term`, will be in the log
+    /// of whoever is promoted; asks until `limit` has passed or another primary is known.
     ///
     /// Failure: a primary acknowledges a commit on the word of a replica that no promoter knows of, or
     /// that received it only when a promotion had taken effect; the server that is promoted lacks what
@@ -47,29 +48,61 @@
     pub async fn is_kept(
         self: &Rc<Self>,
         backend: &Rc<Backend>,
+        term: u64,
         position: Option<Position>,
         limit: Duration,
     ) -> bool {
-        let (Some(position), true) = (position, self.sync_replicas.get() > 0) else {
+        let sync_replicas = self.sync_replicas.get();
+        if sync_replicas == 0 {
             return true;
+        }
+        // A server that has been replaced meanwhile may speak of another's log.
+        let Some(position) = position.filter(|position| position.term == term) else {
+            return false;
         };
-        let mut commit = Commit::new(position, self.others());
+        let mut commit = Commit::new(position, sync_replicas);
         let found = async {
+            let mut pause = ASK_AGAIN.0;
             while !self.confirm_commit(backend, &mut commit).await {
-                sleep(ASK_AGAIN).await;
+                if self.known_leader().is_some_and(|leader| leader.term > term) {
+                    return false;
+                }
+                sleep(pause).await;
+                pause = ASK_AGAIN.1.min(pause * 2);
             }
+            true
         };
-        timeout(limit, found).await.is_ok()
+        timeout(limit, found).await.unwrap_or(false)
+    }
+
+    /// Whether a commit could be confirmed, as far as is known before it is made.
+    ///
+    /// Load pattern: the store is away for longer than a list of servers holds, and one that counts is
+    /// gone: no proof can come, and every commit would end with an unknown outcome at its deadline, which
+    /// its caller may not repeat.
+    pub fn can_confirm(&self) -> bool {
+        self.sync_replicas.get() == 0 || self.list() == List::Current || self.unseen() == 0
+    }
+
+    /// Whether a commit of `backend` is proved to be kept by what is known so far.
+    fn is_proved(&self, backend: &Rc<Backend>, commit: &Commit) -> bool {
+        let lease = self.leads(backend, commit).then(|| self.lease.get());
+        commit.is_kept(lease.as_ref(), self.list(), &self.others(backend))
+    }
+
+    /// Whether `backend` is known as the primary of the commit's term.
+    fn leads(&self, backend: &Rc<Backend>, commit: &Commit) -> bool {
+        self.term_of(backend) == Some(commit.term())
     }
 
     /// One round: asks the replicas, and the store if they have the commit and that alone is no proof.
     async fn confirm_commit(self: &Rc<Self>, backend: &Rc<Backend>, commit: &mut Commit) -> bool {
         let asked = clock::now();
         let obey = self.ask_for_commit(backend, commit, asked).await;
-        if commit.is_kept(&self.lease.get(), self.list()) {
+        if self.is_proved(backend, commit) {
             return true;
         }
-        let obeyed = (obey > 0).then_some(asked);
+        let obeyed = (obey >= self.sync_replicas.get()).then_some(asked);
         commit.is_held() && self.ask_store(backend, commit, obeyed).await
     }
 
@@ -83,7 +116,9 @@
     ) -> usize {
         let mut replicas = self.servers();
         replicas.retain(|replica| !Rc::ptr_eq(replica, backend));
-        let hedge = match self.lease.get().leads(asked) && self.list() == List::Current {
+        let vouching = replicas.iter().filter(|replica| replica.vouches()).count();
+        let proved = self.lease.get().leads(asked) && self.list() == List::Current;
+        let hedge = match proved && vouching >= self.sync_replicas.get() {
             true => {
                 replicas.retain(|replica| replica.vouches());
                 replicas.sort_by_key(|replica| {
@@ -104,7 +139,7 @@
             let (id, vouches) = (&replica.server.incarnation, replica.vouches());
             obey += usize::from(self.note_word(replica, asked, obey + 1, &status));
             commit.note(id, vouches, &status, clock::now());
-            if commit.is_kept(&self.lease.get(), self.list()) {
+            if self.is_proved(backend, commit) {
                 break;
             }
             if commit.is_held() {
@@ -152,14 +187,14 @@
     ) -> bool {
         if !self.testimony.starts() {
             self.testimony.ended.notified().await;
-            return commit.is_kept(&self.lease.get(), self.list());
+            return self.is_proved(backend, commit);
         }
         let _flight = Landing(&self.testimony);
         let Some(testimony) = self.records.testimony(&self.name).await else {
             return false;
         };
         let leader = &backend.server.incarnation;
-        let witnessed = self.led_by(backend) && commit.is_witnessed(&testimony, leader);
+        let witnessed = self.leads(backend, commit) && commit.is_witnessed(&testimony, leader);
         journal::write(
             "testimony",
             json!({ "service": self.name, "server": leader, "promoted": testimony.promoted,
@@ -185,16 +220,26 @@
         }
     }
 
-    /// How many servers there are besides the primary, those included that count and have vanished.
-    fn others(&self) -> usize {
-        let others = self.servers.borrow().len().saturating_sub(1);
-        others + self.unseen()
+    /// All servers besides the primary `backend`, those included that count and have vanished.
+    fn others(&self, backend: &Rc<Backend>) -> Vec<Incarnation> {
+        let servers = self.servers.borrow();
+        let registered = servers.iter().map(|server| &server.server.incarnation);
+        let counted = self.counted.borrow();
+        let mut others: Vec<Incarnation> = registered
+            .chain(counted.iter().flatten())
+            .filter(|id| **id != backend.server.incarnation)
+            .cloned()
+            .collect();
+        others.sort_unstable();
+        others.dedup();
+        others
     }
 
     /// A poll of which `obey` obey the primary so far.
     pub(super) fn poll(&self, asked: Moment, obey: usize) -> Poll {
         Poll {
             asked,
+            answered: clock::now(),
             obey,
             others: self.servers.borrow().len().saturating_sub(1),
             unseen: self.unseen(),
--- a/crates/proxy/src/line/traffic/run.rs
+++ b/crates/proxy/src/line/traffic/run.rs
@@ -248,6 +248,9 @@
     if (call.isolated || group.doubted()) && !group.confirm(call.arrived).await {
         return Err(call.unconfirmed());
     }
+    if !group.can_confirm() {
+        return Err(call.unconfirmed());
+    }
     let mut last = call.busy("no primary is known", COME_BACK);
     while let Some(leader) = wait_for_leader(group, call).await {
         let backend = &leader.backend;
@@ -284,7 +287,8 @@
         match answer.result {
             Ok(success) => {
                 group.trust(backend);
-                if !group.is_kept(backend, answer.position, call.left()).await {
+                let (term, left) = (leader.term, call.left());
+                if !group.is_kept(backend, term, answer.position, left).await {
                     return Err(call.not_kept(group, backend));
                 }
                 session.committed(answer.position);
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -40,19 +40,17 @@
 /// Whose connection to the backend server a transaction has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Holder {
-    /// This proxy's.
-    Own,
+    /// This proxy's, to a server that was known as the primary of `term` when the transaction began.
+    Own { term: Option<u64> },
     /// That of another proxy, to which `Pinned` leads.
     Peer,
 }
 
 impl Pinned {
-    fn own(checkout: Checkout, backend: Rc<Backend>) -> Self {
-        let holder = Holder::Own;
-        Self {
-            checkout,
-            backend,
-            holder,
+    fn term(&self) -> Option<u64> {
+        match self.holder {
+            Holder::Own { term } => term,
+            Holder::Peer => None,
         }
     }
 
@@ -97,12 +95,22 @@
     }
     let wrote = transaction.wrote || call.effect == Effect::Write;
     for send in 1.. {
+        let commits = call.effect == Effect::Commit && wrote;
+        let term = held.term();
+        if commits && (term.is_none() || !group.can_confirm()) {
+            held.roll_back();
+            fail(session, call);
+            let why = "rolled back: no replica could confirm the commit";
+            return Err(Refusal::new(Code::Aborted, why));
+        }
         let Pinned {
-            checkout, backend, ..
+            checkout,
+            backend,
+            holder,
         } = held;
         let asked = clock::now();
         let sent = exchange(checkout, &backend, call, Condition::Nothing);
-        let (answer, checkout) = match call.effect == Effect::Commit && wrote {
+        let (answer, checkout) = match commits {
             true => run::doubting(group, &backend, sent).await,
             false => sent.await,
         };
@@ -115,7 +123,11 @@
                 return Err(lost(call.effect, wrote, &why));
             }
         };
-        held = Pinned::own(checkout, backend);
+        held = Pinned {
+            checkout,
+            backend,
+            holder,
+        };
         if transaction.read_only || call.effect == Effect::Commit {
             group.note_position(&held.backend, asked, answer.position);
         }
@@ -130,7 +142,8 @@
                         }
                         if wrote {
                             group.trust(&backend);
-                            if !group.is_kept(&backend, answer.position, call.left()).await {
+                            let (term, left) = (term.unwrap_or_default(), call.left());
+                            if !group.is_kept(&backend, term, answer.position, left).await {
                                 return Err(call.not_kept(group, &backend));
                             }
                             session.committed(answer.position);
@@ -254,7 +267,13 @@
                             last = call.busy("its server does not lead any more", SEND_AGAIN);
                         }
                         Ok(_) if answer.state == State::Open => {
-                            return Ok(Pinned::own(checkout, backend));
+                            let term = group.term_of(&backend);
+                            let holder = Holder::Own { term };
+                            return Ok(Pinned {
+                                checkout,
+                                backend,
+                                holder,
+                            });
                         }
                         Ok(_) => last = call.busy("the server opened none", SEND_AGAIN),
                         Err(refusal) => {
