Stand-in: a kill is answered once the server is gone, a start once it serves

Cause of open_transaction_dies_whole's failure beside load: a kill, asked for through another server, was answered as soon as the connections of the killed server had been told. Each noticed when its task ran next, and chose at random between that and a statement that had come meanwhile. So a killed server could answer an INSERT inside a transaction, and the proxy rightly passed that on.

Ruled out: an acknowledged commit after the kill. Such an INSERT lies with its connection and reaches the log with COMMIT only; a commit on a killed server reaches no replica, so it is not acknowledged. Not the proxy either: the test of the commit before speaks to the stand-in alone.

Change: a connection belongs to one life of its server (a kill ends it, also if a start follows at once), looks for its end first, and runs and answers nothing after it. A kill is answered when the listener is closed, a start when it is open.

--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -3,6 +3,7 @@
 //! Test support; not shipped.
 
 mod fault;
+mod life;
 mod server;
 mod sql;
 mod state;
@@ -13,12 +14,10 @@
     time::{Duration, Instant},
 };
 
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
+use tokio::net::{TcpListener, TcpStream};
 
 use fault::{Fault, Faults};
+use life::Switch;
 use state::Group;
 
 /// How often the primary reaches its replicas and they apply what is due.
@@ -45,7 +44,7 @@
     settings: Settings,
     group: Mutex<Group>,
     faults: Mutex<Faults>,
-    up: Vec<watch::Sender<bool>>,
+    switches: Vec<Switch>,
 }
 
 impl Shared {
@@ -54,9 +53,7 @@
             settings,
             group: Mutex::new(Group::new(settings.servers, settings.lag, settings.sync)),
             faults: Mutex::new(Faults::default()),
-            up: (0..settings.servers)
-                .map(|_| watch::channel(true).0)
-                .collect(),
+            switches: (0..settings.servers).map(|_| Switch::new()).collect(),
         }
     }
 
@@ -78,11 +75,11 @@
         match fault {
             Fault::Kill(server) => {
                 group.set_up(server, false);
-                self.up[server].send_replace(false);
+                self.switches[server].kill();
             }
             Fault::Start(server) => {
                 group.set_up(server, true);
-                self.up[server].send_replace(true);
+                self.switches[server].start();
             }
             Fault::Freeze(server) => group.set_frozen(server, true),
             Fault::Thaw(server) => group.set_frozen(server, false),
@@ -118,16 +115,19 @@
 /// Runs one server through its kills and starts.
 async fn run(listener: TcpListener, shared: Arc<Shared>, index: usize) {
     let address = listener.local_addr().expect("a bound listener");
-    let mut up = shared.up[index].subscribe();
+    let switch = &shared.switches[index];
     let mut listener = Some(listener);
     loop {
         if let Some(open) = listener.take() {
+            let life = switch.life();
+            switch.set_listens(true);
             tokio::select! {
                 () = accept(open, &shared, index) => {}
-                _ = up.wait_for(|up| !up) => {}
+                () = life.ended() => {}
             }
+            switch.set_listens(false);
         }
-        let _ = up.wait_for(|up| *up).await;
+        switch.started().await;
         match TcpListener::bind(address).await {
             Ok(open) => listener = Some(open),
             Err(_) => tokio::time::sleep(LISTEN_RETRY).await,
@@ -145,12 +145,17 @@
 }
 
 /// Serves one connection until it ends or the server is killed.
+///
+/// Failure: a kill is answered before the killed server's connections have noticed it, and one
+/// of them answers a statement that was sent after the kill. Guard: a connection looks for the
+/// end of its life before it looks for statements, and answers none after it.
 async fn serve_connection(socket: TcpStream, shared: Arc<Shared>, index: usize) {
     let _ = socket.set_nodelay(true);
-    let mut up = shared.up[index].subscribe();
-    let handlers = server::Handlers(server::Connection::new(shared, index));
+    let life = shared.switches[index].life();
+    let handlers = server::Handlers(server::Connection::new(shared, index, life.clone()));
     tokio::select! {
+        biased;
+        () = life.ended() => {}
         _ = pgwire::tokio::process_socket(socket, None, handlers) => {}
-        _ = up.wait_for(|up| !up) => {}
     }
 }
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -21,6 +21,7 @@
 };
 
 use super::{
+    life::Life,
     sql::{self, Command},
     state::{Entry, Op, Progress, Refusal},
     Shared,
@@ -33,6 +34,8 @@
 pub struct Connection {
     shared: Arc<Shared>,
     index: usize,
+    /// The server's life in which this connection was opened.
+    life: Life,
     /// The caller's data centre, the middle part of an application name such as
     /// `dandelionpitch/dc-1/proxy-1`; empty for callers that are not proxies.
     dc: Mutex<String>,
@@ -45,12 +48,13 @@
 }
 
 impl Connection {
-    /// A handler for a new connection to server `index` of a group.
-    pub fn new(shared: Arc<Shared>, index: usize) -> Arc<Self> {
+    /// A handler for a new connection to server `index` of a group, in this life of it.
+    pub fn new(shared: Arc<Shared>, index: usize, life: Life) -> Arc<Self> {
         let silences = shared.faults.lock().unwrap().silences(index);
         Arc::new(Self {
             shared,
             index,
+            life,
             silences,
             dc: Mutex::new(String::new()),
             pending: Mutex::new(None),
@@ -58,10 +62,11 @@
         })
     }
 
-    /// Waits while the server is frozen or cut off from this caller.
+    /// Waits while the server is frozen or cut off from this caller, and for good once it was
+    /// killed: the connection is dropped then.
     async fn gate(&self) {
         let dc = self.dc.lock().unwrap().clone();
-        while self.shared.blocked(self.index, &dc, self.silences) {
+        while self.life.over() || self.shared.blocked(self.index, &dc, self.silences) {
             tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
@@ -118,8 +123,10 @@
                 text_rows(&["sleep"], vec![vec![String::new()]])
             }
             Command::Fault(fault) => {
+                let server = fault.server();
                 let outcome = self.shared.set(fault);
                 outcome.map_err(|text| error("22023", text))?;
+                self.shared.switches[server].settled().await;
                 text_rows(&["fault"], vec![vec!["set".to_owned()]])
             }
         }
