Test: a lapsed claim's term is handed out to nobody else

Found by reading the PostgreSQL side for the causes of the lost commit on the line protocol's side: there a remembered or one-sided view decides, here it decides what is written into the record.

--- /dev/null
+++ b/crates/e2e/tests/terms.rs
@@ -0,0 +1,89 @@
+//! A term belongs to whoever claimed it: no other proxy gets it, however late its owner acts.
+
+mod fixture;
+
+use std::time::Duration;
+
+use dandelionpitch_core::{
+    keys,
+    kv::{self, Swap},
+    primary::Record,
+};
+use fixture::{connect, eventually, insert, Layout, Site};
+
+const WAIT: Duration = Duration::from_secs(20);
+/// How many servers of the three a new term needs.
+const QUORUM: usize = 2;
+
+/// Claims the term after the recorded one, as a proxy does that is paused right after it.
+async fn claim(site: &Site) -> u64 {
+    let kv = kv::Client::new(site.kv_url());
+    let key = keys::primary("ledger");
+    let now = kv.get(&key).await.expect("the KV").expect("a record");
+    let claim = Record {
+        term: Record::parse(&now.value).expect("a record").term + 1,
+        server: None,
+        claimant: "proxy-paused".to_owned(),
+    };
+    let swap = kv.swap(&key, &claim.to_value(), now.mod_revision).await;
+    assert!(matches!(swap, Ok(Swap::Done { .. })));
+    claim.term
+}
+
+/// Does what the paused claimant still has to do: has the servers hold `term`, and promotes one
+/// of them if a quorum does. Returns which server it promoted.
+async fn go_on(site: &Site, term: u64) -> Option<usize> {
+    let mut held = Vec::new();
+    for index in 0..site.servers().len() {
+        let fence = format!("SELECT dandelionpitch_fence({term})");
+        if site.server(index).await.simple_query(&fence).await.is_ok() {
+            held.push(index);
+        }
+    }
+    if held.len() < QUORUM {
+        return None;
+    }
+    let promote = format!("SELECT dandelionpitch_promote({term})");
+    let promoted = site.server(held[0]).await.simple_query(&promote).await;
+    promoted.is_ok().then_some(held[0])
+}
+
+/// Waits until the record names a server again.
+async fn recorded(site: &Site) -> Record {
+    let named = eventually(WAIT, || async {
+        let record = site.record().await;
+        record.is_some_and(|record| record.server.is_some())
+    })
+    .await;
+    assert!(named, "the record names a primary");
+    site.record().await.expect("a record")
+}
+
+/// A proxy claims term 2 and is paused before a server has heard of it; the primary goes on at
+/// term 1. The claim lapses, and later the primary dies and is replaced. Then the claimant goes on,
+/// unaware. Had the record gone back to term 1, the replacement would have term 2 as well, and the
+/// claimant would promote a second primary at it, whose commits overwrite the first one's.
+#[tokio::test]
+async fn lapsed_claim_is_nobody_elses() {
+    let site = Site::build(&Layout::new("lapsed", &["dc-1", "dc-1"])).await;
+    recorded(&site).await;
+
+    let claimed = claim(&site).await;
+    let passed_over = recorded(&site).await;
+    let died = site.leader(&passed_over);
+    let via = (died + 1) % site.servers().len();
+    site.fault(via, "kill", died, "").await;
+    let replaced = site.replaced(passed_over.term).await;
+    site.fault(via, "start", died, "").await;
+    let second = go_on(&site, claimed).await;
+    let written = eventually(WAIT, || async {
+        let member = connect(&site.proxies[0], "member", "").await;
+        member.simple_query(&insert("order-1")).await.is_ok()
+    })
+    .await;
+
+    assert_eq!(second, None, "a second primary at term {claimed}");
+    assert!(passed_over.term > claimed, "{passed_over:?}");
+    assert!(replaced.term > passed_over.term, "{replaced:?}");
+    assert!(written);
+}
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -17,6 +17,8 @@
     grace: Duration::from_millis(400),
 };
 const LONG_AGO: Duration = Duration::from_secs(60);
+/// The address of the first server of a group.
+const SERVER_0: ([u8; 4], u16) = ([127, 0, 0, 1], 5000);
 
 /// A status read now; `silent_ms` is how long the server has not heard from a primary.
 fn status(role: Role, term: u64, silent_ms: u64) -> Option<Status> {
@@ -136,3 +138,24 @@
 
     assert_eq!(failed(statuses, held(2, None, seen), LONG_AGO), expected);
 }
+
+/// A proxy claimed a term and stopped before a server heard of it; the primary goes on at an
+/// earlier one. Its claim may still take effect, so it is passed over with a later term. To record
+/// the primary's own term would hand out the claimed one a second time.
+#[parameterized(
+    claim_above_its_term = { 2, 1, Verdict::Outranked },
+    claim_of_its_term = { 2, 2, Verdict::Unrecorded { term: 2, server: SERVER_0.into() } },
+)]
+fn lapsed_claim_is_passed_over(claimed: u64, led: u64, expected: Verdict) {
+    let statuses = [
+        status(Role::Primary, led, 0),
+        status(Role::Replica, led, 5),
+        status(Role::Replica, led, 5),
+    ];
+    let group = group(statuses, held(claimed, None, LONG_AGO));
+    let now = Instant::now();
+
+    let verdict = judge(&group, now.checked_sub(LONG_AGO), LIMITS, now);
+
+    assert_eq!(verdict, expected);
+}
