Failover: the record of a group never goes back to an earlier term

Cause: a primary that led at a term below a lapsed claim was judged "unrecorded", and its own, lower term was written over the claim. The next claimant then got the claimed term a second time. A claimant that was paused before any server had heard of its term finds servers at just that term when it goes on; they obey it, and a second primary leads at one term. core's primary::Record promises "the term; it never goes down".

Ruled out: compare-and-swap (it held; what it wrote was wrong), the verdict for a claim of the primary's own term (only its server is filled in then), a claim that had reached a server (its term is seen there, and a later one taken).

Change: such a claim is passed over with the next term, as docs/DESIGN.md says. Cost: one promotion, of a sound primary perhaps, after a claimant has died in the instant between its claim and its first fence; the old primary was out of use for claim_limit anyway.

--- a/crates/proxy/src/control/verdict.rs
+++ b/crates/proxy/src/control/verdict.rs
@@ -18,11 +18,11 @@
     Failed,
     /// A primary leads, but it is about to be stopped, and enough others can replace it.
     Leaving,
-    /// A primary leads, but a server holds a later term and takes nothing from it: a failover
-    /// stopped halfway.
+    /// A primary leads, but a later term was claimed, or a server holds one and takes nothing
+    /// from it: a failover stopped halfway.
     Outranked,
     /// A primary leads, but the KV has no record of it, or still says that its term is only
-    /// claimed, or an earlier one.
+    /// claimed, or has an earlier one.
     Unrecorded { term: u64, server: SocketAddr },
 }
 
@@ -84,9 +84,18 @@
         .count()
 }
 
+/// What the record has to say of a primary that leads at `term`.
+///
+/// Failure: a claimant is paused before a server has heard of its term. Its claim lapses, the
+/// record goes back to the primary's lower term, and the next claimant gets the same term again:
+/// when the first one goes on, two primaries lead at it and overwrite each other's commits.
+/// Guard: the record never goes back; a later term is taken, which the servers then hold against
+/// the paused claimant.
 fn recorded(group: &Group, term: u64, server: SocketAddr) -> Verdict {
-    match &group.held {
-        Some(held) if held.record.term >= term && held.record.server.is_some() => Verdict::Led,
+    let record = group.held.as_ref().map(|held| &held.record);
+    match record {
+        Some(record) if record.server.is_none() && record.term > term => Verdict::Outranked,
+        Some(record) if record.server.is_some() && record.term >= term => Verdict::Led,
         _ => Verdict::Unrecorded { term, server },
     }
 }
