Stand-in: late promotions, crashes that keep the log, cuts between two servers, busy servers

Cause: the stand-in group was kinder than the platform. A promotion took effect with its call, a server that started again always lost its log, a cut was one from all servers, an old primary gave way at once, and no server ever answered BUSY, so no test met a failover that another trouble crosses. `crashed` ends a life and begins another with the log, without the hold and without another `born`, as the platform registers none. `busy` refuses whatever takes a slot, `crowded` all but one in eight. Each promotion is noted with its server's log, at /test/promotions; what is done to servers is printed with the time of the proxies' lines. A primary's own commits stay visible to its reads after it has stepped down: they vanished for the lag of 20 ms, which no server does. Both settings are 0 by default, so the existing tests keep their world.

--- /dev/null
+++ b/crates/e2e/tests/standin.rs
@@ -0,0 +1,168 @@
+//! The stand-in of the platform itself, without a proxy: what it does to servers and promotions is as the
+//! platform's pages say, so that what a soak finds in it can happen there.
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::line::{rows, Answer, Caller, Site};
+
+/// How long a promotion of these tests takes to take effect.
+const EFFECT: Duration = Duration::from_millis(300);
+
+/// How long an old primary of these tests goes on once it reaches the new one.
+const OUTRANKED: Duration = Duration::from_millis(500);
+
+/// Longer than a replica needs to receive a commit.
+const RECEIVED: Duration = Duration::from_millis(120);
+
+async fn site(name: &str) -> Site {
+    let arguments = [
+        "--promote-ms",
+        "0",
+        "--effect-ms",
+        "300",
+        "--outranked-ms",
+        "500",
+    ];
+    Site::start_with(name, 0, &arguments).await
+}
+
+/// Role, term, position, and the term for which it is held.
+fn status(answer: &Answer) -> Vec<String> {
+    let row = rows(answer)[0];
+    row.split(' ').take(4).map(str::to_owned).collect()
+}
+
+fn ask_status(server: &mut Caller) -> Vec<String> {
+    status(&server.ask("STATUS"))
+}
+
+/// A replica is called to be promoted. Until that takes effect the old primary leads and the replica stays
+/// held; then holds end, the others follow, and a second call changes nothing. The old primary goes on
+/// for as long as it may.
+#[tokio::test]
+async fn promotion_takes_effect_after_its_call() {
+    let site = site("effect").await;
+    let (mut first, mut second) = (site.server(0).await, site.server(1).await);
+    assert!(first.ask("PUT a one").done());
+    assert_eq!(status(&second.ask("PAUSE 2")), ["replica", "1", "1.1", "2"]);
+
+    site.promote(1).await;
+    let at_call = ask_status(&mut second);
+    tokio::time::sleep(EFFECT + RECEIVED).await;
+    let in_effect = (ask_status(&mut second), ask_status(&mut first));
+    site.promote(1).await;
+    tokio::time::sleep(EFFECT + OUTRANKED).await;
+    let later = (ask_status(&mut second), ask_status(&mut first));
+
+    assert_eq!(at_call, ["replica", "1", "1.1", "2"]);
+    assert_eq!(in_effect.0, ["primary", "2", "1.1", "0"]);
+    assert_eq!(in_effect.1, ["primary", "1", "1.1", "0"]);
+    assert_eq!(later.0, ["primary", "2", "1.1", "0"]);
+    assert_eq!(later.1, ["replica", "2", "1.1", "0"]);
+}
+
+/// A held replica crashes and comes back under its id. It has its log and has forgotten the hold, so it
+/// receives from the old primary again; connections to its earlier life end.
+#[tokio::test]
+async fn replica_that_comes_back_has_its_log_and_forgets_the_hold() {
+    let site = site("comes-back").await;
+    let (mut first, mut second) = (site.server(0).await, site.server(1).await);
+    assert!(first.ask("PUT a one").done());
+    assert_eq!(status(&second.ask("PAUSE 2"))[3], "2");
+
+    site.fault(1, "crashed", true).await;
+    site.fault(1, "crashed", false).await;
+    let earlier = second.try_ask("STATUS");
+    let mut second = site.server(1).await;
+    let back = ask_status(&mut second);
+    assert!(first.ask("PUT a two").done());
+    tokio::time::sleep(RECEIVED).await;
+
+    assert_eq!(earlier, None);
+    assert_eq!(back, ["replica", "1", "1.1", "0"]);
+    assert_eq!(ask_status(&mut second), ["replica", "1", "1.2", "0"]);
+}
+
+/// The primary crashes and comes back: as the primary, if nobody was promoted meanwhile, else as a replica.
+#[tokio::test]
+async fn primary_that_comes_back_leads_unless_another_was_promoted() {
+    let site = site("primary-back").await;
+    assert!(site.server(0).await.ask("PUT a one").done());
+
+    site.fault(0, "crashed", true).await;
+    site.fault(0, "crashed", false).await;
+    let alone = ask_status(&mut site.server(0).await);
+    site.fault(0, "crashed", true).await;
+    site.promote(1).await;
+    tokio::time::sleep(EFFECT + RECEIVED).await;
+    site.fault(0, "crashed", false).await;
+    let superseded = ask_status(&mut site.server(0).await);
+
+    assert_eq!(alone, ["primary", "1", "1.1", "0"]);
+    assert_eq!(superseded[0], "replica");
+}
+
+/// A replica is cut off from the server that is promoted and from no other. It never hears of the promotion:
+/// its hold ends, and it goes on receiving from the old primary, whose commits it acknowledges.
+#[tokio::test]
+async fn replica_cut_off_from_the_new_primary_follows_the_old_one() {
+    let site = site("cut-from").await;
+    let mut servers = (site.server(0).await, site.server(2).await);
+    site.cut_from(1, 2, true).await;
+    assert_eq!(status(&servers.1.ask("PAUSE 2"))[3], "2");
+
+    site.promote(1).await;
+    tokio::time::sleep(EFFECT + RECEIVED).await;
+    let acknowledged = servers.0.ask("PUT a one");
+    let cut = ask_status(&mut servers.1);
+    site.cut_from(1, 2, false).await;
+    tokio::time::sleep(OUTRANKED + RECEIVED).await;
+    let joined = ask_status(&mut servers.1);
+
+    assert!(acknowledged.done());
+    assert_eq!(cut, ["replica", "1", "1.1", "0"]);
+    assert_eq!(joined, ["replica", "2", "1.0", "0"]);
+}
+
+/// A busy server refuses orders and statements without carrying them out, and keeps the connection.
+#[tokio::test]
+async fn busy_server_does_nothing_of_what_it_refuses() {
+    let site = site("busy").await;
+    let (mut first, mut second) = (site.server(0).await, site.server(1).await);
+
+    site.fault(0, "busy", true).await;
+    site.fault(1, "busy", true).await;
+    let refused = [
+        first.ask("STATUS"),
+        first.ask("STEPDOWN 2"),
+        first.ask("PUT a one"),
+        second.ask("PAUSE 2"),
+    ];
+    site.fault(0, "busy", false).await;
+    site.fault(1, "busy", false).await;
+
+    let codes: Vec<&str> = refused.iter().map(Answer::code).collect();
+    assert_eq!(codes, ["BUSY"; 4]);
+    assert_eq!(ask_status(&mut first), ["primary", "1", "1.0", "0"]);
+    assert_eq!(ask_status(&mut second), ["replica", "1", "1.0", "0"]);
+}
+
+/// Each promotion is noted with what its server had, for those who were told of commits to compare.
+#[tokio::test]
+async fn promotions_are_noted_with_their_logs() {
+    let site = site("noted").await;
+    let mut first = site.server(0).await;
+    assert!(first.ask("PUT a one").done());
+    assert_eq!(status(&site.server(1).await.ask("PAUSE 2"))[3], "2");
+    assert!(first.ask("PUT a two").done());
+
+    site.promote(1).await;
+    tokio::time::sleep(EFFECT + RECEIVED).await;
+    let noted = site.promotions().await;
+
+    assert_eq!(noted[0]["server"], 1);
+    assert_eq!(noted[0]["term"], 2);
+    assert_eq!(noted[0]["log"], serde_json::json!([["a", "one"]]));
+}
--- a/crates/standin/src/line.rs
+++ b/crates/standin/src/line.rs
@@ -30,8 +30,12 @@
     pub lag: Duration,
     /// How many replicas must receive a commit before it is acknowledged.
     pub sync: usize,
-    /// How long a promotion takes.
+    /// How long the call that promotes a server takes.
     pub promote: Duration,
+    /// How long after the call a promotion takes effect.
+    pub effect: Duration,
+    /// How long a primary leads on after it has reached a primary of a later term.
+    pub outranked: Duration,
 }
 
 /// The name of the one group.
--- a/crates/standin/src/line/database.rs
+++ b/crates/standin/src/line/database.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use rocket::serde::json::serde_json::json;
@@ -12,6 +12,9 @@
 /// When the servers' first lives started.
 const FIRST_BORN: u64 = 1_700_000_000_000;
 
+/// A crowded server answers one in so many requests, and the others with `BUSY`.
+const CROWDED: usize = 8;
+
 /// A committed write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -21,6 +24,8 @@
     pub data: String,
     /// When the server received it.
     pub received: Instant,
+    /// The server has applied it however short a time ago that was: it has led with it.
+    led: bool,
 }
 
 /// What an experiment does to a server.
@@ -30,14 +35,22 @@
     pub dead: bool,
     /// It answers nothing.
     pub silent: bool,
+    /// As `dead`, but its registration stays, and it comes back with its log, knowing of no hold.
+    pub crashed: bool,
     /// It exchanges nothing with the other servers.
     pub cut: bool,
+    /// It exchanges nothing with this one.
+    pub cut_from: Option<usize>,
     /// It receives nothing from its primary.
     pub deaf: bool,
     /// It says that it will stop.
     pub leaving: bool,
     /// Its registration is not there, though it runs.
     pub unlisted: bool,
+    /// It has no time for any request that takes a slot.
+    pub busy: bool,
+    /// It has no time for most requests that take a slot.
+    pub crowded: bool,
 }
 
 /// One server of the group.
@@ -47,10 +60,17 @@
     pub address: SocketAddr,
     /// When its present life started, in Unix milliseconds.
     pub born: u64,
+    /// Counts its lives; a connection ends with the life in which it was accepted. Unlike `born` it is
+    /// not registered: the platform says nothing of a server that comes back with its log.
+    pub life: u64,
     pub primary: bool,
     pub term: u64,
     pub held: u64,
     pub log: Vec<Entry>,
+    /// Since when, as a primary, it has reached a primary of a later term.
+    outranked: Option<Instant>,
+    /// How many requests came that take a slot.
+    requests: usize,
     pub connections: usize,
     /// How many connections it turned away because it had too many.
     pub turned_away: usize,
@@ -71,44 +91,87 @@
         applied.map_or((1, 0), |entry| (entry.term, entry.number))
     }
 
-    /// What its reads see: a primary everything, a replica what it received long enough ago.
+    /// What its reads see: what it has led with, and what it received long enough ago.
     pub fn visible(&self, lag: Duration) -> impl Iterator<Item = &Entry> {
-        let primary = self.primary;
-        let seen = move |entry: &&Entry| primary || entry.received.elapsed() >= lag;
+        let seen = move |entry: &&Entry| entry.led || entry.received.elapsed() >= lag;
         self.log.iter().take_while(seen)
     }
 
+    /// Whether it runs.
+    pub fn is_up(&self) -> bool {
+        !self.fault.dead && !self.fault.crashed
+    }
+
+    /// Counts a request that takes a slot; whether there is no time for it.
+    pub fn refuses(&mut self) -> bool {
+        self.requests += 1;
+        self.fault.busy || (self.fault.crowded && !self.requests.is_multiple_of(CROWDED))
+    }
+
     fn hears(&self, from: &Self) -> bool {
-        let faults = self.fault.dead || self.fault.cut || self.fault.deaf || from.fault.cut;
+        let faults = !self.is_up() || self.fault.cut || self.fault.deaf || from.fault.cut;
         !faults && self.term <= from.term && self.held <= from.term
     }
+
+    /// Begins another life in which it knows of no hold.
+    fn begin_life(&mut self) {
+        self.life += 1;
+        self.held = 0;
+        self.outranked = None;
+    }
+}
+
+/// A promotion that took effect.
+#[derive(Clone, Debug)]
+pub struct Promotion {
+    pub server: usize,
+    pub term: u64,
+    /// When it took effect.
+    pub at: SystemTime,
+    /// What the server had received by then.
+    pub log: Vec<Entry>,
+}
+
+impl Promotion {
+    /// When it took effect, in Unix microseconds.
+    pub fn at_us(&self) -> u128 {
+        let since = self.at.duration_since(UNIX_EPOCH);
+        since.map_or(0, |since| since.as_micros())
+    }
 }
 
 /// The servers of the group.
 #[derive(Debug)]
 pub struct Database {
     pub servers: Vec<Server>,
-    pub promotions: u64,
+    /// Those that took effect, in that order.
+    pub promotions: Vec<Promotion>,
+    /// How long a primary leads on after it has reached a primary of a later term.
+    outranked: Duration,
 }
 
 impl Database {
     /// A group whose first server leads.
-    pub fn new(addresses: &[SocketAddr], _settings: Settings) -> Self {
+    pub fn new(addresses: &[SocketAddr], settings: Settings) -> Self {
         let server = |(index, address): (usize, &SocketAddr)| Server {
             id: format!("i-{index}"),
             address: *address,
             born: FIRST_BORN,
+            life: 0,
             primary: index == 0,
             term: 1,
             held: 0,
             log: Vec::new(),
+            outranked: None,
+            requests: 0,
             connections: 0,
             turned_away: 0,
             fault: Fault::default(),
         };
         Self {
             servers: addresses.iter().enumerate().map(server).collect(),
-            promotions: 0,
+            promotions: Vec::new(),
+            outranked: settings.outranked,
         }
     }
 
@@ -138,13 +201,22 @@
     /// Ends the life of a server and starts it again under its id: it holds and knows nothing.
     pub fn restart(&mut self, index: usize) {
         let server = &mut self.servers[index];
+        server.begin_life();
         server.born += 1;
         server.primary = false;
         server.term = 1;
-        server.held = 0;
         server.log.clear();
     }
 
+    /// Ends the life of a server and starts it again with its log: as a replica if another was promoted
+    /// meanwhile, else as it was.
+    pub fn come_back(&mut self, index: usize) {
+        let newest = self.promotions.last().map_or(0, |last| last.server);
+        let server = &mut self.servers[index];
+        server.begin_life();
+        server.primary &= newest == index;
+    }
+
     /// Appends writes to a primary's log and sends them on; returns the position of the last.
     pub fn append(&mut self, index: usize, writes: &[(String, String)]) -> (u64, u64) {
         let server = &mut self.servers[index];
@@ -156,6 +228,7 @@
                 item: item.clone(),
                 data: data.clone(),
                 received: Instant::now(),
+                led: true,
             });
         }
         let position = server.position();
@@ -167,18 +240,19 @@
     pub fn replicate(&mut self) {
         for from in 0..self.servers.len() {
             let primary = self.servers[from].clone();
-            if !primary.primary || primary.fault.dead {
+            if !primary.primary || !primary.is_up() {
                 continue;
             }
             for to in (0..self.servers.len()).filter(|to| *to != from) {
+                let apart = primary.fault.cut_from == Some(to);
                 let replica = &mut self.servers[to];
-                if !replica.hears(&primary) {
+                if apart || replica.fault.cut_from == Some(from) || !replica.hears(&primary) {
                     continue;
                 }
-                // A primary of an earlier term that hears a later one becomes its replica.
-                if replica.primary && replica.term >= primary.term {
+                if replica.primary && !yields(replica, &primary, self.outranked) {
                     continue;
                 }
+                replica.outranked = None;
                 replica.primary = false;
                 replica.term = primary.term;
                 follow(replica, &primary);
@@ -195,8 +269,20 @@
         self.servers.iter().enumerate().filter(has).count()
     }
 
-    /// Makes a server the primary of the next term, with what it has received and nothing more.
+    /// Whether a server is the present primary.
+    pub fn leads(&self, index: usize) -> bool {
+        let primaries = self.servers.iter().filter(|server| server.primary);
+        let term = primaries.map(|server| server.term).max();
+        let server = &self.servers[index];
+        server.primary && Some(server.term) == term
+    }
+
+    /// Makes a server the primary of the next term, with what it has received and nothing more. Nothing
+    /// changes if it leads already, or does not run.
     pub fn promote(&mut self, index: usize) {
+        if self.leads(index) || !self.servers[index].is_up() {
+            return;
+        }
         let term = self
             .servers
             .iter()
@@ -211,11 +297,23 @@
         let server = &mut self.servers[index];
         server.primary = true;
         server.term = term;
-        self.promotions += 1;
+        server.log.iter_mut().for_each(|entry| entry.led = true);
+        self.promotions.push(Promotion {
+            server: index,
+            term,
+            at: SystemTime::now(),
+            log: server.log.clone(),
+        });
         self.replicate();
     }
 }
 
+/// Whether a primary of an earlier term that reaches a later one becomes its replica by now.
+fn yields(earlier: &mut Server, later: &Server, after: Duration) -> bool {
+    let outranked = earlier.term < later.term;
+    outranked && earlier.outranked.get_or_insert_with(Instant::now).elapsed() >= after
+}
+
 /// Makes a replica's log that of its primary, keeping when it received what it already had.
 fn follow(replica: &mut Server, primary: &Server) {
     let same = replica
@@ -229,6 +327,7 @@
         let received = Instant::now();
         replica.log.push(Entry {
             received,
+            led: false,
             ..entry.clone()
         });
     }
--- a/crates/standin/src/line/http.rs
+++ b/crates/standin/src/line/http.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    database::Fault,
+    database::{Fault, Promotion},
     store::{Event, Item, Refused},
     Shared, SERVICE,
 };
@@ -163,16 +163,44 @@
         let world = shared.world.lock().expect("no change panics");
         let wanted = |id: &str| body["id"] == json!(id) && body["service"] == json!(SERVICE);
         let mut servers = world.database.servers.iter();
-        servers.position(|server| wanted(&server.id) && !server.fault.dead)
+        let index = servers.position(|server| wanted(&server.id) && server.is_up());
+        index.map(|index| (index, world.database.leads(index)))
     };
-    let Some(index) = found else {
+    let Some((index, leads)) = found else {
         return Status::Conflict;
     };
     tokio::time::sleep(shared.settings.promote).await;
-    shared.change(|world| world.database.promote(index));
+    if leads {
+        return Status::Ok;
+    }
+    journal("promotion called", index, "");
+    let (shared, effect) = (shared.inner().clone(), shared.settings.effect);
+    match effect.is_zero() {
+        true => take_effect(&shared, index),
+        false => {
+            tokio::spawn(async move {
+                tokio::time::sleep(effect).await;
+                take_effect(&shared, index);
+            });
+        }
+    }
     Status::Ok
 }
 
+fn take_effect(shared: &Shared, index: usize) {
+    shared.change(|world| world.database.promote(index));
+    journal("promotion in effect", index, "");
+}
+
+/// Prints what was done to a server, with the time as the proxies' log lines give it.
+fn journal(what: &str, server: usize, more: &str) {
+    let uptime = std::fs::read_to_string("/proc/uptime").unwrap_or_default();
+    let seconds = uptime.split(' ').next().and_then(|text| text.parse().ok());
+    let at_ms = (seconds.unwrap_or(0.0_f64) * 1_000.0) as u64;
+    let line = json!({ "at_ms": at_ms, "standin": what, "server": server, "more": more });
+    crate::announce(&line.to_string());
+}
+
 /// Puts a configuration, as the operators do.
 #[put("/test/config", data = "<body>")]
 fn config(shared: &State<Shared>, body: String) {
@@ -182,6 +210,7 @@
 /// Starts a server again under its id, with nothing of its earlier life.
 #[put("/test/server/<index>/restart", rank = 1)]
 fn restart(shared: &State<Shared>, index: usize) -> Status {
+    journal("restart", index, "");
     shared.change(|world| match index < world.database.servers.len() {
         true => {
             world.database.restart(index);
@@ -200,6 +229,7 @@
 /// Changes one fault of one server.
 #[put("/test/server/<index>/<fault>/<on>")]
 fn fault(shared: &State<Shared>, index: usize, fault: &str, on: bool) -> Status {
+    journal(fault, index, if on { "on" } else { "off" });
     shared.change(|world| {
         let Some(server) = world.database.servers.get_mut(index) else {
             return Status::NotFound;
@@ -207,25 +237,48 @@
         let Fault {
             dead,
             silent,
+            crashed,
             cut,
+            cut_from: _,
             deaf,
             leaving,
             unlisted,
+            busy,
+            crowded,
         } = &mut server.fault;
         let flag = match fault {
             "dead" => dead,
             "silent" => silent,
+            "crashed" => crashed,
             "cut" => cut,
             "deaf" => deaf,
             "leaving" => leaving,
             "unlisted" => unlisted,
+            "busy" => busy,
+            "crowded" => crowded,
             _ => return Status::NotFound,
         };
-        *flag = on;
+        let comes_back = std::mem::replace(flag, on) && !on && fault == "crashed";
+        if comes_back {
+            world.database.come_back(index);
+        }
         Status::Ok
     })
 }
 
+/// Cuts a server off from one other, or joins them again.
+#[put("/test/server/<index>/cut_from/<other>/<on>")]
+fn cut_from(shared: &State<Shared>, index: usize, other: usize, on: bool) -> Status {
+    journal("cut from", index, &format!("{other} {on}"));
+    shared.change(|world| match world.database.servers.get_mut(index) {
+        Some(server) => {
+            server.fault.cut_from = on.then_some(other);
+            Status::Ok
+        }
+        None => Status::NotFound,
+    })
+}
+
 /// Takes the store down or brings it back, or makes it forget its history.
 #[put("/test/store/<what>/<on>")]
 fn store(shared: &State<Shared>, what: &str, on: bool) {
@@ -253,11 +306,25 @@
     });
     Json(
         json!({ "leader": leader.map(|(index, _)| index), "log": log,
-        "promotions": world.database.promotions,
+        "promotions": world.database.promotions.len(),
+        "addresses": servers.iter().map(|server| server.address).collect::<Vec<_>>(),
         "turned_away": servers.iter().map(|server| server.turned_away).sum::<usize>() }),
     )
 }
 
+/// The promotions in the order in which they took effect, each with the log of its server by then.
+#[get("/test/promotions")]
+fn promotions(shared: &State<Shared>) -> Json<Value> {
+    let world = shared.world.lock().expect("no change panics");
+    let one = |promotion: &Promotion| {
+        let log = promotion.log.iter();
+        let log: Vec<Value> = log.map(|e| json!([e.item, e.data])).collect();
+        json!({ "server": promotion.server, "term": promotion.term, "at_us": promotion.at_us() as u64,
+            "log": log })
+    };
+    Json(world.database.promotions.iter().map(one).collect())
+}
+
 /// Serves all calls on one address, printed as the first line of standard output.
 pub async fn serve(host: IpAddr, shared: Shared) -> Result<(), rocket::Error> {
     let figment = rocket::Config::figment()
@@ -268,7 +335,13 @@
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(SWEEP_EVERY).await;
-            sweeping.change(|world| world.store.sweep());
+            sweeping.change(|world| {
+                world.store.sweep();
+                // An outranked primary has to notice the end of its time also when nobody writes.
+                if !sweeping.settings.outranked.is_zero() {
+                    world.database.replicate();
+                }
+            });
         }
     });
     rocket::custom(figment)
@@ -277,7 +350,7 @@
             "/",
             routes![
                 key, range, watch, txn, lease, keep, end, promote, config, fault, restart, entry,
-                store, group
+                store, group, cut_from, promotions
             ],
         )
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", |rocket| {
--- a/crates/standin/src/line/server.rs
+++ b/crates/standin/src/line/server.rs
@@ -23,16 +23,16 @@
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
-        let born = shared
+        let life = shared
             .world
             .lock()
             .expect("no change panics")
             .database
             .servers[index]
-            .born;
+            .life;
         let connection = Connection {
             index,
-            born,
+            life,
             shared: shared.clone(),
             transaction: None,
             names: BTreeMap::new(),
@@ -51,7 +51,7 @@
 struct Connection {
     index: usize,
     /// The life of the server that accepted it; the connection ends with it.
-    born: u64,
+    life: u64,
     shared: Shared,
     transaction: Option<Transaction>,
     names: BTreeMap<String, String>,
@@ -100,8 +100,18 @@
 
     /// Whether the server has stopped, or started again, since it accepted the connection.
     fn has_ended(&self) -> bool {
-        let born = self.born;
-        self.read(|server| server.fault.dead || server.born != born)
+        let life = self.life;
+        self.read(|server| !server.is_up() || server.life != life)
+    }
+
+    /// Whether the server has no time for a request; it then does nothing of what was asked.
+    fn is_refused(&self, verb: &str) -> bool {
+        let takes_slot = matches!(
+            verb,
+            "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" | "FETCH" | "PUT" | "COMMIT"
+        );
+        let mut world = self.shared.world.lock().expect("no change panics");
+        takes_slot && world.database.servers[self.index].refuses()
     }
 
     fn read<T>(&self, read: impl FnOnce(&Server) -> T) -> T {
@@ -183,6 +193,9 @@
             verb = shape.split(' ').next().unwrap_or_default();
             rest = arguments;
         }
+        if self.is_refused(verb) {
+            return Some(Err(("BUSY", self.read(|server| server.id.clone()))));
+        }
         Some(match verb {
             "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" => Ok(vec![self.order(verb, rest)]),
             "SET" => {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -51,9 +51,15 @@
         /// How many replicas must receive a commit before it is acknowledged.
         #[arg(long, default_value_t = 1)]
         sync: usize,
-        /// How long a promotion takes, in milliseconds.
+        /// How long the call that promotes a server takes, in milliseconds.
         #[arg(long, default_value_t = 300)]
         promote_ms: u64,
+        /// How long after that call the promotion takes effect, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        effect_ms: u64,
+        /// How long a primary leads on after it has reached a later one, in milliseconds.
+        #[arg(long, default_value_t = 0)]
+        outranked_ms: u64,
         /// How many connections each server takes.
         #[arg(long, default_value_t = 1_000)]
         max_connections: usize,
@@ -111,6 +117,8 @@
             lag_ms,
             sync,
             promote_ms,
+            effect_ms,
+            outranked_ms,
             max_connections,
             host,
         } => {
@@ -120,6 +128,8 @@
                 lag: Duration::from_millis(lag_ms),
                 sync,
                 promote: Duration::from_millis(promote_ms),
+                effect: Duration::from_millis(effect_ms),
+                outranked: Duration::from_millis(outranked_ms),
             };
             let outcome = line::serve(host, settings).await;
             outcome.map_err(|error| error.to_string())
