--- a/crates/e2e/tests/soak/plan.rs
+++ b/crates/e2e/tests/soak/plan.rs
@@ -1,9 +1,11 @@
-//! The faults of a soak, drawn from a seed.
+//! The faults of a soak, drawn from a seed: here those of which one at a time concerns a server.
 
 use std::time::Duration;
 
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
+use super::series::{self, Place, Trouble};
+
 /// How many proxies there are.
 pub const PROXIES: usize = 5;
 
@@ -24,6 +26,8 @@
     ServerCut(usize),
     ServerDeaf(usize),
     ServerReborn(usize),
+    /// Drawn by [`series`] only.
+    Placed(Place, Trouble),
     StoreDown,
     StoreForgets,
     Configured,
@@ -48,7 +52,7 @@
     }
 
     /// Whether it concerns a server: two at once may take the only copies of a commit.
-    fn is_of_server(self) -> bool {
+    pub fn is_of_server(self) -> bool {
         matches!(
             self,
             Self::ServerDead(_)
@@ -56,6 +60,7 @@
                 | Self::ServerCut(_)
                 | Self::ServerDeaf(_)
                 | Self::ServerReborn(_)
+                | Self::Placed(..)
         )
     }
 }
@@ -68,22 +73,64 @@
     pub ends: Duration,
 }
 
+impl Step {
+    /// A fault that begins within `whole`, in milliseconds.
+    pub fn draw(random: &mut StdRng, whole: std::ops::Range<u64>) -> Self {
+        let begins = Duration::from_millis(random.random_range(whole));
+        let ends = begins + Duration::from_millis(random.random_range(LASTS));
+        Self {
+            fault: Fault::draw(random),
+            begins,
+            ends,
+        }
+    }
+}
+
+/// What a seed is played with. A seed that is kept as a test names its plan, so each plan goes on to draw
+/// what it drew when the seed was found.
+#[derive(Clone, Copy, Debug)]
+pub enum Plan {
+    /// One fault of a server at a time; a promotion is in effect when its call is answered.
+    Single,
+    /// Faults of servers overlap and come in series; a promotion takes effect after its call.
+    Series,
+}
+
+impl Plan {
+    /// The faults of a seed, in the order in which they begin.
+    pub fn draw(self, seed: u64) -> Vec<Step> {
+        match self {
+            Self::Single => draw(seed),
+            Self::Series => series::draw(seed),
+        }
+    }
+
+    /// The arguments of the stand-in. The platform's promotions take effect some hundred milliseconds after
+    /// the call, and an old primary goes on for a second after it has reached the new one.
+    pub fn arguments(self) -> &'static [&'static str] {
+        match self {
+            Self::Single => &[],
+            Self::Series => &[
+                "--promote-ms",
+                "0",
+                "--effect-ms",
+                "300",
+                "--outranked-ms",
+                "1000",
+            ],
+        }
+    }
+}
+
 /// How long a server needs after another's fault until it has everything again.
 const CATCH_UP: Duration = Duration::from_secs(2);
 
 /// The faults of a seed, in the order in which they begin.
-pub fn draw(seed: u64) -> Vec<Step> {
+fn draw(seed: u64) -> Vec<Step> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut steps: Vec<Step> = Vec::new();
     while steps.len() < FAULTS {
-        let begins = random.random_range(500..BEGIN_WITHIN.as_millis() as u64);
-        let begins = Duration::from_millis(begins);
-        let ends = begins + Duration::from_millis(random.random_range(LASTS));
-        let step = Step {
-            fault: Fault::draw(&mut random),
-            begins,
-            ends,
-        };
+        let step = Step::draw(&mut random, 500..BEGIN_WITHIN.as_millis() as u64);
         if steps.iter().all(|other| compatible(&step, other)) {
             steps.push(step);
         }
@@ -93,7 +140,7 @@
 }
 
 /// Whether two faults may come in one run: one server at a time, and each proxy one thing at a time.
-fn compatible(a: &Step, b: &Step) -> bool {
+pub fn compatible(a: &Step, b: &Step) -> bool {
     let apart = |gap: Duration| a.begins > b.ends + gap || b.begins > a.ends + gap;
     let proxy = |fault| match fault {
         Fault::ProxyKilled(proxy) | Fault::ProxyFrozen(proxy) | Fault::ProxyStopped(proxy) => {
--- a/crates/e2e/tests/standin.rs
+++ b/crates/e2e/tests/standin.rs
@@ -166,3 +166,20 @@
     assert_eq!(noted[0]["term"], 2);
     assert_eq!(noted[0]["log"], serde_json::json!([["a", "one"]]));
 }
+
+/// A server has little time from the call for its promotion on: most of its answers are refusals, some are not.
+#[tokio::test]
+async fn promoted_server_is_crowded_if_asked_for() {
+    let site = site("crowded").await;
+    let mut second = site.server(1).await;
+    site.crowd_heir(EFFECT * 2).await;
+
+    let before = second.ask("STATUS");
+    site.promote(1).await;
+    let answers: Vec<Answer> = (0..16).map(|_| second.ask("STATUS")).collect();
+    tokio::time::sleep(EFFECT * 3).await;
+    let after = second.ask("STATUS");
+
+    assert!(before.done() && after.done());
+    assert_eq!(answers.iter().filter(|answer| answer.done()).count(), 2);
+}
--- a/crates/standin/src/line/database.rs
+++ b/crates/standin/src/line/database.rs
@@ -146,6 +146,8 @@
     pub servers: Vec<Server>,
     /// Those that took effect, in that order.
     pub promotions: Vec<Promotion>,
+    /// For how long the server is crowded that is next called to be promoted.
+    pub heir_crowded: Option<Duration>,
     /// How long a primary leads on after it has reached a primary of a later term.
     outranked: Duration,
 }
@@ -171,6 +173,7 @@
         Self {
             servers: addresses.iter().enumerate().map(server).collect(),
             promotions: Vec::new(),
+            heir_crowded: None,
             outranked: settings.outranked,
         }
     }
--- a/crates/standin/src/line/http.rs
+++ b/crates/standin/src/line/http.rs
@@ -175,6 +175,7 @@
     }
     journal("promotion called", index, "");
     let (shared, effect) = (shared.inner().clone(), shared.settings.effect);
+    crowd_heir(&shared, index);
     match effect.is_zero() {
         true => take_effect(&shared, index),
         false => {
@@ -187,6 +188,24 @@
     Status::Ok
 }
 
+/// Crowds the server that was called to be promoted, if an experiment wants that.
+fn crowd_heir(shared: &Shared, index: usize) {
+    let Some(lasts) = shared.change(|world| world.database.heir_crowded.take()) else {
+        return;
+    };
+    crowd(shared, index, true);
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(lasts).await;
+        crowd(&shared, index, false);
+    });
+}
+
+fn crowd(shared: &Shared, index: usize, on: bool) {
+    journal("crowded", index, if on { "on" } else { "off" });
+    shared.change(|world| world.database.servers[index].fault.crowded = on);
+}
+
 fn take_effect(shared: &Shared, index: usize) {
     shared.change(|world| world.database.promote(index));
     journal("promotion in effect", index, "");
@@ -279,6 +298,13 @@
     })
 }
 
+/// Has the server that is next called to be promoted crowded from that call on.
+#[put("/test/heir/<crowded_ms>")]
+fn heir(shared: &State<Shared>, crowded_ms: u64) {
+    let lasts = Duration::from_millis(crowded_ms);
+    shared.change(|world| world.database.heir_crowded = Some(lasts));
+}
+
 /// Takes the store down or brings it back, or makes it forget its history.
 #[put("/test/store/<what>/<on>")]
 fn store(shared: &State<Shared>, what: &str, on: bool) {
@@ -350,7 +376,7 @@
             "/",
             routes![
                 key, range, watch, txn, lease, keep, end, promote, config, fault, restart, entry,
-                store, group, cut_from, promotions
+                store, group, cut_from, promotions, heir
             ],
         )
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", |rocket| {
