--- a/crates/standin/src/line.rs
+++ b/crates/standin/src/line.rs
@@ -5,6 +5,7 @@
 //! the tests do not only show that the codec agrees with itself.
 
 mod database;
+mod experiment;
 mod http;
 mod server;
 mod store;
--- a/crates/standin/src/line/server.rs
+++ b/crates/standin/src/line/server.rs
@@ -106,12 +106,13 @@
 
     /// Whether the server has no time for a request; it then does nothing of what was asked.
     fn is_refused(&self, verb: &str) -> bool {
-        let takes_slot = matches!(
-            verb,
-            "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" | "FETCH" | "PUT" | "COMMIT"
-        );
         let mut world = self.shared.world.lock().expect("no change panics");
-        takes_slot && world.database.servers[self.index].refuses()
+        let server = &mut world.database.servers[self.index];
+        match verb {
+            "STATUS" | "PAUSE" | "RESUME" | "STEPDOWN" => server.refuses_order(),
+            "FETCH" | "PUT" | "COMMIT" => server.refuses_statement(),
+            _ => false,
+        }
     }
 
     fn read<T>(&self, read: impl FnOnce(&Server) -> T) -> T {
