--- a/crates/standin/src/line/http.rs
+++ b/crates/standin/src/line/http.rs
@@ -1,4 +1,4 @@
-//! The store's and the platform's calls over HTTP, and the experiment's own under `/test`.
+//! The store's and the platform's calls over HTTP.
 
 use std::{net::IpAddr, time::Duration};
 
@@ -6,7 +6,7 @@
 use rocket::{
     delete, get,
     http::Status,
-    post, put, routes,
+    post, routes,
     serde::json::{
         serde_json::{json, Value},
         Json,
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    database::Fault,
+    experiment::{self, journal},
     store::{Event, Item, Refused},
     Shared, SERVICE,
 };
@@ -156,106 +156,71 @@
         status(200)
     })
 }
-
 #[post("/promote", data = "<body>")]
 async fn promote(shared: &State<Shared>, body: Json<Value>) -> Status {
     let found = {
         let world = shared.world.lock().expect("no change panics");
         let wanted = |id: &str| body["id"] == json!(id) && body["service"] == json!(SERVICE);
         let mut servers = world.database.servers.iter();
-        servers.position(|server| wanted(&server.id) && !server.fault.dead)
+        let index = servers.position(|server| wanted(&server.id) && server.is_up());
+        index.map(|index| {
+            let born = world.database.servers[index].born;
+            (index, born, world.database.leads(index))
+        })
     };
-    let Some(index) = found else {
+    let Some((index, born, leads)) = found else {
         return Status::Conflict;
     };
     tokio::time::sleep(shared.settings.promote).await;
-    shared.change(|world| world.database.promote(index));
-    Status::Ok
-}
-
-/// Puts a configuration, as the operators do.
-#[put("/test/config", data = "<body>")]
-fn config(shared: &State<Shared>, body: String) {
-    shared.change(|world| world.store.put("op/config", body.into_bytes()));
-}
-
-/// Starts a server again under its id, with nothing of its earlier life.
-#[put("/test/server/<index>/restart", rank = 1)]
-fn restart(shared: &State<Shared>, index: usize) -> Status {
-    shared.change(|world| match index < world.database.servers.len() {
-        true => {
-            world.database.restart(index);
-            Status::Ok
+    if leads {
+        return Status::Ok;
+    }
+    journal("promotion called", index, "");
+    let (shared, effect) = (shared.inner().clone(), shared.settings.effect);
+    crowd_heir(&shared, index);
+    match effect.is_zero() {
+        true => take_effect(&shared, index, born),
+        false => {
+            tokio::spawn(async move {
+                tokio::time::sleep(effect).await;
+                take_effect(&shared, index, born);
+            });
         }
-        false => Status::NotFound,
-    })
-}
-
-/// Puts an entry among the registrations, as another writer would.
-#[put("/test/entry/<id>", data = "<body>")]
-fn entry(shared: &State<Shared>, id: &str, body: Vec<u8>) {
-    shared.change(|world| world.store.put(&format!("servers/{id}"), body));
+    }
+    Status::Ok
 }
 
-/// Changes one fault of one server.
-#[put("/test/server/<index>/<fault>/<on>")]
-fn fault(shared: &State<Shared>, index: usize, fault: &str, on: bool) -> Status {
-    shared.change(|world| {
-        let Some(server) = world.database.servers.get_mut(index) else {
-            return Status::NotFound;
-        };
-        let Fault {
-            dead,
-            silent,
-            cut,
-            deaf,
-            leaving,
-            unlisted,
-        } = &mut server.fault;
-        let flag = match fault {
-            "dead" => dead,
-            "silent" => silent,
-            "cut" => cut,
-            "deaf" => deaf,
-            "leaving" => leaving,
-            "unlisted" => unlisted,
-            _ => return Status::NotFound,
-        };
-        *flag = on;
-        Status::Ok
-    })
+/// Crowds the server that was called to be promoted, if an experiment wants that.
+fn crowd_heir(shared: &Shared, index: usize) {
+    let Some(lasts) = shared.change(|world| world.database.heir_crowded.take()) else {
+        return;
+    };
+    crowd(shared, index, true);
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(lasts).await;
+        crowd(&shared, index, false);
+    });
 }
 
-/// Takes the store down or brings it back, or makes it forget its history.
-#[put("/test/store/<what>/<on>")]
-fn store(shared: &State<Shared>, what: &str, on: bool) {
-    shared.change(|world| match what {
-        "down" => world.store.down = on,
-        _ => world.store.compact(),
-    });
+fn crowd(shared: &Shared, index: usize, on: bool) {
+    journal("crowded", index, if on { "on" } else { "off" });
+    shared.change(|world| world.database.servers[index].fault.crowded = on);
 }
 
-/// Who leads with the highest term, its log, and how many promotions there were.
-#[get("/test/group")]
-fn group(shared: &State<Shared>) -> Json<Value> {
-    let world = shared.world.lock().expect("no change panics");
-    let servers = &world.database.servers;
-    let leaders = servers
-        .iter()
-        .enumerate()
-        .filter(|(_, server)| server.primary);
-    let leader = leaders.max_by_key(|(_, server)| server.term);
-    let log = leader.map(|(_, server)| {
-        let entries = server.log.iter();
-        entries
-            .map(|entry| json!([entry.item, entry.data]))
-            .collect::<Vec<Value>>()
+/// A promotion called for at a server that was `born` then. One that has lost its log since is another server:
+/// whoever called could not know of that, and nobody could undo it.
+fn take_effect(shared: &Shared, index: usize, born: u64) {
+    let promoted = shared.change(|world| {
+        let same = world.database.servers[index].born == born;
+        if same {
+            world.database.promote(index);
+        }
+        same
     });
-    Json(
-        json!({ "leader": leader.map(|(index, _)| index), "log": log,
-        "promotions": world.database.promotions,
-        "turned_away": servers.iter().map(|server| server.turned_away).sum::<usize>() }),
-    )
+    if promoted {
+        journal("promotion in effect", index, "");
+    }
 }
 
 /// Serves all calls on one address, printed as the first line of standard output.
@@ -268,18 +233,22 @@
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(SWEEP_EVERY).await;
-            sweeping.change(|world| world.store.sweep());
+            sweeping.change(|world| {
+                world.store.sweep();
+                // An outranked primary has to notice the end of its time also when nobody writes.
+                if !sweeping.settings.outranked.is_zero() {
+                    world.database.replicate();
+                }
+            });
         }
     });
     rocket::custom(figment)
         .manage(shared)
         .mount(
             "/",
-            routes![
-                key, range, watch, txn, lease, keep, end, promote, config, fault, restart, entry,
-                store, group
-            ],
+            routes![key, range, watch, txn, lease, keep, end, promote],
         )
+        .mount("/test", experiment::routes())
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", |rocket| {
             let config = rocket.config();
             crate::announce(&format!("{}:{}", config.address, config.port));
