--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -31,11 +31,12 @@
 /// that its outcome was unknown, after later ones; the check took no account of such writes.
 const SEEDS: &str = "1-3,27";
 
-/// The seeds of the plan with overlapping server faults that CI plays. In seeds 2 and 8 the server just promoted
+/// The seeds of the plan with overlapping server faults that CI plays. In all three the server just promoted
 /// answered the promoter nothing newer than from before, nobody seemed to lead, and the server that had led
-/// last, by then a replica, was told to step down for a third; in seed 3 the true primary was out of sight
-/// only. Commits of the primary that went on were not in the log of the server promoted.
-const SERIES_SEEDS: &str = "2,3,8";
+/// before, by then a replica, was told to step down for a third. That one lacked commits of the primary that
+/// went on. Each of them failed in three of four plays or more; the same is played without chance in
+/// `line_failovers.rs`.
+const SERIES_SEEDS: &str = "8,10,24";
 
 /// How many connections each server takes: so few that one proxy holds them all.
 const CONNECTIONS: usize = 10;
@@ -136,12 +137,14 @@
 /// A seed that is kept because it showed a fault is of use only as long as it draws the same faults.
 #[test]
 fn kept_seeds_draw_what_they_drew() {
-    let mark = |step: &Step| step.begins.as_millis() * 31 + step.ends.as_millis();
+    let times = |step: &Step| step.begins.as_millis() * 31 + step.ends.as_millis();
+    let mark = |steps: Vec<Step>| steps.iter().map(times).sum::<u128>();
 
-    let drawn = [1, 2, 3, 27].map(|seed| Plan::Single.draw(seed));
-    let marks = drawn.map(|steps| steps.iter().map(mark).sum::<u128>());
+    let single = [1, 2, 3, 27].map(|seed| mark(Plan::Single.draw(seed)));
+    let series = [8, 10, 24].map(|seed| mark(Plan::Series.draw(seed)));
 
-    assert_eq!(marks, [1_137_252, 951_091, 954_234, 1_055_388]);
+    assert_eq!(single, [1_137_252, 951_091, 954_234, 1_055_388]);
+    assert_eq!(series, [3_890_872, 2_326_357, 3_467_421]);
 }
 
 /// Proxies are killed, frozen and stopped, servers die, go silent, are cut off and start again empty, the
--- a/crates/e2e/tests/soak/series.rs
+++ b/crates/e2e/tests/soak/series.rs
@@ -18,7 +18,7 @@
 
 /// How likely the server that is promoted has little time from the call on, and for how long. The promoter
 /// looks again 1.2 s after its call.
-const HEIR_IS_CROWDED: f64 = 0.4;
+const HEIR_IS_CROWDED: f64 = 0.6;
 const HEIR_CROWDED_FOR: std::ops::Range<u64> = 1_000..3_500;
 
 /// How many other troubles a series has, and within what time of its beginning.
