--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -35,7 +35,7 @@
 /// answered the promoter nothing newer than from before, nobody seemed to lead, and the server that had led
 /// before, by then a replica, was told to step down for a third. That one lacked commits of the primary that
 /// went on. Each of them failed in three of four plays or more; the same is played without chance in
-/// `failovers.rs`.
+/// `line_failovers.rs`.
 const SERIES_SEEDS: &str = "8,10,24";
 
 /// How many connections each server takes: so few that one proxy holds them all.
