--- /dev/null
+++ b/crates/engine/tests/interleavings/follower.rs
@@ -0,0 +1,102 @@
+//! How a process follows the store: a view that may be old, with servers that are missed for a while.
+
+use std::net::SocketAddr;
+
+use dandelionpitch_core::hash::Map;
+use dandelionpitch_engine::registry::{Entry, Incarnation, Registry, Role, Server};
+
+use super::{
+    cluster::{moment, Cluster, Record},
+    scenario::{Node, STORE},
+};
+
+/// The name of the only group.
+const GROUP: &str = "group";
+
+/// A record and when its last promotion was first seen.
+#[derive(Clone, Debug)]
+pub struct Noted {
+    pub revision: u64,
+    pub record: Record,
+    pub promoted: u64,
+}
+
+pub struct Follower {
+    pub node: Node,
+    registry: Registry,
+    next: u64,
+    /// Up to when no change was missed.
+    pub followed: u64,
+    pub recorded: Option<Noted>,
+    /// The holder of the duty, as last seen.
+    pub duty: Option<(usize, u64)>,
+}
+
+impl Follower {
+    pub fn new(node: Node) -> Self {
+        Self {
+            node,
+            registry: Registry::default(),
+            next: 0,
+            followed: 0,
+            recorded: None,
+            duty: None,
+        }
+    }
+
+    /// Looks at the store if it is time to and it is in reach; returns whether it did.
+    pub fn step(&mut self, cluster: &mut Cluster) -> bool {
+        if cluster.now < self.next || !cluster.reach(self.node, STORE) {
+            return false;
+        }
+        let now = moment(cluster.now);
+        let registered: Map<usize, (Incarnation, bool)> = cluster.store.registered.clone();
+        let servers = registered.values().map(|(id, leaving)| Server {
+            incarnation: id.clone(),
+            service: GROUP.to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            dc: String::new(),
+            slots: 1,
+            role: Role::Replica,
+            leaving: *leaving,
+        });
+        if cluster.now - self.followed > 40 {
+            self.registry.forgive(now);
+        }
+        self.registry.replace(servers.collect(), now);
+        self.registry.expire(now);
+        if let Some((revision, record)) = cluster.store.record.clone() {
+            self.note(revision, record, cluster.now);
+        }
+        self.duty = cluster.store.duty.map(|(holder, token, _)| (holder, token));
+        self.followed = cluster.now;
+        self.next = cluster.now + 1 + cluster.draw(20);
+        true
+    }
+
+    /// Notes a record, unless a later one is known.
+    pub fn note(&mut self, revision: u64, record: Record, now: u64) {
+        let old = self.recorded.as_ref();
+        if old.is_some_and(|old| old.revision >= revision) {
+            return;
+        }
+        let same = old.filter(|old| old.record.promotions == record.promotions);
+        let promoted = same.map_or(now, |old| old.promoted);
+        self.recorded = Some(Noted {
+            revision,
+            record,
+            promoted,
+        });
+    }
+
+    pub fn entries(&self) -> Vec<Entry> {
+        self.registry.of(GROUP)
+    }
+}
+
+/// The index of a server.
+pub fn index(id: &Incarnation) -> usize {
+    id.id[1..]
+        .parse()
+        .expect("the model names servers by number")
+}
--- /dev/null
+++ b/crates/engine/tests/interleavings/main.rs
@@ -0,0 +1,107 @@
+//! Searches the interleavings of promotion and confirmation, over the engine's plain functions, for a commit
+//! that a caller was told is kept and that a promoted server lacks.
+
+mod attempt;
+mod cluster;
+mod follower;
+mod promoter;
+mod proxy;
+mod scenario;
+mod server;
+
+use std::cell::Cell;
+
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
+
+use cluster::{Cluster, Mail};
+use promoter::Promoter;
+use proxy::Proxy;
+use scenario::{Scenario, LENGTH, PROMOTERS, PROXIES, SERVERS};
+
+/// How many cases are played: as many as fit into some 20 s of a debug build.
+const CASES: u32 = 500;
+
+/// Plays a case to its end, or until a commit is lost.
+fn play(scenario: &Scenario, traced: bool) -> Cluster {
+    let mut cluster = Cluster::new(scenario, traced);
+    let mut proxies: Vec<Proxy> = (0..PROXIES).map(Proxy::new).collect();
+    let mut promoters: Vec<Promoter> = (0..PROMOTERS).map(Promoter::new).collect();
+    let mut waiting: Vec<(usize, Mail)> = Vec::new();
+    while cluster.now < LENGTH && cluster.lost.is_none() {
+        cluster.step();
+        for mail in cluster.arrivals() {
+            let node = match &mail {
+                Mail::Answer(answer) => answer.to.node,
+                Mail::Acked { proxy, .. } | Mail::Refused { proxy, .. } => SERVERS + proxy,
+                Mail::Written { to, .. } | Mail::Testified { to, .. } => to.node,
+                _ => continue,
+            };
+            match node.checked_sub(SERVERS + PROXIES) {
+                Some(promoter) => waiting.push((promoter, mail)),
+                None => proxies[node - SERVERS].take(&mut cluster, &mail),
+            }
+        }
+        for (number, promoter) in promoters.iter_mut().enumerate() {
+            if cluster.frozen(number) {
+                continue;
+            }
+            let (own, others) = waiting.drain(..).partition(|(to, _)| *to == number);
+            waiting = others;
+            let own: Vec<(usize, Mail)> = own;
+            own.iter()
+                .for_each(|(_, mail)| promoter.take(&mut cluster, mail));
+            promoter.step(&mut cluster);
+        }
+        proxies
+            .iter_mut()
+            .for_each(|proxy| proxy.step(&mut cluster));
+        cluster.now += 1;
+    }
+    cluster
+}
+
+fn cases() -> u32 {
+    let wished = std::env::var("DP_MODEL_CASES").ok();
+    wished.and_then(|cases| cases.parse().ok()).unwrap_or(CASES)
+}
+
+/// A caller is told that its commit is kept; then, or a moment before, another server is promoted. Servers,
+/// promoters, proxies and the store lose touch, are busy, crash, start again and freeze at any time, and
+/// answers and calls come late or never. Whatever the order, the promoted server has the commit: else the
+/// caller was told something that is not true.
+#[test]
+fn commit_that_is_reported_as_kept_is_in_every_promoted_log() {
+    let config = Config {
+        cases: cases(),
+        failure_persistence: None,
+        max_shrink_iters: 3_000,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let played = Cell::new((0, 0, 0));
+
+    let found = runner.run(&scenario::scenario(), |scenario| {
+        let cluster = play(&scenario, false);
+        let (count, promotions, kept) = played.get();
+        let (promotions, kept) = (promotions + cluster.promotions, kept + cluster.kept());
+        played.set((count + 1, promotions, kept));
+        match cluster.lost {
+            None => Ok(()),
+            Some(lost) => Err(TestCaseError::fail(lost)),
+        }
+    });
+
+    let (count, promotions, kept) = played.get();
+    if let Err(TestError::Fail(why, scenario)) = found {
+        let trace = play(&scenario, true).trace.unwrap_or_default();
+        let trace = trace.join("\n");
+        panic!("{why} (after {count} plays)\n{scenario:?}\n{trace}");
+    }
+    println!("{count} cases, {promotions} promotions, {kept} commits reported as kept");
+    let enough = promotions > count / 2 && kept > count * 10;
+    assert!(
+        enough,
+        "too little happened: {promotions} promotions, {kept} commits"
+    );
+}
