Commits are proved by the lease of their own primary only

Cause: a commit's primary is replaced while its caller waits for the proof; the lease of the new primary, which covers every earlier moment, was taken for that of the old one (kept.rs asked without saying whose lease it is). The lease now counts only for commits of its term.

--- a/crates/engine/src/commit.rs
+++ b/crates/engine/src/commit.rs
@@ -90,12 +90,17 @@
     /// rolled back. Guard: one replica's word counts only while the lease proves that no promotion
     /// can have taken effect by then. Without a lease all have to have it: whichever of them is
     /// promoted then has it too.
-    pub fn is_kept(&self, lease: &Lease, list: List) -> bool {
+    ///
+    /// Failure: the commit's primary is replaced while its caller waits, and the lease of the new one,
+    /// which covers all earlier moments, is taken for that of the old one. Guard: the lease is that of a
+    /// primary of the term `led`, and counts only for commits of that term.
+    pub fn is_kept(&self, lease: &Lease, led: Option<u64>, list: List) -> bool {
         if self.others > 0 && self.holders.len() >= self.others {
             return true;
         }
         let proved = |holder: &Holder| holder.counts && lease.leads(holder.at);
-        list == List::Current && self.holders.iter().any(proved)
+        let same_primary = led == Some(self.position.term);
+        same_primary && list == List::Current && self.holders.iter().any(proved)
     }
 
     /// As [`Self::is_kept`], by the store's word, for a commit of the primary `leader`.
--- a/crates/engine/tests/interleavings/proxy.rs
+++ b/crates/engine/tests/interleavings/proxy.rs
@@ -201,6 +201,11 @@
         }
     }
 
+    fn proves(&self, commit: &Commit, now: u64) -> bool {
+        let led = self.leader.as_ref().map(|(_, term)| *term);
+        commit.is_kept(&self.lease, led, self.list(now))
+    }
+
     /// Begins a round of questions, each `apart` steps after the one before.
     fn round(
         &self,
@@ -435,7 +440,7 @@
             pending
                 .commit
                 .note(&id, vouches, &status, moment(cluster.now));
-            if pending.commit.is_kept(&self.lease, self.list(cluster.now)) {
+            if self.proves(&pending.commit, cluster.now) {
                 return cluster.report(self.number, pending.entry, "lease or all");
             }
             if pending.commit.is_held() {
@@ -447,7 +452,7 @@
 
     fn round_ended(&mut self, cluster: &mut Cluster, mut pending: Pending, obeyed: Option<u64>) {
         let now = cluster.now;
-        if pending.commit.is_kept(&self.lease, self.list(now)) {
+        if self.proves(&pending.commit, now) {
             return cluster.report(self.number, pending.entry, "lease after the round");
         }
         pending.stage = match (pending.commit.is_held(), self.flying) {
@@ -512,10 +517,9 @@
 
     /// Those that waited for the store's word to another commit go by the lease it gave.
     fn joined(&mut self, cluster: &mut Cluster) {
-        let (lease, list) = (self.lease, self.list(cluster.now));
         for pending in std::mem::take(&mut self.pending) {
             let joins = matches!(pending.stage, Stage::Joining);
-            match joins && pending.commit.is_kept(&lease, list) {
+            match joins && self.proves(&pending.commit, cluster.now) {
                 true => cluster.report(self.number, pending.entry, "the lease of another's word"),
                 false => self.pending.push(pending),
             }
--- a/crates/proxy/src/line/group/kept.rs
+++ b/crates/proxy/src/line/group/kept.rs
@@ -66,7 +66,7 @@
     async fn confirm_commit(self: &Rc<Self>, backend: &Rc<Backend>, commit: &mut Commit) -> bool {
         let asked = clock::now();
         let obey = self.ask_for_commit(backend, commit, asked).await;
-        if commit.is_kept(&self.lease.get(), self.list()) {
+        if self.proves(commit) {
             return true;
         }
         let obeyed = (obey > 0).then_some(asked);
@@ -104,7 +104,7 @@
             let (id, vouches) = (&replica.server.incarnation, replica.vouches());
             obey += usize::from(self.note_word(replica, asked, obey + 1, &status));
             commit.note(id, vouches, &status, clock::now());
-            if commit.is_kept(&self.lease.get(), self.list()) {
+            if self.proves(commit) {
                 break;
             }
             if commit.is_held() {
@@ -152,7 +152,7 @@
     ) -> bool {
         if !self.testimony.starts() {
             self.testimony.ended.notified().await;
-            return commit.is_kept(&self.lease.get(), self.list());
+            return self.proves(commit);
         }
         let _flight = Landing(&self.testimony);
         let Some(testimony) = self.records.testimony(&self.name).await else {
@@ -173,6 +173,12 @@
         witnessed
     }
 
+    /// Whether what is known proves that the commit is kept.
+    fn proves(&self, commit: &Commit) -> bool {
+        let led = self.known_leader().map(|leader| leader.term);
+        commit.is_kept(&self.lease.get(), led, self.list())
+    }
+
     /// What the list of servers that count is worth.
     fn list(&self) -> List {
         match (
