A busy member is the one that obeyed only on the connection on which it did

Cause: the second question compared the count of connections with that just before it. The watch goes on asking during the attempt; it opens a new connection to a held server that has started again with an empty log, and BUSY on that one was taken for a word of its earlier life: it was promoted empty. The count is now that of the moment at which the member obeyed. Cost not measured.

--- a/crates/proxy/src/line/control/attempt.rs
+++ b/crates/proxy/src/line/control/attempt.rs
@@ -1,7 +1,8 @@
 //! One attempt to replace a primary: hold the replicas, choose, wait, record, promote.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     fence::{self, Again, Fence, Fenced, Heard, Objection},
     freshness::PROMOTION_WAIT,
@@ -53,6 +54,8 @@
     pub watchers: Vec<Rc<Watcher>>,
     pub old: Option<Incarnation>,
     pub cause: Cause,
+    /// How many connections had been opened to each member when it obeyed its order.
+    pub obeyed: RefCell<Map<Incarnation, u64>>,
 }
 
 /// How an attempt ended.
@@ -160,14 +163,19 @@
         })
     }
 
+    /// Asks all members once more.
+    ///
+    /// Failure: a held server starts again with an empty log, the watch opens a new connection to it, and
+    /// it says on that one that it has no time; taken for a word of its earlier life it is promoted.
+    /// Guard: no connection was opened to it since it obeyed its order.
     async fn ask_again(&self) -> Vec<(Incarnation, Again)> {
         let ask = |watcher: &Rc<Watcher>| {
             let watcher = watcher.clone();
             async move {
-                let before = watcher.connections();
                 let answer = watcher.order(Order::Status, RECHECK_TIMEOUT).await;
-                let same = watcher.connections() == before;
-                (watcher.server.incarnation.clone(), again(answer, same))
+                let id = watcher.server.incarnation.clone();
+                let same = self.obeyed.borrow().get(&id) == Some(&watcher.connections());
+                (id, again(answer, same))
             }
         };
         futures::future::join_all(self.watchers.iter().map(ask)).await
@@ -227,7 +235,10 @@
     /// Notes a member's answer to its order.
     fn hear(&self, fence: &mut Fence, member: &Member, answer: Result<Status, Error>) {
         let heard = match &answer {
-            Ok(status) => fence.note(member, status),
+            Ok(status) => {
+                self.note_connections(&member.id);
+                fence.note(member, status)
+            }
             Err(_) => Heard::Nothing,
         };
         journal::write(
@@ -238,6 +249,14 @@
         );
     }
 
+    fn note_connections(&self, id: &Incarnation) {
+        let is_its = |watcher: &&Rc<Watcher>| watcher.server.incarnation == *id;
+        if let Some(watcher) = self.watchers.iter().find(is_its) {
+            let connections = watcher.connections();
+            self.obeyed.borrow_mut().insert(id.clone(), connections);
+        }
+    }
+
     /// Goes on telling the old primary to step down while the replicas are held.
     ///
     /// Failure: it is busy and refuses the order; it goes on as the primary after its replacement, and
--- a/crates/proxy/src/line/control/failover.rs
+++ b/crates/proxy/src/line/control/failover.rs
@@ -155,6 +155,7 @@
             watchers,
             old,
             cause,
+            obeyed: RefCell::default(),
         };
         drop(groups);
         let failover = self.clone();
