A commit that all must have is held by each of them by name

Cause: the count of holders was compared with the count of servers when the commit was acknowledged. A replica that starts again empty while the caller waits and receives the commit anew counts twice, for one that lacks it. The model's check also compares with the log at the promotion now: a primary that is started empty after it was to step down is no promotion (RULES, LOST).

--- a/crates/engine/src/commit.rs
+++ b/crates/engine/src/commit.rs
@@ -39,8 +39,8 @@
 #[derive(Clone, Debug)]
 pub struct Commit {
     position: Position,
-    /// How many servers there are besides its primary, those that have vanished included.
-    others: usize,
+    /// The servers besides its primary, those included that have vanished.
+    others: Vec<Incarnation>,
     holders: Vec<Holder>,
 }
 
@@ -55,15 +55,24 @@
 }
 
 impl Commit {
-    /// A commit at `position` of a primary beside which there are `others`.
-    pub fn new(position: Position, others: usize) -> Self {
+    /// A commit at `position`.
+    pub fn new(position: Position) -> Self {
         Self {
             position,
-            others,
+            others: Vec::new(),
             holders: Vec::new(),
         }
     }
 
+    /// Notes which servers there are now besides its primary, those included that have vanished.
+    ///
+    /// Failure: a replica has the commit, starts again while its caller waits, and has it anew; or a new
+    /// replica comes. Counted, two lives of one server stand for all, and the server promoted lacks the
+    /// commit. Guard: those that are to have it go by name.
+    pub fn beside(&mut self, others: Vec<Incarnation>) {
+        self.others = others;
+    }
+
     /// Notes what a server said by `now`, one that `counts` or not; returns whether it has the commit.
     pub fn note(&mut self, id: &Incarnation, counts: bool, status: &Status, now: Moment) -> bool {
         let has = has_commit(status.received, self.position);
@@ -95,7 +104,8 @@
     /// which covers all earlier moments, is taken for that of the old one. Guard: the lease is that of a
     /// primary of the term `led`, and counts only for commits of that term.
     pub fn is_kept(&self, lease: &Lease, led: Option<u64>, list: List) -> bool {
-        if self.others > 0 && self.holders.len() >= self.others {
+        let has = |id: &Incarnation| self.holders.iter().any(|holder| holder.id == *id);
+        if !self.others.is_empty() && self.others.iter().all(has) {
             return true;
         }
         let proved = |holder: &Holder| holder.counts && lease.leads(holder.at);
--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -137,6 +137,8 @@
     in_touch: Vec<Option<u64>>,
     /// The newest promotion that took effect.
     pub lead: (usize, u64),
+    /// The log with which that server began to lead.
+    led: Vec<Entry>,
     /// For servers that a promotion was called for.
     called: Vec<bool>,
     emptied: bool,
@@ -166,6 +168,7 @@
             spoke: vec![(0, 0); count],
             in_touch: vec![None; count],
             lead: (0, 1),
+            led: Vec::new(),
             called: vec![false; count],
             emptied: false,
             serials: 0,
@@ -416,6 +419,7 @@
         }
         let promoted = &mut self.servers[server];
         (promoted.role, promoted.term, promoted.heard) = (Role::Primary, term, None);
+        self.led = self.servers[server].log.clone();
         self.note(|| format!("s{server} leads term {term}"));
         self.check(0);
     }
@@ -427,13 +431,15 @@
         self.check(self.kept.len() - 1);
     }
 
-    /// What was reported as kept, from the `first` report on, is in the log of the newest promoted server,
-    /// unless no server has it any more.
+    /// What was reported as kept, from the `first` report on, was in the log of the newest promoted server
+    /// when that was promoted. Nothing excuses a loss: a server comes back empty at most once, and only if
+    /// others have all that was acknowledged.
     fn check(&mut self, first: usize) {
         let (server, term) = self.lead;
+        let led = &self.led;
         let lost = |entry: &&Entry| {
-            let anywhere = self.servers.iter().any(|server| server.has(entry));
-            anywhere && !self.servers[server].has(entry)
+            let at = entry.number as usize;
+            entry.term < term && led.get(at - 1) != Some(entry)
         };
         if let Some(entry) = self.kept[first..].iter().find(lost) {
             let lost = format!("LOST {entry:?}: not in the log of s{server}, term {term}");
--- a/crates/engine/tests/interleavings/proxy.rs
+++ b/crates/engine/tests/interleavings/proxy.rs
@@ -169,6 +169,14 @@
         counted.len() - counted.iter().filter(seen).count()
     }
 
+    /// The servers besides a primary, those included that count and have vanished.
+    fn beside(&self, primary: &Incarnation) -> Vec<Incarnation> {
+        let entries = self.follower.entries();
+        let registered = entries.iter().map(|entry| &entry.server.incarnation);
+        let all = registered.chain(self.counted().unwrap_or_default());
+        all.filter(|id| *id != primary).cloned().collect()
+    }
+
     fn others_count(&self) -> usize {
         self.follower.entries().len().saturating_sub(1)
     }
@@ -361,7 +369,7 @@
         self.pending.push(Pending {
             entry,
             primary: known.server.incarnation.clone(),
-            commit: Commit::new(entry.position(), self.others_count() + self.unseen()),
+            commit: Commit::new(entry.position()),
             until: cluster.now + PATIENCE,
             stage: Stage::Pausing { until: cluster.now },
         });
@@ -378,6 +386,7 @@
         }
         match &mut pending.stage {
             Stage::Pausing { until } if now >= *until => {
+                pending.commit.beside(self.beside(&pending.primary));
                 pending.stage = Stage::Asking(self.commit_round(cluster, &pending.primary));
             }
             Stage::Asking(round) if now >= round.ends || round.open.is_empty() => {
--- a/crates/proxy/src/line/group/kept.rs
+++ b/crates/proxy/src/line/group/kept.rs
@@ -5,7 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dandelionpitch_core::position::Position;
+use dandelionpitch_core::{hash::Set, position::Position};
 use dandelionpitch_engine::{
     commit::{Commit, List},
     freshness::{self, Poll, Word},
@@ -53,7 +53,7 @@
         let (Some(position), true) = (position, self.sync_replicas.get() > 0) else {
             return true;
         };
-        let mut commit = Commit::new(position, self.others());
+        let mut commit = Commit::new(position);
         let found = async {
             while !self.confirm_commit(backend, &mut commit).await {
                 sleep(ASK_AGAIN).await;
@@ -65,6 +65,7 @@
     /// One round: asks the replicas, and the store if they have the commit and that alone is no proof.
     async fn confirm_commit(self: &Rc<Self>, backend: &Rc<Backend>, commit: &mut Commit) -> bool {
         let asked = clock::now();
+        commit.beside(self.others(backend));
         let obey = self.ask_for_commit(backend, commit, asked).await;
         if self.proves(commit) {
             return true;
@@ -191,10 +192,15 @@
         }
     }
 
-    /// How many servers there are besides the primary, those included that count and have vanished.
-    fn others(&self) -> usize {
-        let others = self.servers.borrow().len().saturating_sub(1);
-        others + self.unseen()
+    /// The servers besides the primary `backend`, those included that count and have vanished.
+    fn others(&self, backend: &Rc<Backend>) -> Vec<Incarnation> {
+        let primary = &backend.server.incarnation;
+        let servers = self.servers.borrow();
+        let registered = servers.iter().map(|backend| &backend.server.incarnation);
+        let counted = self.counted.borrow();
+        let all: Set<&Incarnation> = registered.chain(counted.iter().flatten()).collect();
+        let others = all.into_iter().filter(|id| *id != primary);
+        others.cloned().collect()
     }
 
     /// A poll of which `obey` obey the primary so far.
