The store's word counts for a commit of the term that its primary is known to lead

Cause: the record names the server promoted last. One that was replaced and promoted again while a caller waits is named again, and its commit of the earlier term was rolled back.

--- a/crates/engine/src/commit.rs
+++ b/crates/engine/src/commit.rs
@@ -118,9 +118,19 @@
     /// It was asked for after a server that counts had the commit. No promotion was written down by
     /// then but the primary's own, and whoever promotes asks its members once more after writing: that
     /// server is then found with the commit.
-    pub fn is_witnessed(&self, testimony: &Testimony, leader: &Incarnation) -> bool {
+    ///
+    /// Failure: the primary is replaced and then promoted again while the caller waits; the store names
+    /// it, and the commit of its earlier term was rolled back. Guard: the term `led` that the primary is
+    /// known to lead is the commit's.
+    pub fn is_witnessed(
+        &self,
+        testimony: &Testimony,
+        leader: &Incarnation,
+        led: Option<u64>,
+    ) -> bool {
         let promoted = testimony.promoted.as_deref();
-        let leads = promoted.is_none_or(|promoted| promoted == leader.id);
+        let same_term = led == Some(self.position.term);
+        let leads = same_term && promoted.is_none_or(|promoted| promoted == leader.id);
         let counts = |holder: &Holder| {
             holder.at <= testimony.asked && testimony.members.contains(&holder.id)
         };
--- a/crates/engine/tests/interleavings/main.rs
+++ b/crates/engine/tests/interleavings/main.rs
@@ -19,7 +19,7 @@
 use scenario::{Scenario, LENGTH, PROMOTERS, PROXIES, SERVERS};
 
 /// How many cases are played: as many as fit into some 20 s of a debug build.
-const CASES: u32 = 500;
+const CASES: u32 = 1_000;
 
 /// Plays a case to its end, or until a commit is lost.
 fn play(scenario: &Scenario, traced: bool) -> Cluster {
@@ -80,15 +80,21 @@
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let played = Cell::new((0, 0, 0));
+    let first = Cell::new(None);
 
     let found = runner.run(&scenario::scenario(), |scenario| {
         let cluster = play(&scenario, false);
         let (count, promotions, kept) = played.get();
         let (promotions, kept) = (promotions + cluster.promotions, kept + cluster.kept());
-        played.set((count + 1, promotions, kept));
+        if first.get().is_none() {
+            played.set((count + 1, promotions, kept));
+        }
         match cluster.lost {
             None => Ok(()),
-            Some(lost) => Err(TestCaseError::fail(lost)),
+            Some(lost) => {
+                first.set(first.get().or(Some(count + 1)));
+                Err(TestCaseError::fail(lost))
+            }
         }
     });
 
@@ -96,7 +102,7 @@
     if let Err(TestError::Fail(why, scenario)) = found {
         let trace = play(&scenario, true).trace.unwrap_or_default();
         let trace = trace.join("\n");
-        panic!("{why} (after {count} plays)\n{scenario:?}\n{trace}");
+        panic!("{why} (found by case {count}, then made smaller)\n{scenario:?}\n{trace}");
     }
     println!("{count} cases, {promotions} promotions, {kept} commits reported as kept");
     let enough = promotions > count / 2 && kept > 10 * count;
--- a/crates/engine/tests/interleavings/proxy.rs
+++ b/crates/engine/tests/interleavings/proxy.rs
@@ -508,8 +508,9 @@
             .leader
             .as_ref()
             .is_some_and(|(id, _)| *id == pending.primary);
-        let witnessed =
-            leads && testimony.is_some_and(|t| pending.commit.is_witnessed(t, &pending.primary));
+        let led = self.leader.as_ref().map(|(_, term)| *term);
+        let witnessed = leads
+            && testimony.is_some_and(|t| pending.commit.is_witnessed(t, &pending.primary, led));
         if let (true, Some(obeyed)) = (witnessed, obeyed) {
             self.lease.witnessed(moment(obeyed));
         }
--- a/crates/proxy/src/line/group/kept.rs
+++ b/crates/proxy/src/line/group/kept.rs
@@ -160,7 +160,8 @@
             return false;
         };
         let leader = &backend.server.incarnation;
-        let witnessed = self.led_by(backend) && commit.is_witnessed(&testimony, leader);
+        let led = self.led_term();
+        let witnessed = self.led_by(backend) && commit.is_witnessed(&testimony, leader, led);
         journal::write(
             "testimony",
             json!({ "service": self.name, "server": leader, "promoted": testimony.promoted,
@@ -176,8 +177,12 @@
 
     /// Whether what is known proves that the commit is kept.
     fn proves(&self, commit: &Commit) -> bool {
-        let led = self.known_leader().map(|leader| leader.term);
-        commit.is_kept(&self.lease.get(), led, self.list())
+        commit.is_kept(&self.lease.get(), self.led_term(), self.list())
+    }
+
+    /// The term of the known primary.
+    fn led_term(&self) -> Option<u64> {
+        self.known_leader().map(|leader| leader.term)
     }
 
     /// What the list of servers that count is worth.
