--- a/crates/engine/tests/interleavings/attempt.rs
+++ b/crates/engine/tests/interleavings/attempt.rs
@@ -1,9 +1,11 @@
 //! One attempt to replace a primary, in the order of the daemon's: hold, choose, wait, write down, ask
 //! again, call.
 
+mod promotion;
+
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
-    fence::{self, Again, Fence, Fenced, Objection},
+    fence::{self, Again, Fence, Fenced},
     freshness::PROMOTION_WAIT,
     registry::Incarnation,
     roster::Roster,
@@ -11,19 +13,14 @@
 };
 
 use super::{
-    cluster::{steps, Answer, Asker, Cluster, Mail, Record, Said},
+    cluster::{steps, Cluster},
     follower::{index, Follower, Noted},
+    mail::{Answer, Asker, Said},
     scenario::STEP,
     server::Order,
 };
 
 const ORDER_TIMEOUT: u64 = 500 / STEP;
-const RECHECK_TIMEOUT: u64 = 150 / STEP;
-const RECHECKS: usize = 3;
-const CALLS: usize = 3;
-
-/// How long a call of the store or the platform may take.
-const CALL_TIMEOUT: u64 = 1_000 / STEP;
 
 /// How an attempt ended.
 pub enum Ended {
@@ -280,156 +277,4 @@
         self.stage = Stage::Waiting { until };
         None
     }
-
-    /// Writes the promotion down, if no server has come and the duty is held.
-    fn record(&mut self, desk: &mut Desk) -> Option<Ended> {
-        let known = |id: &Incarnation| self.members.iter().any(|member| member.id == *id);
-        let entries = desk.follower.entries();
-        let grown = !entries.iter().all(|entry| known(&entry.server.incarnation));
-        let (false, Some(token)) = (grown, desk.token) else {
-            return Some(Ended::NotCalled);
-        };
-        self.token = token;
-        let known = self.recorded.as_ref().map_or(0, |noted| noted.revision);
-        let record = self.next_record(self.chosen.as_ref().map(|c| c.id.id.clone()));
-        let tag = self.write(desk, known, record);
-        let until = desk.cluster.now + CALL_TIMEOUT;
-        self.stage = Stage::Recording { tag, until };
-        None
-    }
-
-    fn write(&self, desk: &mut Desk, known: u64, record: Record) -> u64 {
-        let tag = desk.cluster.tag();
-        let from = desk.asker(tag);
-        desk.cluster.write_later(Mail::Write {
-            from,
-            token: self.token,
-            known,
-            record,
-        });
-        tag
-    }
-
-    fn recheck(&mut self, desk: &mut Desk, round: usize) {
-        let mut asked = Vec::new();
-        for (member, seen) in self.members.iter().enumerate() {
-            let server = index(&seen.id);
-            let link = self.obeyed.get(&server).copied().unwrap_or(u64::MAX);
-            let tag = desk.cluster.tag();
-            let asker = desk.asker(tag);
-            desk.cluster.ask(asker, server, Order::Status);
-            asked.push((tag, member, link));
-        }
-        let until = desk.cluster.now + RECHECK_TIMEOUT;
-        self.stage = Stage::Rechecking {
-            round,
-            asked,
-            answers: Vec::new(),
-            until,
-        };
-    }
-
-    fn rechecked(&mut self, desk: &mut Desk) -> Option<Ended> {
-        let Stage::Rechecking { round, answers, .. } = &self.stage else {
-            return None;
-        };
-        let result = self.fence.recheck(answers);
-        desk.cluster
-            .note(|| format!("recheck: {result:?} by {answers:?}"));
-        match result {
-            Ok(()) => {
-                let next = desk.cluster.now;
-                self.stage = Stage::Calling {
-                    left: CALLS,
-                    next,
-                    answered: None,
-                    sent: false,
-                };
-                self.call(desk)
-            }
-            Err(Objection::Unheard { .. }) if round + 1 < RECHECKS => {
-                let round = round + 1;
-                self.recheck(desk, round);
-                None
-            }
-            Err(_) => {
-                self.withdraw(desk);
-                None
-            }
-        }
-    }
-
-    fn withdraw(&mut self, desk: &mut Desk) {
-        let record = self.next_record(self.last());
-        let tag = self.write(desk, self.revision, record);
-        let until = desk.cluster.now + CALL_TIMEOUT;
-        self.stage = Stage::Withdrawing { tag, until };
-    }
-
-    fn call(&mut self, desk: &mut Desk) -> Option<Ended> {
-        let Stage::Calling {
-            left,
-            next,
-            answered,
-            sent,
-        } = &mut self.stage
-        else {
-            return None;
-        };
-        let now = desk.cluster.now;
-        if answered.is_some_and(|at| now >= at) {
-            return self.called();
-        }
-        if now < *next || answered.is_some() {
-            return None;
-        }
-        let gone = desk.token != Some(self.token);
-        if *left == 0 || gone {
-            if *sent {
-                return self.called();
-            }
-            self.withdraw(desk);
-            return None;
-        }
-        *left -= 1;
-        let server = index(&self.chosen.as_ref()?.id);
-        match desk.cluster.promote(server) {
-            Some(Some(after)) => (*answered, *sent) = (Some(now + after), true),
-            Some(None) if *sent => *left = 0,
-            Some(None) => self.withdraw(desk),
-            None => (*next, *sent) = (now + CALL_TIMEOUT, true),
-        }
-        None
-    }
-
-    fn called(&self) -> Option<Ended> {
-        let server = self.chosen.as_ref()?.id.clone();
-        let term = self.fence.term();
-        Some(Ended::Called { server, term })
-    }
-
-    /// Lets the held members go.
-    fn resume(&self, desk: &mut Desk) -> Ended {
-        for held in self.fence.held() {
-            let tag = desk.cluster.tag();
-            let asker = desk.asker(tag);
-            desk.cluster.ask(asker, index(&held.id), Order::Resume);
-        }
-        Ended::NotCalled
-    }
-
-    fn last(&self) -> Option<String> {
-        self.recorded
-            .as_ref()
-            .and_then(|noted| noted.record.server.clone())
-    }
-
-    fn next_record(&self, server: Option<String>) -> Record {
-        Record {
-            holder: self.holder,
-            server,
-            promotions: self.recorded.as_ref().map_or(0, |n| n.record.promotions) + 1,
-            members: self.roster.ids(),
-        }
-    }
 }
--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -1,29 +1,17 @@
 //! The servers, the store, the platform's promotions and the network between all parties, in steps.
 
+mod servers;
+
 use std::time::Duration;
 
-use dandelionpitch_core::hash::Map;
-use dandelionpitch_engine::{
-    commit::Testimony,
-    registry::{Incarnation, Role},
-    takeover::Status,
-    time::Moment,
-};
+use dandelionpitch_engine::{commit::Testimony, registry::Role, time::Moment};
 
 use super::{
-    scenario::{Fault, Node, Scenario, Trouble, NODES, SERVERS, STEP, STORE},
+    mail::{Answer, Asker, Mail, Record, Said, Store},
+    scenario::{proxy_node, Fault, Node, Scenario, Trouble, NODES, SERVERS, STEP, STORE},
     server::{Entry, Order, Server},
 };
 
-/// How long an entry of a server that is silent stays: three of its reports.
-const LAPSE: u64 = 1_500 / STEP;
-
-/// How long after its start a server registers at the latest.
-const REGISTERS: u64 = 2_000 / STEP;
-
-/// How long a primary goes on that reaches the new one.
-const GOES_ON: u64 = 1_000 / STEP;
-
 pub fn moment(step: u64) -> Moment {
     Moment::from_boot(Duration::from_millis(100_000 + step * STEP))
 }
@@ -32,97 +20,6 @@
     length.as_millis() as u64 / STEP
 }
 
-/// Who asks, and which of its questions it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Asker {
-    pub node: Node,
-    pub tag: u64,
-}
-
-/// What a server says.
-#[derive(Clone, Copy, Debug)]
-pub enum Said {
-    Status(Status),
-    Busy,
-}
-
-/// A server's answer.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    pub to: Asker,
-    pub server: usize,
-    pub life: u64,
-    pub asked: u64,
-    pub said: Said,
-}
-
-/// The record of the group.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Record {
-    pub holder: usize,
-    pub server: Option<String>,
-    pub promotions: u64,
-    pub members: Vec<Incarnation>,
-}
-
-/// What is on its way.
-#[derive(Clone, Debug)]
-pub enum Mail {
-    Ask {
-        from: Asker,
-        server: usize,
-        order: Order,
-        asked: u64,
-    },
-    Answer(Answer),
-    Commit {
-        proxy: usize,
-        server: usize,
-    },
-    Acked {
-        proxy: usize,
-        server: usize,
-        entry: Entry,
-    },
-    Refused {
-        proxy: usize,
-        server: usize,
-    },
-    Write {
-        from: Asker,
-        token: u64,
-        known: u64,
-        record: Record,
-    },
-    /// The revision, or `None` if a condition did not hold.
-    Written {
-        to: Asker,
-        revision: Option<u64>,
-    },
-    Testify {
-        from: Asker,
-        asked: u64,
-    },
-    Testified {
-        to: Asker,
-        testimony: Option<Testimony>,
-    },
-    Effect {
-        server: usize,
-        life: u64,
-    },
-}
-
-/// The store: the group's record, the duty's key and the registrations.
-#[derive(Clone, Debug, Default)]
-pub struct Store {
-    pub revision: u64,
-    pub record: Option<(u64, Record)>,
-    /// Holder, token and the end of the lease.
-    pub duty: Option<(usize, u64, u64)>,
-    pub registered: Map<usize, (Incarnation, bool)>,
-}
-
 pub struct Cluster {
     pub now: u64,
     pub scenario: Scenario,
@@ -267,9 +164,8 @@
             return Some(None);
         }
         self.called[server] = true;
-        let life = self.servers[server].life;
         let effect = (late + 12 + effect).min(2_400 / STEP);
-        self.post(effect, Mail::Effect { server, life });
+        self.post(effect, Mail::Effect { server });
         (late == 0).then_some(Some(2))
     }
 
@@ -307,14 +203,14 @@
                 record,
             } => self.write(from, token, known, record),
             Mail::Testify { from, asked } => self.testify(from, asked),
-            Mail::Effect { server, life } => self.take_effect(server, life),
+            Mail::Effect { server } => self.take_effect(server),
             Mail::Answer(answer) => {
                 return self
                     .reach(answer.to.node, answer.server)
                     .then_some(Mail::Answer(answer))
             }
             Mail::Acked { proxy, server, .. } | Mail::Refused { proxy, server } => {
-                let node = super::scenario::proxy_node(proxy);
+                let node = proxy_node(proxy);
                 return self.reach(node, server).then_some(mail);
             }
             Mail::Written { to, .. } | Mail::Testified { to, .. } => {
@@ -353,7 +249,7 @@
     }
 
     fn commit(&mut self, proxy: usize, server: usize) {
-        if !self.reach(super::scenario::proxy_node(proxy), server) {
+        if !self.reach(proxy_node(proxy), server) {
             return;
         }
         if !self.servers[server].leads() {
@@ -404,7 +300,7 @@
     }
 
     /// A promotion takes effect: it ends the holds, and its server leads the next term.
-    fn take_effect(&mut self, server: usize, _life: u64) {
+    fn take_effect(&mut self, server: usize) {
         self.called[server] = false;
         if !self.servers[server].up || self.lead.0 == server && self.servers[server].leads() {
             return;
@@ -447,207 +343,6 @@
             self.lost.get_or_insert(lost);
         }
     }
-
-    /// What servers do by themselves in a step.
-    pub fn step(&mut self) {
-        self.begin_and_end();
-        self.register();
-        self.old_primaries();
-        self.replicate();
-        self.acknowledge();
-    }
-
-    /// Servers are drawn by their distance from the one that leads when a fault begins.
-    fn resolve(&mut self) {
-        let (lead, count) = (self.lead.0, self.servers.len());
-        let turned = |node: Node| match node < count {
-            true => (node + lead) % count,
-            false => node,
-        };
-        let now = self.now;
-        let begin = self.scenario.troubles.iter_mut().filter(|t| t.from == now);
-        for trouble in begin {
-            match &mut trouble.fault {
-                Fault::Busy { server } | Fault::Crash { server, .. } | Fault::Leave { server } => {
-                    *server = turned(*server);
-                }
-                Fault::Link { one, other } => (*one, *other) = (turned(*one), turned(*other)),
-                Fault::Part { inside } => {
-                    let nodes = (0..NODES).filter(|node| *inside >> node & 1 == 1);
-                    *inside = nodes.map(|node| 1 << turned(node)).sum();
-                }
-                Fault::Freeze { .. } => {}
-            }
-        }
-    }
-
-    fn begin_and_end(&mut self) {
-        self.resolve();
-        for trouble in self.scenario.troubles.clone() {
-            let (begins, ends) = (
-                trouble.from == self.now,
-                trouble.from + trouble.steps == self.now,
-            );
-            match trouble.fault {
-                Fault::Crash { server, .. } if begins && server < self.servers.len() => {
-                    self.servers[server].up = false;
-                    self.note(|| format!("s{server} crashes"));
-                }
-                Fault::Crash { server, empty } if ends && server < self.servers.len() => {
-                    self.start(server, empty);
-                }
-                Fault::Leave { server } if begins && server < self.servers.len() => {
-                    self.servers[server].leaving = true;
-                }
-                _ => {}
-            }
-            if begins {
-                self.note(|| format!("{trouble:?}"));
-            }
-        }
-    }
-
-    fn start(&mut self, server: usize, empty: bool) {
-        if self.servers[server].up {
-            return;
-        }
-        let elsewhere = |entry: &Entry| {
-            let others = self
-                .servers
-                .iter()
-                .enumerate()
-                .filter(|(i, _)| *i != server);
-            others.into_iter().any(|(_, other)| other.has(entry))
-        };
-        let copied = self.acked.iter().all(elsewhere);
-        let replica = self.servers[server].role == Role::Replica;
-        // An empty server that was called for is promoted empty, whatever was asked before.
-        let empty = empty && copied && replica && !self.emptied && !self.called[server];
-        self.emptied |= empty;
-        let replaced = self.lead.0 != server;
-        let started = &mut self.servers[server];
-        started.start(empty);
-        if replaced && started.role == Role::Primary {
-            started.step_down();
-        }
-        let wait = self.draw(REGISTERS + 1);
-        self.spoke[server].1 = self.now + wait;
-        self.note(|| format!("s{server} starts, empty: {empty}, registers after {wait} steps"));
-    }
-
-    /// Servers that reach the store register, with some delay; entries of silent ones lapse.
-    fn register(&mut self) {
-        for server in 0..self.servers.len() {
-            let (id, leaving) = (
-                self.servers[server].id.clone(),
-                self.servers[server].leaving,
-            );
-            if self.reach(server, STORE) && self.now >= self.spoke[server].1 {
-                self.spoke[server].0 = self.now;
-                self.store.registered.insert(server, (id, leaving));
-            } else if self.now - self.spoke[server].0 >= LAPSE {
-                self.store.registered.remove(&server);
-            }
-        }
-        if self
-            .store
-            .duty
-            .is_some_and(|(_, _, until)| self.now >= until)
-        {
-            self.store.duty = None;
-        }
-    }
-
-    fn old_primaries(&mut self) {
-        let (lead, term) = self.lead;
-        for server in 0..self.servers.len() {
-            let old = self.servers[server].leads() && self.servers[server].term < term;
-            let touch = old && self.servers[lead].leads() && self.reach(server, lead);
-            let since = &mut self.in_touch[server];
-            match touch {
-                true if self.now - *since.get_or_insert(self.now) >= GOES_ON => {
-                    self.servers[server].step_down();
-                    *since = None;
-                }
-                true => {}
-                false => *since = None,
-            }
-        }
-    }
-
-    fn replicate(&mut self) {
-        for replica in 0..self.servers.len() {
-            let one = &self.servers[replica];
-            if !one.up || one.role != Role::Replica || one.held != 0 {
-                continue;
-            }
-            let term = one.term;
-            let primaries = 0..self.servers.len();
-            let newest = primaries
-                .filter(|p| self.servers[*p].leads() && self.servers[*p].term >= term)
-                .filter(|p| self.reach(replica, *p))
-                .max_by_key(|p| self.servers[*p].term);
-            let Some(newest) = newest else { continue };
-            let leads = self.servers[newest].term;
-            let known = one.heard.filter(|(heard, _)| *heard == leads);
-            let from = match known {
-                _ if leads == term => Some(newest),
-                Some((_, at)) if self.now >= at => Some(newest),
-                Some(_) => self.primary_of(replica, term),
-                None => {
-                    let at = self.now + self.draw(12);
-                    self.servers[replica].heard = Some((leads, at));
-                    self.primary_of(replica, term)
-                }
-            };
-            if let Some(from) = from {
-                let primary = self.servers[from].clone();
-                let heard = self.servers[replica].heard;
-                self.servers[replica].follow(&primary);
-                if primary.term == term {
-                    self.servers[replica].heard = heard;
-                }
-            }
-        }
-    }
-
-    /// The primary of a term, if a replica reaches it.
-    fn primary_of(&self, replica: usize, term: u64) -> Option<usize> {
-        let leads = |p: &usize| self.servers[*p].leads() && self.servers[*p].term == term;
-        let mut primaries = (0..self.servers.len()).filter(leads);
-        primaries.find(|p| self.reach(replica, *p))
-    }
-
-    fn acknowledge(&mut self) {
-        for server in 0..self.servers.len() {
-            if !self.servers[server].leads() {
-                continue;
-            }
-            let term = self.servers[server].term;
-            for waiting in std::mem::take(&mut self.servers[server].waiting) {
-                let (proxy, entry) = (waiting.proxy, waiting.entry);
-                let confirms = |(i, other): (usize, &Server)| {
-                    let follows = other.role == Role::Replica && other.term == term;
-                    i != server && follows && other.has(&entry) && self.reach(i, server)
-                };
-                match self.servers.iter().enumerate().any(confirms) {
-                    true => {
-                        self.acked.push(entry);
-                        let delay = self.draw(4);
-                        self.post(
-                            delay,
-                            Mail::Acked {
-                                proxy,
-                                server,
-                                entry,
-                            },
-                        );
-                    }
-                    false => self.servers[server].waiting.push(waiting),
-                }
-            }
-        }
-    }
 }
 
 const _: () = assert!(NODES <= 16);
--- a/crates/engine/tests/interleavings/follower.rs
+++ b/crates/engine/tests/interleavings/follower.rs
@@ -6,7 +6,8 @@
 use dandelionpitch_engine::registry::{Entry, Incarnation, Registry, Role, Server};
 
 use super::{
-    cluster::{moment, Cluster, Record},
+    cluster::{moment, Cluster},
+    mail::Record,
     scenario::{Node, STORE},
 };
 
--- a/crates/engine/tests/interleavings/main.rs
+++ b/crates/engine/tests/interleavings/main.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod cluster;
 mod follower;
+mod mail;
 mod promoter;
 mod proxy;
 mod scenario;
@@ -13,7 +14,8 @@
 
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
 
-use cluster::{Cluster, Mail};
+use cluster::Cluster;
+use mail::Mail;
 use promoter::Promoter;
 use proxy::Proxy;
 use scenario::{Scenario, LENGTH, PROMOTERS, PROXIES, SERVERS};
