--- a/crates/proxy/src/line/control/attempt.rs
+++ b/crates/proxy/src/line/control/attempt.rs
@@ -96,7 +96,10 @@
                 );
                 match stopped {
                     Stopped::Unanswered { server, .. } => Ended::Called { server, term },
-                    _ => Ended::NotCalled,
+                    _ => {
+                        self.resume(fence.held()).await;
+                        Ended::NotCalled
+                    }
                 }
             }
         }
@@ -116,7 +119,6 @@
         let late = self.fence(fence).await;
         let held_at = clock::now();
         let Some(chosen) = fence.choice().cloned() else {
-            self.resume(fence.held()).await;
             let (fenced, quorum) = (fence.held().len(), fence.quorum());
             return Err(Stopped::NoChoice { fenced, quorum });
         };
@@ -125,7 +127,6 @@
             self.depose(late),
         );
         if self.has_grown() {
-            self.resume(fence.held()).await;
             return Err(Stopped::Grown);
         }
         let duty = self.control.duty.borrow().token(clock::now());
@@ -135,14 +136,14 @@
             Ok(()) => self.promote(token, fence, &chosen.id).await,
             Err(stopped) => Err(stopped),
         };
-        if let Err(stopped) = called {
-            if !matches!(stopped, Stopped::Unanswered { .. }) {
+        match called {
+            Ok(()) => Ok(chosen.id),
+            Err(stopped @ Stopped::Unanswered { .. }) => Err(stopped),
+            Err(stopped) => {
                 self.withdraw(token, revision).await;
-                self.resume(fence.held()).await;
+                Err(stopped)
             }
-            return Err(stopped);
         }
-        Ok(chosen.id)
     }
 
     /// Asks those on whom the choice rests once more, until enough have answered.
