The server to be promoted is among those that answer the second question

Cause: with more members held than needed, the count of answers could be reached without the chosen one, which may have lost its log.

--- a/crates/engine/src/fence.rs
+++ b/crates/engine/src/fence.rs
@@ -150,23 +150,28 @@
     ///
     /// Failure: a held server starts again, has forgotten the order, and confirms commits of the old
     /// primary that the promoted server lacks; or the server to be promoted has lost its log. Guard: a
-    /// held log does not change, so whoever rests the choice says once more that it is held with the
-    /// same log. It is asked after the promotion was written down, so a commit that was confirmed on
-    /// the word that none was is in that log.
+    /// held log does not change, so those on whom the choice rests, the chosen one among them, say once
+    /// more that they are held with the same log. They are asked after the promotion was written down,
+    /// so a commit that was confirmed on the word that none was is in that log.
     pub fn recheck(&self, answers: &[(Incarnation, Again)]) -> Result<(), Objection> {
+        let choice = self.choice().map(|choice| &choice.id);
         let mut again = 0;
+        let mut chosen = false;
         for (id, answer) in answers {
             let Again::Answered(status) = answer else {
                 continue;
             };
             match self.is_as_before(id, status) {
-                Some(true) => again += 1,
+                Some(true) => {
+                    again += 1;
+                    chosen |= Some(id) == choice;
+                }
                 Some(false) => return Err(Objection::Changed(id.clone())),
                 None => {}
             }
         }
         let needed = self.needed();
-        match again >= needed {
+        match chosen && again >= needed {
             true => Ok(()),
             false => Err(Objection::Unheard {
                 again,
--- a/crates/engine/tests/fence.rs
+++ b/crates/engine/tests/fence.rs
@@ -172,6 +172,21 @@
     assert_eq!(result, Err(Objection::Unheard { again, quorum }));
 }
 
+/// More members are held than are needed, and the one to be promoted is the one that does not answer: it
+/// may have lost its log.
+#[test]
+fn chosen_member_has_to_answer() {
+    let members = group();
+    let mut fence = Fence::new(&members, NEWEST, None, 1);
+    fence.note(&members[1], &held(705));
+    fence.note(&members[2], &held(706));
+
+    let result = fence.recheck(&answers(Again::Answered(held(705)), Again::Silent));
+
+    let (again, quorum) = (1, 1);
+    assert_eq!(result, Err(Objection::Unheard { again, quorum }));
+}
+
 /// The primary stepped down, one replica is held. Before the call the primary leads again: it crashed and
 /// came back with its log.
 #[test]
