--- a/crates/e2e/tests/line_commits.rs
+++ b/crates/e2e/tests/line_commits.rs
@@ -4,19 +4,18 @@
 
 use std::time::Duration;
 
-use fixture::line::{Site, LATEST};
+use fixture::line::{Caller, Site, LATEST};
 
 /// How long a promoter keeps the replicas held before it promotes one, and some more.
 const HOLD: Duration = Duration::from_millis(600);
 
-/// A primary out of its promoter's reach goes on while its replicas are held, and a caller's commit
-/// waits there. When the promotion takes effect the holds end. The replica that the new primary
-/// does not reach receives the commit from the old one, which takes it for acknowledged. The server
-/// that leads now has never seen it, so the caller must not hear that it is kept. Seen as: a commit
-/// was run at 14.564 s, received by a replica at 15.121 s, acknowledged at 15.257 s, and lost.
-#[tokio::test]
-async fn commit_received_after_a_promotion_is_not_acknowledged() {
-    let site = Site::start("late-commit", 1).await;
+/// How long a statement takes from its caller to the primary's log, at most.
+const SENT: Duration = Duration::from_millis(50);
+
+/// A site on which an old primary's commit waits for held replicas when server 2, which no other server
+/// reaches, is promoted; and the caller that waits for its answer.
+async fn commit_at_a_promotion(name: &str) -> (Site, Caller) {
+    let site = Site::start(name, 1).await;
     let mut caller = site.caller(0, LATEST);
     assert!(caller.ask("PUT a first").done());
     site.fault(2, "cut", true).await;
@@ -24,10 +23,21 @@
         assert!(site.order(held, "PAUSE 2").await.done());
     }
     tokio::time::sleep(HOLD).await;
-
     caller.send("QUERY late PUT a second");
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    tokio::time::sleep(SENT).await;
     site.promote(2).await;
+    (site, caller)
+}
+
+/// A primary out of its promoter's reach goes on while its replicas are held, and a caller's commit
+/// waits there. When the promotion takes effect the holds end. The replica that the new primary
+/// does not reach receives the commit from the old one, which takes it for acknowledged. The server
+/// that leads now has never seen it, so the caller must not hear that it is kept. Seen as: a commit
+/// was run at 14.564 s, received by a replica at 15.121 s, acknowledged at 15.257 s, and lost.
+#[tokio::test]
+async fn commit_received_after_a_promotion_is_not_acknowledged() {
+    let (site, mut caller) = commit_at_a_promotion("late-commit").await;
+
     let answer = caller.answer();
 
     assert_eq!(site.group().await["leader"], 2);
@@ -40,19 +50,9 @@
 /// is proved to lead now: the caller must not hear that it is kept.
 #[tokio::test]
 async fn later_lease_of_another_primary_does_not_confirm_a_commit() {
-    let site = Site::start("later-lease", 1).await;
-    let mut caller = site.caller(0, LATEST);
+    let (site, mut caller) = commit_at_a_promotion("later-lease").await;
     let mut other = site.caller(0, LATEST);
-    assert!(caller.ask("PUT a first").done());
-    site.fault(2, "cut", true).await;
-    for held in [1, 2] {
-        assert!(site.order(held, "PAUSE 2").await.done());
-    }
-    tokio::time::sleep(HOLD).await;
 
-    caller.send("QUERY late PUT a second");
-    tokio::time::sleep(Duration::from_millis(50)).await;
-    site.promote(2).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     site.fault(2, "cut", false).await;
     let third = other.ask("PUT a third");
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -5,8 +5,8 @@
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     fence::{self, Fenced},
-    registry::{Incarnation, Role},
-    roster::{Roster, LIST_HOLDS},
+    registry::Role,
+    roster::Roster,
     takeover::{self, Cause, Member, Memory, Sight, Status, Verdict},
     time::Moment,
 };
@@ -277,69 +277,6 @@
     assert_eq!(fence::quorum(members, sync_replicas), expected);
 }
 
-/// Acknowledged writes vanish: the primary and the replica that acknowledged them are cut off
-/// together, their entries lapse, and the two servers left look like the whole group.
-#[test]
-fn vanished_servers_still_count() {
-    let mut roster = Roster::default();
-    let all = [
-        primary("a", 20, 0),
-        replica("b", 19, 0),
-        replica("c", 19, 0),
-        replica("d", 20, 0),
-    ];
-    roster.update(&all, at(0));
-
-    roster.update(
-        &[replica("b", 19, 5_000), replica("c", 19, 5_000)],
-        at(5_000),
-    );
-
-    assert_eq!(roster.len(), 4);
-}
-
-/// A replica leaves for good under a primary that goes on. A proxy that is cut off from the store goes
-/// on counting it for a while, so it matters until another has all that the primary had after that
-/// while; then it does not matter any more.
-#[test]
-fn vanished_server_is_forgotten_once_others_have_everything() {
-    let mut roster = Roster::default();
-    let all = [
-        primary("a", 20, 0),
-        replica("b", 19, 0),
-        replica("c", 19, 0),
-    ];
-    let listed = LIST_HOLDS.as_millis() as u64;
-    roster.update(&all, at(0));
-    roster.update(&[primary("a", 30, 900), replica("b", 29, 900)], at(1_000));
-    let vanished = roster.len();
-    let early = 1_000 + listed;
-    roster.update(
-        &[primary("a", 31, early), replica("b", 31, early)],
-        at(early + 100),
-    );
-    let counted = roster.len();
-
-    let late = early + 200;
-    roster.update(
-        &[primary("a", 32, late), replica("b", 32, late)],
-        at(late + 100),
-    );
-
-    assert_eq!((vanished, counted, roster.len()), (3, 3, 2));
-}
-
-/// The failover duty passes on after entries have lapsed: the list in the store is what counts.
-#[test]
-fn new_holder_goes_on_from_the_recorded_members() {
-    let recorded = ["a", "b", "c"].map(Incarnation::from);
-    let mut roster = Roster::new(&recorded, at(0));
-
-    roster.update(&[replica("b", 19, 100)], at(100));
-
-    assert_eq!(roster.ids(), recorded);
-}
-
 /// A caller hears that its commit is kept, as replica b has it. Then b starts again under its id, and
 /// the primary is cut off before b has received anything. b as it is now and c, which was behind,
 /// must not look like all but one of the group: neither has the commit.
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -11,6 +11,7 @@
 pub mod group;
 pub mod isolation;
 pub mod journal;
+pub mod life;
 pub mod operator;
 pub mod peers;
 pub mod reach;
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -25,7 +25,7 @@
 use crate::{
     line::{
         backend::pool::{Pool, Rank, Wish},
-        clock,
+        clock, life,
         reach::{self, Suspicion},
     },
     metrics::Metrics,
@@ -194,17 +194,6 @@
             // Only for what it notes: a server that is there may just be busy.
             self.reachable().await;
         }
-        self.same_life(status?, asked)
-    }
-
-    /// Takes the server's word only while it is the life that was asked before.
-    fn same_life(&self, status: Status, asked: Moment) -> Result<Status, Error> {
-        let mut life = self.life.get();
-        let same = life.admits(&status, asked, clock::now());
-        self.life.set(life);
-        match same {
-            true => Ok(status),
-            false => Err(Error::restarted(&self.server.incarnation)),
-        }
+        life::admit(&self.life, &self.server.incarnation, status?, asked)
     }
 }
--- a/crates/proxy/src/line/control/observe.rs
+++ b/crates/proxy/src/line/control/observe.rs
@@ -20,7 +20,7 @@
     Error,
 };
 
-use crate::line::{clock, reach};
+use crate::line::{clock, life, reach};
 
 /// How long a server may take to answer before its VM is asked for a new connection as well. A
 /// status waits behind the statements before it.
@@ -177,13 +177,7 @@
     pub async fn order(&self, order: Order, limit: Duration) -> Result<Status, Error> {
         let asked = clock::now();
         let status = self.give(order, limit).await?;
-        let mut life = self.life.get();
-        let same = life.admits(&status, asked, clock::now());
-        self.life.set(life);
-        match same {
-            true => Ok(status),
-            false => Err(Error::restarted(&self.server.incarnation)),
-        }
+        life::admit(&self.life, &self.server.incarnation, status, asked)
     }
 
     async fn give(&self, order: Order, limit: Duration) -> Result<Status, Error> {
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -3,13 +3,14 @@
 //! Everything here is asked for when a statement needs it, so a group without traffic costs
 //! nothing. The rules are those of [`freshness`]; this module asks the questions.
 
+mod flight;
 mod kept;
 mod proof;
+mod search;
 
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
-    time::Duration,
 };
 
 use dandelionpitch_engine::{
@@ -18,27 +19,17 @@
     ownership::{self, Holding, Room},
     placement,
     registry::{Entry, Incarnation, Role},
-    takeover::Status,
     time::Moment,
 };
-use futures::{stream::FuturesUnordered, StreamExt};
 use serde_json::json;
-use tokio::{sync::Notify, time::timeout};
+
+use self::flight::Flight;
 
 use crate::{
-    line::{backend::Backend, clock, journal, reach::Suspicion, records::Records},
+    line::{backend::Backend, journal, reach::Suspicion, records::Records},
     metrics::Metrics,
 };
 
-/// The least time between two searches for the primary.
-const SEARCH_GAP: Duration = Duration::from_millis(150);
-
-/// How long a search waits for the next of several answers: longer than a status may take.
-const STATUS_LIMIT: Duration = Duration::from_millis(500);
-
-/// How long a search waits for the last answer: a status behind a queue of usual length.
-const LAST_STATUS: Duration = Duration::from_millis(100);
-
 /// The server that leads, as far as this proxy knows.
 #[derive(Clone)]
 pub struct Leader {
@@ -46,26 +37,6 @@
     pub term: u64,
 }
 
-/// Work that is done once for all who wait for it, in a task of its own: a statement that gives up
-/// waiting must not take the work down with it.
-#[derive(Default)]
-struct Flight {
-    running: Cell<bool>,
-    ended: Notify,
-}
-
-impl Flight {
-    /// Whether the caller is to start the work, as nobody has.
-    fn starts(&self) -> bool {
-        !self.running.replace(true)
-    }
-
-    fn end(&self) {
-        self.running.set(false);
-        self.ended.notify_waiters();
-    }
-}
-
 /// A database group.
 pub struct Group {
     pub name: String,
@@ -305,97 +276,6 @@
         self.unconfirmed.set(None);
     }
 
-    /// Asks all servers which of them leads, at most every [`SEARCH_GAP`].
-    pub async fn find_leader(self: &Rc<Self>) {
-        self.search_ahead();
-        self.search.ended.notified().await;
-    }
-
-    fn search_ahead(self: &Rc<Self>) {
-        if !self.search.starts() {
-            return;
-        }
-        let group = self.clone();
-        tokio::task::spawn_local(async move {
-            let wait = clock::now().until(group.searched.get() + SEARCH_GAP);
-            tokio::time::sleep(wait).await;
-            let asked = clock::now();
-            let statuses = group.statuses().await;
-            group.searched.set(clock::now());
-            group.adopt(&statuses);
-            group.note_survey(asked, &statuses);
-            group.search.end();
-        });
-    }
-
-    /// The statuses of all servers that answer. The last one is not waited for long: it is the one
-    /// that the search is about, or one that is out of reach.
-    async fn statuses(&self) -> Vec<(Rc<Backend>, Status)> {
-        let servers = self.servers();
-        let all_but_one = servers.len().saturating_sub(1);
-        let ask = |backend: Rc<Backend>| async move {
-            let status = backend.status().await;
-            (backend, status)
-        };
-        let mut asked: FuturesUnordered<_> = servers.into_iter().map(ask).collect();
-        let mut found = Vec::new();
-        loop {
-            let patience = match found.len() >= all_but_one {
-                true => LAST_STATUS,
-                false => STATUS_LIMIT,
-            };
-            match timeout(patience, asked.next()).await {
-                Ok(Some((backend, Ok(status)))) => found.push((backend, status)),
-                // Its reason was noted where it was asked.
-                Ok(Some((_, Err(_)))) => {}
-                Ok(None) | Err(_) => return found,
-            }
-        }
-    }
-
-    /// Takes the known primary's own word that it does not lead.
-    ///
-    /// Failure: it has stepped down and nobody is promoted yet, so none has a higher term; it stays the
-    /// known primary, a replica that was not held renews its lease, and reads there miss what its
-    /// successor acknowledges. Guard: whoever says that it is a replica is none.
-    fn depose_deniers(&self, statuses: &[(Rc<Backend>, Status)]) {
-        for (backend, status) in statuses {
-            if status.role != Role::Primary {
-                self.depose(backend);
-            }
-        }
-    }
-
-    fn adopt(&self, statuses: &[(Rc<Backend>, Status)]) {
-        let best = statuses
-            .iter()
-            .filter(|(_, status)| status.role == Role::Primary)
-            .max_by_key(|(_, status)| status.term);
-        self.depose_deniers(statuses);
-        let known = self.leader.borrow().clone();
-        let Some((backend, status)) = best else {
-            return;
-        };
-        let newer = match &known {
-            Some(leader) => status.term > leader.term,
-            None => true,
-        };
-        if !newer {
-            return;
-        }
-        journal::write(
-            "leader",
-            json!({ "service": self.name, "server": backend.server.id(), "term": status.term,
-                "asked": statuses.len(), "before": known.map(|l| l.backend.server.incarnation.clone()) }),
-        );
-        self.revoke();
-        self.doubted.set(false);
-        *self.leader.borrow_mut() = Some(Leader {
-            backend: backend.clone(),
-            term: status.term,
-        });
-    }
-
     /// The servers that may take a read, best first. Servers that leave or did not answer come
     /// last, and those that left too long ago not at all.
     pub fn order(&self, now: Moment) -> Vec<Rc<Backend>> {
--- a/crates/proxy/src/line/group/kept.rs
+++ b/crates/proxy/src/line/group/kept.rs
@@ -18,7 +18,7 @@
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
-use super::{Flight, Group};
+use super::{flight::Landing, Group};
 
 use crate::line::{backend::Backend, clock, journal};
 
@@ -189,7 +189,7 @@
             self.testimony.ended.notified().await;
             return self.is_proved(backend, commit);
         }
-        let _flight = Landing(&self.testimony);
+        let _landing = Landing(&self.testimony);
         let Some(testimony) = self.records.testimony(&self.name).await else {
             return false;
         };
@@ -261,15 +261,6 @@
     }
 }
 
-/// Ends a flight, also when whoever waits for it gives up.
-struct Landing<'a>(&'a Flight);
-
-impl Drop for Landing<'_> {
-    fn drop(&mut self) {
-        self.0.end();
-    }
-}
-
 async fn ask_after(
     pause: Duration,
     replica: &Rc<Backend>,
--- /dev/null
+++ b/crates/proxy/src/line/life.rs
@@ -0,0 +1,24 @@
+//! Tells the lives of a server apart, for all who ask it how it stands.
+
+use std::cell::Cell;
+
+use dandelionpitch_engine::{life::Life, registry::Incarnation, takeover::Status, time::Moment};
+use dandelionpitch_platform::Error;
+
+use crate::line::clock;
+
+/// Takes the answer to a question sent at `asked`, if it may be of the life that is registered.
+pub fn admit(
+    life: &Cell<Life>,
+    server: &Incarnation,
+    status: Status,
+    asked: Moment,
+) -> Result<Status, Error> {
+    let mut known = life.get();
+    let same = known.admits(&status, asked, clock::now());
+    life.set(known);
+    match same {
+        true => Ok(status),
+        false => Err(Error::restarted(server)),
+    }
+}
