The server to be promoted says itself that it is still held, before each call

Cause: the second question was passed if enough others answered; the old primary that stepped down counts on top of the quorum, so the chosen server itself could be silent, start again empty and be promoted.

--- a/crates/engine/src/fence.rs
+++ b/crates/engine/src/fence.rs
@@ -152,11 +152,12 @@
     ///
     /// Failure: a held server starts again, has forgotten the order, and confirms commits of the old
     /// primary that the promoted server lacks; or the server to be promoted has lost its log. Guard: a
-    /// held log does not change, so whoever rests the choice says once more that it is held with the
-    /// same log. It is asked after the promotion was written down, so a commit that was confirmed on
-    /// the word that none was is in that log.
+    /// held log does not change, so those on whom the choice rests, the chosen one among them, say once
+    /// more that they are held with the same log. They are asked after the promotion was written down,
+    /// so a commit that was confirmed on the word that none was is in that log.
     pub fn recheck(&self, answers: &[(Incarnation, Again)]) -> Result<(), Objection> {
         let mut again = 0;
+        let mut chosen = false;
         for (id, answer) in answers {
             let held = self.held.iter().find(|one| one.id == *id);
             let stepped_down = self.stepped_down.as_ref().filter(|one| one.id == *id);
@@ -173,9 +174,10 @@
                 return Err(Objection::Changed(id.clone()));
             }
             again += 1;
+            chosen |= self.choice().is_some_and(|choice| choice.id == *id);
         }
         let needed = self.needed();
-        match again >= needed {
+        match chosen && again >= needed {
             true => Ok(()),
             false => Err(Objection::Unheard {
                 again,
--- a/crates/proxy/src/line/control/attempt.rs
+++ b/crates/proxy/src/line/control/attempt.rs
@@ -134,7 +134,7 @@
         let token = duty.ok_or(Stopped::NoDuty)?;
         let revision = self.record(token, &chosen.id.id).await?;
         let called = match self.recheck(fence).await {
-            Ok(()) => self.promote(token, &chosen.id).await,
+            Ok(()) => self.promote(token, &chosen.id, fence).await,
             Err(stopped) => Err(stopped),
         };
         if let Err(stopped) = called {
@@ -326,10 +326,22 @@
         }
     }
 
-    async fn promote(&self, token: u64, server: &Incarnation) -> Result<(), Stopped> {
+    /// Calls for the promotion, again while the answer is lost.
+    ///
+    /// Failure: the answer to a call is lost, the server to be promoted starts again with an empty log,
+    /// and the repeated call promotes it. Guard: a call is repeated only if the choice still stands.
+    async fn promote(
+        &self,
+        token: u64,
+        server: &Incarnation,
+        fence: &Fence,
+    ) -> Result<(), Stopped> {
         let control = &self.control;
         let mut last = None;
         for _ in 0..CALLS {
+            if last.is_some() && self.recheck(fence).await.is_err() {
+                break;
+            }
             if control.duty.borrow().token(clock::now()) != Some(token) {
                 return Err(last.unwrap_or(Stopped::NoDuty));
             }
