--- a/crates/engine/tests/interleavings/main.rs
+++ b/crates/engine/tests/interleavings/main.rs
@@ -62,6 +62,7 @@
     cluster
 }
 
+/// How many cases are wished for by `DP_MODEL_CASES`, for a longer search. They begin with those of every run.
 fn cases() -> u32 {
     let wished = std::env::var("DP_MODEL_CASES").ok();
     wished.and_then(|cases| cases.parse().ok()).unwrap_or(CASES)
