--- a/crates/engine/tests/interleavings/attempt.rs
+++ b/crates/engine/tests/interleavings/attempt.rs
@@ -3,16 +3,18 @@
 
 mod promotion;
 
+use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
-    fence::{self, Again, Fence, Fenced},
+    fence::{self, Again, Fence, Fenced, Heard},
     freshness::PROMOTION_WAIT,
+    life::Life,
     registry::Incarnation,
     roster::Roster,
-    takeover::{Member, Sight},
+    takeover::{Member, Sight, Status},
 };
 
 use super::{
-    cluster::{steps, Cluster},
+    cluster::{moment, steps, Cluster},
     follower::{index, Follower, Noted},
     mail::{Answer, Asker, Said},
     scenario::STEP,
@@ -33,6 +35,19 @@
     pub follower: &'a mut Follower,
     /// The duty's token, while it is held.
     pub token: Option<u64>,
+    /// What the watched lives said last.
+    pub lives: &'a mut Map<Incarnation, Life>,
+}
+
+/// Whether an answer may be that of the life that was heard before; notes it if so.
+pub fn same_life(
+    lives: &mut Map<Incarnation, Life>,
+    id: &Incarnation,
+    status: &Status,
+    (asked, now): (u64, u64),
+) -> bool {
+    let life = lives.entry(id.clone()).or_default();
+    life.admits(status, moment(asked), moment(now))
 }
 
 impl Desk<'_> {
@@ -65,19 +80,17 @@
     },
     Rechecking {
         round: usize,
-        /// How many calls are left if some were made before, and when they were sent.
-        repeats: Option<usize>,
+        /// How many calls are left, all of them before the first.
+        left: usize,
         asked: Vec<(u64, usize)>,
         answers: Vec<(Incarnation, Again)>,
         until: u64,
     },
+    /// A call was sent; its answer comes at `answered`, or is given up at `until`.
     Calling {
         left: usize,
-        next: u64,
+        until: u64,
         answered: Option<u64>,
-        sent: bool,
-        /// Whether the members were asked since the last call.
-        checked: bool,
     },
     Withdrawing {
         tag: u64,
@@ -167,7 +180,11 @@
                     Said::Busy => pending[at].again = Some(now + 1),
                     Said::Status(status) => {
                         let member = &self.members[pending.remove(at).member];
-                        let heard = self.fence.note(member, &status);
+                        let heard =
+                            match same_life(desk.lives, &member.id, &status, (answer.asked, now)) {
+                                true => self.fence.note(member, &status),
+                                false => Heard::Restarted,
+                            };
                         desk.cluster
                             .note(|| format!("{} ordered: {heard:?}", member.id));
                     }
@@ -198,7 +215,7 @@
                 self.revision = revision;
                 let record = self.next_record(self.chosen.as_ref().map(|c| c.id.id.clone()));
                 desk.follower.note(revision, record, desk.cluster.now);
-                self.recheck(desk, 0, None);
+                self.recheck(desk, 0, promotion::CALLS);
             }
             Stage::Withdrawing { tag, .. } if tag == to.tag => {
                 if let Some(revision) = revision {
@@ -246,7 +263,7 @@
             Stage::Rechecking { asked, until, .. } if now >= *until || asked.is_empty() => {
                 return self.rechecked(desk)
             }
-            Stage::Calling { .. } => return self.call(desk),
+            Stage::Calling { .. } => return self.calling(desk),
             _ => {}
         }
         None
--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -36,8 +36,8 @@
     pub lead: (usize, u64),
     /// The log with which that server began to lead.
     led: Vec<Entry>,
-    /// How many calls for the promotion of each server have yet to take effect.
-    called: Vec<u32>,
+    /// How many calls for each server have yet to take effect.
+    called: Vec<usize>,
     emptied: bool,
     serials: usize,
     acked: Vec<Entry>,
