One attempt at a time, also across terms of duty

Cause: a holder that is cut off from the store in the middle of an attempt loses the duty and gets it back; what is kept of the group is built anew and knows nothing of the attempt, so a second one starts, and the end of the first lets a third start beside it. Two servers are promoted within a second, and what the first acknowledged is lost. Found by the model (case 11,200) once several servers could be busy together. Which group has an attempt under way now outlasts the term of duty.

--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -119,7 +119,7 @@
 
     fn busy(&self, server: usize) -> bool {
         self.troubles()
-            .any(|t| matches!(t.fault, Fault::Busy { server: s } if s == server))
+            .any(|t| matches!(t.fault, Fault::Busy { inside } if inside >> server & 1 == 1))
     }
 
     pub fn post(&mut self, delay: u64, mail: Mail) {
--- a/crates/engine/tests/interleavings/cluster/servers.rs
+++ b/crates/engine/tests/interleavings/cluster/servers.rs
@@ -41,11 +41,11 @@
         let begin = self.scenario.troubles.iter_mut().filter(|t| t.from == now);
         for trouble in begin {
             match &mut trouble.fault {
-                Fault::Busy { server } | Fault::Crash { server, .. } | Fault::Leave { server } => {
+                Fault::Crash { server, .. } | Fault::Leave { server } => {
                     *server = turned(*server);
                 }
                 Fault::Link { one, other } => (*one, *other) = (turned(*one), turned(*other)),
-                Fault::Part { inside } => {
+                Fault::Part { inside } | Fault::Busy { inside } => {
                     let nodes = (0..NODES).filter(|node| *inside >> node & 1 == 1);
                     *inside = nodes.map(|node| 1 << turned(node)).sum();
                 }
--- a/crates/engine/tests/interleavings/promoter.rs
+++ b/crates/engine/tests/interleavings/promoter.rs
@@ -183,9 +183,10 @@
             return;
         }
         let recorded = self.follower.recorded.clone();
+        let trying = !self.attempts.is_empty();
         let watched = self
             .watched
-            .get_or_insert_with(|| Watched::new(recorded, now));
+            .get_or_insert_with(|| Watched::new(recorded, trying, now));
         let members = watched.members(&entries, now);
         watched.follow_record(&self.follower, now);
         watched.roster.update(&members, moment(now));
--- a/crates/engine/tests/interleavings/promoter/watched.rs
+++ b/crates/engine/tests/interleavings/promoter/watched.rs
@@ -77,7 +77,7 @@
 }
 
 impl Watched {
-    pub fn new(recorded: Option<Noted>, now: u64) -> Self {
+    pub fn new(recorded: Option<Noted>, trying: bool, now: u64) -> Self {
         let members = recorded.as_ref().map(|noted| &noted.record.members[..]);
         let promoted = recorded
             .as_ref()
@@ -88,7 +88,7 @@
             not_before: promoted.map_or(now, |noted| noted.promoted + steps(TURN_GAP)),
             recorded,
             writing: None,
-            trying: false,
+            trying,
             watchers: BTreeMap::new(),
         }
     }
--- a/crates/engine/tests/interleavings/scenario.rs
+++ b/crates/engine/tests/interleavings/scenario.rs
@@ -34,8 +34,8 @@
     Part { inside: u16 },
     /// Two nodes don't reach each other.
     Link { one: Node, other: Node },
-    /// A server has no time for questions.
-    Busy { server: usize },
+    /// The servers of a bit mask have no time for questions.
+    Busy { inside: u16 },
     /// A server is down; `empty` if it comes back without its log.
     Crash { server: usize, empty: bool },
     /// A promoter does nothing, and what comes for it waits.
@@ -76,7 +76,8 @@
         4 => (1_u16..1 << NODES).prop_map(|inside| Fault::Part { inside }),
         4 => (server(), 0..NODES).prop_map(|(one, other)| Fault::Link { one, other }),
         2 => (SERVERS..STORE).prop_map(|one| Fault::Link { one, other: STORE }),
-        3 => server().prop_map(|server| Fault::Busy { server }),
+        2 => server().prop_map(|server| Fault::Busy { inside: 1 << server }),
+        3 => (1_u16..1 << SERVERS).prop_map(|inside| Fault::Busy { inside }),
         4 => (server(), prop::bool::weighted(0.5))
             .prop_map(|(server, empty)| Fault::Crash { server, empty }),
         1 => (0..PROMOTERS).prop_map(|promoter| Fault::Freeze { promoter }),
--- a/crates/proxy/src/line/control/failover.rs
+++ b/crates/proxy/src/line/control/failover.rs
@@ -53,6 +53,12 @@
 struct Failover {
     watchers: RefCell<Watchers>,
     groups: RefCell<Map<String, Watched>>,
+    /// The groups with an attempt under way, also one of an earlier term of duty.
+    ///
+    /// Failure: the holder loses the duty in the middle of an attempt and gets it back, a second attempt
+    /// begins, and the end of the first lets a third begin beside it: two servers are promoted in one
+    /// second, and what the first acknowledged is lost. Guard: this outlasts the term of duty.
+    under_way: RefCell<Set<String>>,
 }
 
 /// Judges all groups again and again while the duty is held.
@@ -119,9 +125,10 @@
             })
             .collect();
         let mut groups = self.groups.borrow_mut();
-        let watched = groups
-            .entry(service.to_owned())
-            .or_insert_with(|| Watched::new(control, service, now));
+        let watched = groups.entry(service.to_owned()).or_insert_with(|| Watched {
+            trying: self.under_way.borrow().contains(service),
+            ..Watched::new(control, service, now)
+        });
         watched.follow_record(control, service, now);
         watched.roster.update(&members, now);
         self.keep_roster(control, service, watched);
@@ -144,6 +151,7 @@
             return;
         }
         watched.trying = true;
+        self.under_way.borrow_mut().insert(service.to_owned());
         control.attempts.set(control.attempts.get() + 1);
         let attempt = Attempt {
             control: control.clone(),
@@ -163,6 +171,7 @@
             let ended = attempt.run().await;
             let attempts = &attempt.control.attempts;
             attempts.set(attempts.get() - 1);
+            failover.under_way.borrow_mut().remove(&attempt.service);
             let mut groups = failover.groups.borrow_mut();
             if let Some(watched) = groups.get_mut(&attempt.service) {
                 watched.ended(&ended, clock::now());
