A server taken out of a group's list still counts for its commits

Cause: PostgreSQL's side took its quorum from the newest bundle's list alone, so two servers looked like the whole group and the one promoted lacked an acknowledged order. Ruled out: counting by the bundle before the newest only (a proxy that starts later knows one bundle). The first record of a group is written at once: a proxy that starts learns of the list by it.

--- a/crates/core/src/bundle.rs
+++ b/crates/core/src/bundle.rs
@@ -42,25 +42,6 @@
     pub sync_replicas: usize,
 }
 
-impl Group {
-    /// How many servers must hold a new term before a primary of that term may be promoted.
-    ///
-    /// An acknowledged commit is on the primary and on `sync_replicas` others. Any set of
-    /// this many servers shares a member with that set, so the most advanced of them has the
-    /// commit; and those left over are too few for the old primary to have another one
-    /// acknowledged. `None` when nothing can be promised (`docs/DESIGN.md`, "Failover").
-    pub fn quorum(&self) -> Option<usize> {
-        match self.sync_replicas {
-            0 => None,
-            sync => self
-                .servers
-                .len()
-                .checked_sub(sync)
-                .filter(|quorum| *quorum > 0),
-        }
-    }
-}
-
 /// What one caller (a PostgreSQL user name) may do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Caller {
--- a/crates/core/src/primary.rs
+++ b/crates/core/src/primary.rs
@@ -19,6 +19,9 @@
     pub server: Option<SocketAddr>,
     /// The proxy that claimed the term.
     pub claimant: String,
+    /// The servers that may hold an acknowledged commit that no other has, listed in the bundle in
+    /// force or not; empty in a record of a proxy that kept no such list.
+    pub members: Vec<SocketAddr>,
 }
 
 /// The JSON shape of a record.
@@ -28,6 +31,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub server: Option<SocketAddr>,
     pub claimant: String,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<SocketAddr>,
 }
 
 impl Record {
@@ -50,6 +55,7 @@
             term: wire.term,
             server: wire.server,
             claimant: wire.claimant,
+            members: wire.members,
         }
     }
 }
@@ -60,6 +66,7 @@
             term: record.term,
             server: record.server,
             claimant: record.claimant.clone(),
+            members: record.members.clone(),
         }
     }
 }
--- a/crates/e2e/tests/terms.rs
+++ b/crates/e2e/tests/terms.rs
@@ -20,10 +20,12 @@
     let kv = kv::Client::new(site.kv_url());
     let key = keys::primary("ledger");
     let now = kv.get(&key).await.expect("the KV").expect("a record");
+    let recorded = Record::parse(&now.value).expect("a record");
     let claim = Record {
-        term: Record::parse(&now.value).expect("a record").term + 1,
+        term: recorded.term + 1,
         server: None,
         claimant: "proxy-paused".to_owned(),
+        members: recorded.members,
     };
     let swap = kv.swap(&key, &claim.to_value(), now.mod_revision).await;
     assert!(matches!(swap, Ok(Swap::Done { .. })));
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -7,6 +7,7 @@
 //! a task of its own on that thread and reports back by [`Message`].
 
 pub mod backoff;
+pub mod counted;
 pub mod duty;
 pub mod failover;
 mod follow;
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -24,6 +24,7 @@
 
 use super::{
     backoff::{self, Backoff},
+    counted::Counted,
     verdict::{self, Limits, Verdict},
     Leader,
 };
@@ -76,6 +77,8 @@
     task: Task,
     group: String,
     servers: Vec<SocketAddr>,
+    /// The servers that count, listed or not; the record keeps them for the next claimant.
+    members: Vec<SocketAddr>,
     quorum: usize,
     /// The highest term seen in the record or on a server.
     top_term: u64,
@@ -97,6 +100,7 @@
     backoff: Backoff,
     /// No attempt is made before this.
     not_before: Instant,
+    counted: Counted,
 }
 
 /// The memory of the failover role.
@@ -126,7 +130,10 @@
         led_by: Option<Leader>,
         now: Instant,
     ) -> Option<Attempt> {
-        let quorum = group.quorum()?;
+        let memory = self.remember(&group.name, now);
+        memory.counted.update(view, now);
+        let quorum = memory.counted.quorum(group.sync_replicas)?;
+        let outdated = memory.counted.outdates(view);
         let after = self.config.failover.after;
         let limits = Limits {
             quorum,
@@ -134,6 +141,10 @@
             grace: after + 2 * self.config.backend.status_every,
         };
         let verdict = verdict::judge(view, led_by.map(|leader| leader.since), limits, now);
+        let verdict = match (verdict, outdated) {
+            (Verdict::Led, Some((term, server))) => Verdict::Unrecorded { term, server },
+            _ => verdict,
+        };
         let first = view.held.is_none();
         let wait = self.wait(&group.name, verdict, first);
         let memory = self.remember(&group.name, now);
@@ -152,7 +163,8 @@
             Verdict::Outranked => Task::Replace { suspect: None },
             Verdict::Unrecorded { term, server } => Task::Record { term, server },
         };
-        Some(self.attempt(task, group, view, quorum, now))
+        let members = memory.counted.addresses();
+        Some(self.attempt(task, group, view, members, quorum, now))
     }
 
     /// Notes how an attempt on `group` ended, which says when the next one may be made.
@@ -174,17 +186,21 @@
                 since: now,
                 backoff: Backoff::new(RETRY.0, RETRY.1, salt),
                 not_before: now,
+                counted: Counted::new(now),
             })
     }
 
     /// How long a verdict must hold before this proxy acts on it; the share of the spread is
-    /// its own and the same each time. The `first` record of a group is nobody's to wait for.
+    /// its own and the same each time.
+    ///
+    /// The `first` record of a group is written at once: until it is there, a proxy that starts
+    /// cannot know of a server that was taken out of the list.
     fn wait(&self, group: &str, verdict: Verdict, first: bool) -> Duration {
         let share = backoff::share(&(&self.config.id, group));
         let spread = self.config.failover.spread.mul_f64(share);
         match verdict {
             Verdict::Led | Verdict::Unsure | Verdict::Failed | Verdict::Leaving => spread,
-            Verdict::Unrecorded { .. } if first => spread,
+            Verdict::Unrecorded { .. } if first => Duration::ZERO,
             Verdict::Outranked | Verdict::Unrecorded { .. } => {
                 self.config.failover.claim_limit + spread
             }
@@ -196,6 +212,7 @@
         task: Task,
         group: &bundle::Group,
         view: &view::Group,
+        members: Vec<SocketAddr>,
         quorum: usize,
         now: Instant,
     ) -> Attempt {
@@ -205,6 +222,7 @@
             task,
             group: group.name.clone(),
             servers: group.servers.clone(),
+            members,
             quorum,
             top_term: on_servers.max(in_record).unwrap_or_default(),
             revision: view.held.as_ref().map_or(0, |held| held.revision),
@@ -265,6 +283,7 @@
             term,
             server,
             claimant: self.config.id.clone(),
+            members: self.members.clone(),
         }
     }
 
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -64,6 +64,7 @@
             term,
             server: server.map(|index| ([127, 0, 0, 1], 5000 + index).into()),
             claimant: "proxy-1".to_owned(),
+            members: Vec::new(),
         },
         revision: 7,
         seen_at: Instant::now() - seen,
