Changes of the store reach proxies from a few feeders

Change: two proxies of each data centre, the strongest VMs, watch the store; the others ask them over the peers' port for what changed after their revision (engine::mirror, engine::feed, platform::feed), then feeders of other data centres, the store last. Entries live 6 s and are renewed every 1.9 s.

--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -13,7 +13,19 @@
 pub fn salt(key: &impl Hash) -> u64 {
     let mut hasher = rustc_hash::FxHasher::default();
     key.hash(&mut hasher);
-    hasher.finish()
+    mix(hasher.finish())
+}
+
+/// The last step of MurmurHash3: each bit of `hash` changes about half of the result's.
+///
+/// Failure: keys that differ in their last characters only, as names of VMs do, hash to numbers in the
+/// same order whatever stands before them, and every proxy prefers the same one.
+fn mix(mut hash: u64) -> u64 {
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
 }
 
 /// A number from zero up to one, the same each time for the same key.
--- a/crates/engine/src/duty.rs
+++ b/crates/engine/src/duty.rs
@@ -25,16 +25,28 @@
 /// see that it is free and to claim it.
 const YIELD: Duration = Duration::from_millis(400);
 
-/// How long after it saw the duty free a process of this `age` claims it at the earliest.
+/// How long a process that hears of the store from others leaves a free duty to those that watch it.
+///
+/// Load pattern: the duty falls free and hundreds of processes claim it before they can have heard that one
+/// of them has it, with two calls each. The few that watch the store come first; the others only if
+/// none of those could.
+const LEAVE_TO_FEEDERS: Duration = Duration::from_millis(1_500);
+
+/// How long after it saw the duty free a process of this `age` claims it at the earliest; `feeds` says
+/// whether it watches the store itself.
 ///
 /// Failure: proxies are stopped and started in turn, and one that has just started takes the duty over
 /// from a holder that was cut off. It cannot know when a group's last promotion was, so it waits for
 /// [`TURN_GAP`] from its start; a group whose primary was cut off with the holder had none for 6 s
 /// instead of 2.5. Guard: a process that is older than that goes first, if there is one.
-pub fn claim_after(age: Duration) -> Duration {
-    match age < TURN_GAP {
+pub fn claim_after(age: Duration, feeds: bool) -> Duration {
+    let yielded = match age < TURN_GAP {
         true => YIELD,
         false => Duration::ZERO,
+    };
+    match feeds {
+        true => yielded,
+        false => yielded + LEAVE_TO_FEEDERS,
     }
 }
 
--- /dev/null
+++ b/crates/engine/src/mirror.rs
@@ -0,0 +1,152 @@
+//! A copy of what the store holds, kept so that it can be handed on to other proxies.
+//!
+//! Load pattern: each change of the store wakes every proxy that watches it, so calls grow with proxies
+//! times changes. A proxy that has a mirror tells others what changed after the revision that they
+//! have reached, as the store itself would (`docs/DESIGN.md`, "News of the store").
+
+use std::collections::{BTreeSet, VecDeque};
+
+use dandelionpitch_core::hash::Map;
+
+/// How many removals are remembered; whoever has missed more is told everything anew.
+const MOST_REMOVED: usize = 2_000;
+
+/// A key as it now is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change<V> {
+    pub key: String,
+    /// The store's revision at which it became so.
+    pub revision: u64,
+    /// `None` when it was removed.
+    pub value: Option<V>,
+}
+
+/// What somebody who has reached an earlier revision is to be told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News<V> {
+    /// The revision reached with it.
+    pub revision: u64,
+    /// Whether these are all keys there are, and others are gone.
+    pub whole: bool,
+    pub changes: Vec<Change<V>>,
+}
+
+/// The store's content at one revision.
+#[derive(Clone, Debug)]
+pub struct Mirror<V> {
+    values: Map<String, (u64, V)>,
+    /// The keys by the revision of their last change.
+    order: BTreeSet<(u64, String)>,
+    removed: VecDeque<(u64, String)>,
+    /// Removals up to this revision are not remembered.
+    horizon: u64,
+    revision: u64,
+}
+
+impl<V> Default for Mirror<V> {
+    fn default() -> Self {
+        Self {
+            values: Map::default(),
+            order: BTreeSet::new(),
+            removed: VecDeque::new(),
+            horizon: 0,
+            revision: 0,
+        }
+    }
+}
+
+impl<V: Clone> Mirror<V> {
+    /// The revision up to which the mirror has everything; 0 before it has anything.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes news that follow the mirror's revision, and returns whether they did.
+    ///
+    /// Failure: a proxy turns from one source to another that is behind the first, and a
+    /// configuration is replaced by an earlier one. Guard: older news are left out.
+    pub fn take(&mut self, news: &News<V>) -> bool {
+        if news.revision < self.revision {
+            return false;
+        }
+        if news.whole {
+            self.drop_missing(news);
+        }
+        for change in &news.changes {
+            match &change.value {
+                Some(value) => self.put(&change.key, change.revision, value.clone()),
+                None => self.remove(&change.key, change.revision),
+            }
+        }
+        self.revision = news.revision;
+        true
+    }
+
+    /// What somebody at revision `after` has missed.
+    pub fn after(&self, after: u64) -> News<V> {
+        let whole = after < self.horizon;
+        let from = match whole {
+            true => 0,
+            false => after + 1,
+        };
+        let written = self.order.range((from, String::new())..);
+        let written = written.filter_map(|(revision, key)| {
+            let (_, value) = self.values.get(key)?;
+            Some(Change {
+                key: key.clone(),
+                revision: *revision,
+                value: Some(value.clone()),
+            })
+        });
+        let removed = self.removed.iter();
+        let removed = removed.filter(|(revision, _)| !whole && *revision > after);
+        let removed = removed.map(|(revision, key)| Change {
+            key: key.clone(),
+            revision: *revision,
+            value: None,
+        });
+        let mut changes: Vec<_> = written.chain(removed).collect();
+        changes.sort_by_key(|change| change.revision);
+        News {
+            revision: self.revision,
+            whole,
+            changes,
+        }
+    }
+
+    /// Removes the keys that complete news do not name. When they went is not known, so they count as
+    /// removed with the last of it.
+    fn drop_missing(&mut self, news: &News<V>) {
+        if self.revision == 0 {
+            self.horizon = news.revision;
+        }
+        let named: BTreeSet<&str> = news.changes.iter().map(|c| c.key.as_str()).collect();
+        let gone = self
+            .values
+            .keys()
+            .filter(|key| !named.contains(key.as_str()));
+        let gone: Vec<String> = gone.cloned().collect();
+        for key in gone {
+            self.remove(&key, news.revision);
+        }
+    }
+
+    fn put(&mut self, key: &str, revision: u64, value: V) {
+        if let Some((old, _)) = self.values.insert(key.to_owned(), (revision, value)) {
+            self.order.remove(&(old, key.to_owned()));
+        }
+        self.order.insert((revision, key.to_owned()));
+    }
+
+    fn remove(&mut self, key: &str, revision: u64) {
+        if let Some((old, _)) = self.values.remove(key) {
+            self.order.remove(&(old, key.to_owned()));
+        }
+        self.removed.push_back((revision, key.to_owned()));
+        if self.removed.len() > MOST_REMOVED {
+            if let Some((forgotten, _)) = self.removed.pop_front() {
+                self.horizon = self.horizon.max(forgotten);
+            }
+        }
+    }
+}
--- a/crates/engine/tests/control.rs
+++ b/crates/engine/tests/control.rs
@@ -183,8 +183,8 @@
 fn process_that_has_just_started_claims_last() {
     let (young, old) = (Duration::from_millis(430), TURN_GAP);
 
-    assert!(claim_after(young) > claim_after(old) + Duration::from_millis(250));
-    assert_eq!(claim_after(old), Duration::ZERO);
+    assert!(claim_after(young, true) > claim_after(old, true) + Duration::from_millis(250));
+    assert_eq!(claim_after(old, true), Duration::ZERO);
 }
 
 /// A data centre is cut off: its proxies send new callers away once they are sure, resting ones
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -12,6 +12,7 @@
 pub mod isolation;
 pub mod journal;
 pub mod life;
+pub mod mirror;
 pub mod operator;
 pub mod peers;
 pub mod reach;
@@ -73,7 +74,13 @@
         stopping: stop.token(),
         metrics: metrics.clone(),
     };
-    let operator = thread::spawn(&config, &line, peer, publish, desk, endpoint)?;
+    let copy = mirror::Copy::default();
+    let links = thread::Links {
+        publish,
+        desk,
+        copy: copy.clone(),
+    };
+    let operator = thread::spawn(&config, &line, peer, links, endpoint)?;
     let operator = operator
         .await
         .map_err(|_| Error::Listen(std::io::Error::other("operator endpoint did not start")))?;
@@ -92,6 +99,7 @@
         isolated,
         suspicion: suspicion.clone(),
         records,
+        copy,
         open: Rc::default(),
     });
     let looking = isolation::run(shared.clone(), suspicion, isolation);
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -5,6 +5,7 @@
 pub mod duty;
 pub mod entry;
 pub mod failover;
+pub mod feeder;
 pub mod follow;
 pub mod member;
 pub mod observe;
--- a/crates/proxy/src/line/control/duty.rs
+++ b/crates/proxy/src/line/control/duty.rs
@@ -91,7 +91,8 @@
         None if control.duty.borrow().is_vacant() && !control.stopping.is_cancelled() => {
             let share = backoff::share(&(&control.name, clock::now().millis()));
             let age = clock::now().since(control.started);
-            tokio::time::sleep(SPREAD.mul_f64(share) + claim_after(age)).await;
+            let feeds = control.place.borrow().feeds;
+            tokio::time::sleep(SPREAD.mul_f64(share) + claim_after(age, feeds)).await;
             *lease = claim(control).await?;
             Ok(())
         }
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -1,14 +1,29 @@
-//! Follows the store: one list at the start, then one watch over everything, which the store counts
-//! as one call for as long as it waits.
+//! Follows the store: one list at the start, then what changed, from the store itself or from another
+//! proxy that follows it. Whom to ask is decided by [`engine::feed`].
+//!
+//! [`engine::feed`]: dandelionpitch_engine::feed
 
 use std::{rc::Rc, time::Duration};
 
-use dandelionpitch_engine::time::Moment;
-use dandelionpitch_platform::{store::Watched, Error};
+use dandelionpitch_engine::{
+    feed::{self, Failures, Source},
+    mirror::{Change, News},
+    time::Moment,
+};
+use dandelionpitch_platform::{
+    feed::{Question, Value},
+    store::{Event, Watched},
+    Error,
+};
+use serde_json::json;
 
 use crate::{
     control::backoff::{self, Backoff},
-    line::{clock, control::state::Control, journal, records},
+    line::{
+        clock,
+        control::{feeder::Feeder, state::Control},
+        journal, records,
+    },
 };
 
 /// The part of the time within which a configuration has to be in force that a watch waits. One that
@@ -17,9 +32,9 @@
 
 /// The least time between two watches that bring changes, but for the first after a quiet time.
 ///
-/// Load pattern: 75 proxies start within 0.3 s or are restarted in turn, each writes its entry, and each
-/// entry wakes all others: a call for each pair of proxies. Changes that come together are taken
-/// together; none needs to be known sooner. Calls of 75 proxies in a calm day of 52 s: 5,975 before.
+/// Load pattern: all proxies start at once or are restarted in turn, each writes its entry, and each
+/// entry wakes all who watch. Changes that come together are taken together; none needs to be known
+/// sooner.
 const GATHER: Duration = Duration::from_millis(500);
 
 /// The shortest wait, while an entry is missing and is about to be dropped.
@@ -34,72 +49,181 @@
 
 /// Follows the store until the process ends.
 pub async fn run(control: Rc<Control>) {
-    let mut backoff = Backoff::new(RETRY.0, RETRY.1, backoff::salt(&control.id));
-    let mut next = None;
-    let mut changed_at = Moment::default();
+    let mut follower = Follower::new(control);
     loop {
-        match step(&control, next).await {
-            Ok(step) => {
-                backoff.reset();
-                next = step.next;
-                if !control.store_answers.replace(true) {
-                    journal::dependency("store", "answers", "");
-                    control.registry.borrow_mut().forgive(clock::now());
-                }
-                control.expire();
-                let now = clock::now();
-                control.registry.borrow_mut().known_until(now);
-                records::note_followed(&control.followed, now);
-                if step.changed {
-                    tokio::time::sleep(now.until(changed_at + GATHER)).await;
-                    changed_at = clock::now();
-                }
-            }
-            Err(error) => {
-                control.metrics.store_error();
-                if control.store_answers.replace(false) {
-                    journal::dependency("store", "lost", &error.to_string());
-                }
-                if let Err(error) = control.store.borrow_mut().reconnect() {
-                    journal::trouble("store client", &error.to_string());
-                }
-                tokio::time::sleep(backoff.pause()).await;
-            }
+        let source = follower.choose();
+        match follower.step(&source).await {
+            Ok(changed) => follower.heard(&source, changed).await,
+            Err(error) => follower.missed(&source, &error).await,
         }
     }
 }
 
-/// What one call came to.
-#[derive(Default)]
-struct Step {
-    /// The revision to go on from; `None` when everything has to be read again.
-    next: Option<u64>,
-    changed: bool,
+struct Follower {
+    control: Rc<Control>,
+    backoff: Backoff,
+    failures: Failures,
+    /// The source that answered last.
+    source: Option<Source>,
+    feeder: Option<Feeder>,
+    /// Whether everything has to be read again.
+    anew: bool,
+    changed_at: Moment,
 }
 
-/// One call.
-async fn step(control: &Control, next: Option<u64>) -> Result<Step, Error> {
-    let store = control.store();
-    let Some(after) = next else {
-        let (items, revision) = store.list(EVERYTHING).await?;
-        control.replace(&items);
-        return Ok(Step {
-            next: Some(revision),
-            changed: true,
-        });
-    };
-    let mut wait = control.config_within.mul_f64(WAIT_PART);
-    if let Some(expiry) = control.registry.borrow().next_expiry() {
-        wait = wait.min(clock::now().until(expiry).max(SHORTEST_WAIT));
+impl Follower {
+    fn new(control: Rc<Control>) -> Self {
+        let salt = backoff::salt(&control.id);
+        Self {
+            control,
+            backoff: Backoff::new(RETRY.0, RETRY.1, salt),
+            failures: Failures::default(),
+            source: None,
+            feeder: None,
+            anew: true,
+            changed_at: Moment::default(),
+        }
+    }
+
+    /// A process that has just started asks the store itself: it must know the newest configuration.
+    fn choose(&self) -> Source {
+        match self.control.copy.revision() {
+            0 => Source::Store,
+            _ => self
+                .failures
+                .choose(&self.control.place.borrow(), clock::now()),
+        }
+    }
+
+    /// Asks once; whether anything has changed.
+    async fn step(&mut self, source: &Source) -> Result<bool, Error> {
+        match source {
+            Source::Store if self.anew => self.list().await,
+            Source::Store => self.watch().await,
+            Source::Peer(id) => self.ask(id).await,
+        }
+    }
+
+    async fn list(&mut self) -> Result<bool, Error> {
+        let asked = clock::now();
+        let (items, revision) = self.control.store().list(EVERYTHING).await?;
+        let news = News {
+            revision,
+            whole: true,
+            changes: items.iter().map(Change::from).collect(),
+        };
+        self.take(&news, asked);
+        self.anew = false;
+        Ok(true)
+    }
+
+    async fn watch(&mut self) -> Result<bool, Error> {
+        let asked = clock::now();
+        let (after, wait) = (self.control.copy.revision(), self.wait());
+        let watched = self.control.store().watch(EVERYTHING, after, wait).await?;
+        let Watched::Changes { events, next } = watched else {
+            self.anew = true;
+            return Ok(true);
+        };
+        let news = News {
+            revision: next,
+            whole: false,
+            changes: events.iter().map(Change::from).collect(),
+        };
+        Ok(self.take(&news, asked))
+    }
+
+    async fn ask(&mut self, id: &str) -> Result<bool, Error> {
+        let known = self.feeder.take().filter(|feeder| feeder.id() == id);
+        let (mut feeder, wait) = match known {
+            Some(feeder) => (feeder, self.wait()),
+            // The first answer of a new source comes at once, so that one that hangs costs little.
+            None => (Feeder::new(&self.control, id)?, Duration::ZERO),
+        };
+        let after = self.control.copy.revision();
+        let asked = clock::now();
+        let answer = feeder.ask(Question { after, wait }).await?;
+        self.feeder = Some(feeder);
+        let known = feed::known_until(asked, answer.waited, answer.age);
+        let changed = self.take(&answer.news, known);
+        // Whatever the store has forgotten, the other proxy has told.
+        self.anew = false;
+        Ok(changed)
     }
-    match store.watch(EVERYTHING, after, wait).await? {
-        Watched::Changes { events, next } => {
-            control.apply(&events);
-            Ok(Step {
-                next: Some(next),
-                changed: !events.is_empty(),
-            })
+
+    /// Takes news that are complete up to `known`; whether anything has changed.
+    fn take(&self, news: &News<Value>, known: Moment) -> bool {
+        let control = &self.control;
+        if !control.copy.update(known, |mirror| mirror.take(news)) {
+            return false;
+        }
+        let events: Vec<Event> = news.changes.iter().map(Event::from).collect();
+        match news.whole {
+            true => control.replace(&events),
+            false => control.apply(&events),
+        }
+        !events.is_empty()
+    }
+
+    /// How long a question waits for changes.
+    fn wait(&self) -> Duration {
+        let wait = self
+            .control
+            .config_within
+            .mul_f64(WAIT_PART)
+            .min(feed::WAIT);
+        match self.control.registry.borrow().next_expiry() {
+            Some(expiry) => wait.min(clock::now().until(expiry).max(SHORTEST_WAIT)),
+            None => wait,
+        }
+    }
+
+    async fn heard(&mut self, source: &Source, changed: bool) {
+        let control = &self.control;
+        self.backoff.reset();
+        self.failures.forget(source);
+        if !control.followed_lately.replace(true) {
+            journal::dependency("store", "followed", "");
+            control.registry.borrow_mut().forgive(clock::now());
+        }
+        let known = control.copy.known_until();
+        control.expire(known);
+        control.registry.borrow_mut().known_until(known);
+        records::note_followed(&control.followed, known);
+        if self.source.as_ref() != Some(source) {
+            journal::write("source", json!({ "of_changes": format!("{source:?}") }));
+            self.source = Some(source.clone());
+        }
+        // Feeders gather for those who hear from them.
+        if changed && *source == Source::Store {
+            tokio::time::sleep(clock::now().until(self.changed_at + GATHER)).await;
+            self.changed_at = clock::now();
+        }
+    }
+
+    async fn missed(&mut self, source: &Source, error: &Error) {
+        let control = &self.control;
+        self.failures.note(source, clock::now());
+        if *source == Source::Store {
+            control.metrics.store_error();
+            if let Err(error) = control.store.borrow_mut().reconnect() {
+                journal::trouble("store client", &error.to_string());
+            }
+        }
+        if self.source.as_ref() == Some(source) {
+            self.source = None;
+            control.copy.lost();
+            journal::dependency("source", "lost", &format!("{source:?}: {error}"));
+        }
+        let next = self.choose();
+        if self
+            .failures
+            .rests(&next, &control.place.borrow(), clock::now())
+        {
+            if control.followed_lately.replace(false) {
+                journal::dependency("store", "lost", &error.to_string());
+            }
+            tokio::time::sleep(self.backoff.pause()).await;
         }
-        Watched::HistoryGone => Ok(Step::default()),
     }
 }
--- a/crates/proxy/src/line/control/member.rs
+++ b/crates/proxy/src/line/control/member.rs
@@ -8,31 +8,39 @@
 };
 use serde_json::json;
 
-use crate::line::{
-    control::{entry, state::Control},
-    journal,
+use crate::{
+    control::backoff::{self, Backoff},
+    line::{
+        control::{entry, state::Control},
+        journal,
+    },
 };
 
 /// How long the entry stays after its last renewal. Three renewals fit in, so one lost answer does
 /// not remove it.
-const TTL: Duration = Duration::from_millis(4_000);
+const TTL: Duration = Duration::from_millis(6_000);
 
 /// How often the entry is renewed; a renewal costs a tenth of a read.
-const RENEW_EVERY: Duration = Duration::from_millis(1_200);
+const RENEW_EVERY: Duration = Duration::from_millis(1_900);
 
-/// The pause before another try after a call failed.
-const RETRY: Duration = Duration::from_millis(400);
+/// The pause after a first failed call, and the longest one. A store that turns hundreds of proxies away is
+/// not asked more often for it.
+const RETRY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(1_600));
 
 /// Keeps the entry until the process stops.
 pub async fn run(control: Rc<Control>) {
     let mut lease = None;
+    let mut backoff = Backoff::new(RETRY.0, RETRY.1, backoff::salt(&control.name));
     while !control.stopping.is_cancelled() {
         let pause = match renew(&control, &mut lease).await {
-            Ok(()) => RENEW_EVERY,
+            Ok(()) => {
+                backoff.reset();
+                RENEW_EVERY
+            }
             Err(error) => {
                 control.metrics.store_error();
                 journal::trouble("lease", &error.to_string());
-                RETRY
+                backoff.pause()
             }
         };
         tokio::select! {
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -12,6 +12,7 @@
 use dandelionpitch_engine::{
     catalog::{Catalog, Service},
     duty::Duty,
+    feed::Place,
     members::Members,
     ownership::{self, Holding, Peer, Room},
     registry::{Entry, Registry, Server},
@@ -33,6 +34,7 @@
             record,
         },
         journal,
+        mirror::Copy,
         view::{Ownership, View},
     },
     metrics::Metrics,
@@ -71,8 +73,12 @@
     pub(super) members: RefCell<Members>,
     /// Entries among the registrations that are none.
     pub(super) unreadable: RefCell<Set<String>>,
-    /// Whether the store answered the last call that follows it.
-    pub store_answers: Cell<bool>,
+    /// Whether the last source of changes answered.
+    pub followed_lately: Cell<bool>,
+    /// From whom changes of the store are heard.
+    pub place: RefCell<Place>,
+    /// What the store holds, as far as it was heard.
+    pub copy: Copy,
     /// Up to when no change of the store was missed, in milliseconds, as traffic sees it.
     pub followed: Arc<AtomicU64>,
     pub(super) publish: watch::Sender<Arc<View>>,
@@ -105,13 +111,23 @@
         service.map_or(0, |service| service.sync_replicas)
     }
 
+    /// Where another proxy is reached.
+    pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
+        let view = self.publish.borrow();
+        let peer = view.peers.iter().find(|peer| peer.id == id);
+        peer.map(|peer| peer.address)
+    }
+
     /// Takes everything that is in the store.
-    pub fn replace(&self, items: &[Item]) {
+    pub fn replace(&self, events: &[Event]) {
         let now = clock::now();
         let mut servers = Vec::new();
         let mut members = Vec::new();
         let mut holder = None;
-        for item in items {
+        for event in events {
+            let Event::Written(item) = event else {
+                continue;
+            };
             match store::subject(&item.key) {
                 Subject::Config => self.configure(&item.value),
                 Subject::Server(id) => servers.extend(self.read_server(id, &item.value)),
@@ -235,9 +251,9 @@
         record::Noted::read(item, &mut self.records.borrow_mut(), now);
     }
 
-    /// Drops servers whose entries stayed missing; only called while the store answers.
-    pub fn expire(&self) {
-        let gone = self.registry.borrow_mut().expire(clock::now());
+    /// Drops servers whose entries stayed missing up to `known`, until when no change was missed.
+    pub fn expire(&self, known: Moment) {
+        let gone = self.registry.borrow_mut().expire(known);
         let members = self.members.borrow_mut().count(clock::now());
         let peers = self.members.borrow().peers(clock::now());
         let view = self.publish.borrow().clone();
@@ -267,22 +283,20 @@
         }
     }
 
-    fn ownership(
-        &self,
-        name: &str,
-        service: &Service,
-        servers: &[Entry],
-        peers: &[Peer],
-        members: usize,
-    ) -> Ownership {
-        let slots = servers.iter().map(|entry| entry.server.slots).min();
+    /// Who owns a group. Ranking all proxies anew for each change of anything would cost groups times
+    /// proxies, so the plan before is kept while they are the same.
+    fn ownership(&self, name: &str, service: &Service, now: &View, before: &View) -> Ownership {
+        let slots = now.servers[name].iter().map(|entry| entry.server.slots);
         let room = Room {
             max_connections: service.max_connections,
-            slots: slots.unwrap_or(1),
+            slots: slots.min().unwrap_or(1),
         };
-        let dcs: Set<&str> = peers.iter().map(|peer| peer.dc.as_str()).collect();
-        let holding = Holding::new(members, dcs.len(), room);
-        let plan = ownership::plan(peers, &self.id, &self.dc, name, holding);
+        let dcs: Set<&str> = now.peers.iter().map(|peer| peer.dc.as_str()).collect();
+        let holding = Holding::new(now.members, dcs.len(), room);
+        let known = before.ownership.get(name);
+        let known = known.filter(|known| known.holding == holding && before.peers == now.peers);
+        let rank = || ownership::plan(&now.peers, &self.id, &self.dc, name, holding);
+        let plan = known.map_or_else(rank, |known| known.plan.clone());
         Ownership { holding, plan }
     }
 
@@ -301,20 +315,24 @@
         let now = clock::now();
         let mut members = self.members.borrow_mut();
         let (count, peers) = (members.count(now), members.peers(now));
-        let services = catalog.iter().flat_map(|catalog| &catalog.services);
-        let ownership = services.map(|(name, service)| {
-            let ownership = self.ownership(name, service, &servers[name], &peers, count);
-            (name.clone(), ownership)
-        });
-        let ownership = ownership.collect();
-        let view = View {
+        let before = self.publish.borrow().clone();
+        if before.peers != peers {
+            self.place.replace(Place::new(&peers, &self.id, &self.dc));
+        }
+        let mut view = View {
             catalog,
             servers,
             counted: records.iter().map(counted).collect(),
             members: count,
             peers,
-            ownership,
+            ownership: Map::default(),
         };
+        let services = view.catalog.iter().flat_map(|catalog| &catalog.services);
+        let ownership = services.map(|(name, service)| {
+            let ownership = self.ownership(name, service, &view, &before);
+            (name.clone(), ownership)
+        });
+        view.ownership = ownership.collect();
         self.publish.send_replace(Arc::new(view));
     }
 }
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -7,7 +7,7 @@
     sync::Arc,
 };
 
-use dandelionpitch_engine::{registry::Registry, time::Moment};
+use dandelionpitch_engine::{feed::Place, registry::Registry, time::Moment};
 use dandelionpitch_platform::{promoter::Promoter, store::Store};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -24,22 +24,35 @@
             state::{Control, PeerPort},
             testify,
         },
-        journal, operator,
+        journal,
+        mirror::Copy,
+        operator,
         records::{Desk, Inquiry},
         view::View,
     },
 };
 
+/// What the control thread shares with traffic.
+pub struct Links {
+    pub publish: watch::Sender<Arc<View>>,
+    pub desk: Desk,
+    pub copy: Copy,
+}
+
 /// Starts the control thread, which runs until the process ends; returns where operators connect.
 pub fn spawn(
     config: &Config,
     line: &Line,
     peer: PeerPort,
-    publish: watch::Sender<Arc<View>>,
-    desk: Desk,
+    links: Links,
     endpoint: operator::Context,
 ) -> Result<oneshot::Receiver<SocketAddr>, Error> {
     let started = clock::now();
+    let Links {
+        publish,
+        desk,
+        copy,
+    } = links;
     let store = Store::new(&config.kv)?;
     let (metrics, stopping) = (endpoint.metrics.clone(), endpoint.stopping.clone());
     let (bound, address) = oneshot::channel();
@@ -53,6 +66,7 @@
     let start = move || {
         let mut registry = Registry::default();
         registry.known_until(Moment::default());
+        let place = RefCell::new(Place::new(&[], &id, &dc));
         let control = Rc::new(Control {
             name: format!("{id}@{}", started.millis()),
             started,
@@ -71,7 +85,9 @@
             catalog: RefCell::default(),
             members: RefCell::default(),
             unreadable: RefCell::default(),
-            store_answers: Cell::new(false),
+            followed_lately: Cell::new(false),
+            place,
+            copy,
             followed: desk.followed,
             publish,
         });
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -15,6 +15,7 @@
         backend::Backend,
         clock,
         group::{Group, Groups},
+        mirror::Copy,
         peers::Peers,
         reach::Suspicion,
         records::Records,
@@ -41,6 +42,8 @@
     pub isolated: watch::Receiver<Isolation>,
     pub suspicion: Suspicion,
     pub records: Records,
+    /// What the store holds, for other proxies.
+    pub copy: Copy,
     /// How many callers are connected.
     pub open: Rc<Cell<usize>>,
 }
--- a/crates/proxy/src/line/traffic.rs
+++ b/crates/proxy/src/line/traffic.rs
@@ -3,6 +3,7 @@
 
 pub mod call;
 pub mod exchange;
+pub mod feed;
 pub mod handover;
 pub mod origin;
 pub mod run;
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -18,6 +18,7 @@
 use dandelionpitch_platform::{
     backend::{keep_alive, Success},
     caller::{self, Request},
+    feed,
     line::{self, Buffer},
     peer::{self, Message},
 };
@@ -33,6 +34,7 @@
     shared::Shared,
     traffic::{
         call::Call,
+        feed as news,
         handover::{self, Handed},
         origin::{Origin, UnderWay},
         run,
@@ -132,9 +134,9 @@
             _ => return false,
         };
         let known = match self.shared.catalog() {
-            _ if self.origin == Origin::Peer => match database == peer::NAME {
-                true => Ok(()),
-                false => Err(Refusal::new(
+            _ if self.origin == Origin::Peer => match database.as_str() {
+                peer::NAME | feed::NAME => Ok(()),
+                _ => Err(Refusal::new(
                     Code::Moved,
                     "only other proxies are served here",
                 )),
@@ -208,6 +210,9 @@
 
     /// Handles one message; `false` when the session is over.
     async fn handle(&mut self, line: &[u8], arrived: Moment) -> bool {
+        if self.origin == Origin::Peer && self.database == feed::NAME {
+            return self.tell_changes(line).await;
+        }
         let message = line::text(line).and_then(|text| match self.origin {
             Origin::Peer => peer::message(text),
             Origin::Caller => caller::request(text).map(Message::from),
@@ -243,6 +248,16 @@
         self.flush().await
     }
 
+    /// Answers another proxy that asks what changed in the store. A process that stops sends it elsewhere.
+    async fn tell_changes(&mut self, line: &[u8]) -> bool {
+        if self.shared.stop.token().is_cancelled() {
+            return false;
+        }
+        let stand = self.stand();
+        news::answer(&self.shared.copy, line, stand, &mut self.out).await;
+        self.flush().await
+    }
+
     /// Runs a statement; `None` is success without a server.
     async fn statement(
         &mut self,
