A proxy that cannot be reached is looked for by one task, not by statements

Change: a peer that fails is lost until its VM accepts a connection, one task looks; the first loss has all owners checked; a peer's VM has 75 ms to accept, and is asked after 120 ms of silence. Statements go to lost owners only if all are lost. Test: proxy/tests/peers.rs.

--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     line::{
-        backend::pool::{Pool, Rank, Wish},
+        backend::pool::{Pool, Rank, Wish, OPEN_TIMEOUT},
         clock, life,
         reach::{self, Suspicion},
     },
@@ -43,9 +43,23 @@
 /// How long a VM needs to accept a connection, with two round trips between data centres.
 const REACH_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The same for another proxy: no more than a caller can wait for before its statement goes to the next.
+const PEER_REACH_TIMEOUT: Duration = Duration::from_millis(75);
+
 /// How long a VM that accepted a connection counts as there.
 const REACH_HOLDS: Duration = Duration::from_millis(200);
 
+/// The first and the longest pause between two looks whether a lost proxy is back.
+const LOOK_FIRST: Duration = Duration::from_millis(250);
+const LOOK_LAST: Duration = Duration::from_millis(1_000);
+
+/// After how long without an answer a VM is asked whether it is still there, at the latest: a cut of the
+/// data centre must be noticed however slow its servers were before.
+const MOST_LOOK: Duration = Duration::from_millis(250);
+
+/// The same for another proxy, which leaves time to offer the statement to the next.
+const PEER_MOST_LOOK: Duration = Duration::from_millis(120);
+
 /// The priority of the proxy's own questions: they go before all statements, which wait for them.
 const MOST_IMPORTANT: u32 = 0;
 
@@ -60,17 +74,47 @@
     life: Cell<Life>,
     latency: Cell<Mean>,
     avoid_until: Cell<Moment>,
+    most_look: Duration,
+    /// How long its VM needs to accept a connection.
+    reached_within: Duration,
+    /// Its VM is not there, and is looked for.
+    lost: Cell<bool>,
     /// When its VM last accepted a connection made to find out whether it is there.
     reached: Cell<Moment>,
     suspicion: Suspicion,
 }
 
 impl Backend {
-    /// A server that nothing is known of yet.
+    /// A server that nothing is known of yet, with `limit` connections at most.
     pub fn new(entry: &Entry, limit: usize, suspicion: Suspicion, metrics: Metrics) -> Rc<Self> {
+        let pool = Pool::new(entry.server.clone(), limit, OPEN_TIMEOUT, metrics);
+        Self::with_pool(entry, pool, (REACH_TIMEOUT, MOST_LOOK), suspicion)
+    }
+
+    /// Another proxy, spoken to as a server is. No slot of a server stands before its connections, so a
+    /// VM that has not accepted one by then is not there.
+    pub fn peer(entry: &Entry, limit: usize, metrics: Metrics) -> Rc<Self> {
+        let pool = Pool::new(entry.server.clone(), limit, PEER_REACH_TIMEOUT, metrics);
+        Self::with_pool(
+            entry,
+            pool,
+            (PEER_REACH_TIMEOUT, PEER_MOST_LOOK),
+            Suspicion::default(),
+        )
+    }
+
+    fn with_pool(
+        entry: &Entry,
+        pool: Rc<Pool>,
+        (reached_within, most_look): (Duration, Duration),
+        suspicion: Suspicion,
+    ) -> Rc<Self> {
         Rc::new(Self {
+            reached_within,
+            most_look,
             server: entry.server.clone(),
-            pool: Pool::new(entry.server.clone(), limit, metrics),
+            pool,
+            lost: Cell::default(),
             entry: RefCell::new(entry.clone()),
             counted: Cell::default(),
             life: Cell::default(),
@@ -133,7 +177,7 @@
         if asked.since(self.reached.get()) < REACH_HOLDS {
             return true;
         }
-        let reached = reach::connects(self.server.address, REACH_TIMEOUT).await;
+        let reached = reach::connects(self.server.address, self.reached_within).await;
         match reached {
             true => self.reached.set(asked),
             false => self.unreachable(),
@@ -141,6 +185,51 @@
         reached
     }
 
+    /// After how long without an answer its VM is asked whether it is there, at the latest.
+    pub fn most_look(&self) -> Duration {
+        self.most_look
+    }
+
+    /// Whether its VM is not there, as far as is known.
+    pub fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// Has another proxy that failed left alone until its VM accepts a connection.
+    ///
+    /// Load pattern: a cut parts half of all proxies from the other half for seconds. If statements found out
+    /// again and again whether an owner is back, a fifth of all would wait for a connection that
+    /// does not come. Guard: one task looks, and statements go to others meanwhile.
+    pub fn lose(self: &Rc<Self>) {
+        self.avoid();
+        if !self.lost.replace(true) {
+            tokio::task::spawn_local(self.clone().look_for());
+        }
+    }
+
+    /// Finds out whether another proxy is there, without waiting for it.
+    pub fn check(self: &Rc<Self>) {
+        let peer = self.clone();
+        tokio::task::spawn_local(async move {
+            if !peer.is_lost() && !peer.reachable().await {
+                peer.lose();
+            }
+        });
+    }
+
+    async fn look_for(self: Rc<Self>) {
+        let mut pause = LOOK_FIRST;
+        while !self.pool.is_closed() {
+            if reach::connects(self.server.address, self.reached_within).await {
+                break;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(LOOK_LAST);
+        }
+        self.lost.set(false);
+        self.avoid_until.set(Moment::default());
+    }
+
     /// Notes that the server could not be reached.
     pub fn unreachable(&self) {
         self.avoid();
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -28,7 +28,7 @@
 
 /// How long opening a connection may take. It takes a slot of the server for about 12 ms, behind
 /// whatever waits there.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
+pub const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// How long no connection is opened after the server had no room for one more.
 const FULL_PAUSE: Duration = Duration::from_millis(500);
@@ -101,18 +101,26 @@
     metrics: Metrics,
     state: RefCell<State>,
     limit: Cell<usize>,
+    /// How long opening a connection may take.
+    open_within: Duration,
     hold: Cell<Mean>,
     rest_until: Cell<Moment>,
 }
 
 impl Pool {
-    /// An empty pool that may open `limit` connections.
-    pub fn new(server: Arc<Server>, limit: usize, metrics: Metrics) -> Rc<Self> {
+    /// An empty pool that may open `limit` connections, each within `open_within`.
+    pub fn new(
+        server: Arc<Server>,
+        limit: usize,
+        open_within: Duration,
+        metrics: Metrics,
+    ) -> Rc<Self> {
         Rc::new(Self {
             server,
             metrics,
             state: RefCell::default(),
             limit: Cell::new(limit),
+            open_within,
             hold: Cell::new(Mean::new(FIRST_HOLD)),
             rest_until: Cell::default(),
         })
@@ -152,6 +160,11 @@
         state.waiting.clear();
     }
 
+    /// Whether the server is gone.
+    pub fn is_closed(&self) -> bool {
+        self.state.borrow().closed
+    }
+
     /// Closes the idle connections: they may have gone silent.
     pub fn close_idle(&self) {
         let mut state = self.state.borrow_mut();
@@ -218,7 +231,7 @@
         }
         let server = &self.server;
         let open = Link::open(server.address, &server.service, server.id());
-        let limit = OPEN_TIMEOUT.min(left);
+        let limit = self.open_within.min(left);
         let (miss, why, pause) = match tokio::time::timeout(limit, open).await {
             Ok(Ok(link)) => {
                 place.keep();
--- a/crates/proxy/src/line/peers.rs
+++ b/crates/proxy/src/line/peers.rs
@@ -4,17 +4,19 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use dandelionpitch_core::hash::{Map, Set};
 use dandelionpitch_engine::{
     ownership::{Peer, Plan},
     registry::{Entry, Incarnation, Role, Server},
+    time::Moment,
 };
 use dandelionpitch_platform::peer;
 
 use crate::{
-    line::{backend::Backend, clock, reach::Suspicion, view::View},
+    line::{backend::Backend, clock, view::View},
     metrics::Metrics,
 };
 
@@ -28,8 +30,13 @@
     known: RefCell<Map<String, Rc<Backend>>>,
     plans: RefCell<Map<String, Plan>>,
     turn: Cell<usize>,
+    /// When all were last checked.
+    checked: Cell<Moment>,
 }
 
+/// The least time between two checks of all proxies that statements go to.
+const CHECK_EVERY: Duration = Duration::from_secs(1);
+
 impl Peers {
     /// Takes the live proxies, and who owns which group, as they now are.
     pub fn update(&self, view: &View, own: &str, metrics: &Metrics) {
@@ -54,6 +61,28 @@
         }
     }
 
+    /// Notes that a proxy failed, and finds out about all others that statements go to.
+    ///
+    /// Load pattern: a cut takes half of all owners away at once. Guard: the first statement that meets it
+    /// is enough, the others need not wait for each owner in turn.
+    pub fn lose(&self, peer: &Rc<Backend>) {
+        peer.lose();
+        let now = clock::now();
+        if now.since(self.checked.get()) < CHECK_EVERY {
+            return;
+        }
+        self.checked.set(now);
+        let plans = self.plans.borrow();
+        let named = plans.values().flat_map(|plan| match plan {
+            Plan::Own => [].iter().chain(&[]),
+            Plan::HandOver { near, far } => near.iter().chain(far),
+        });
+        let named: Set<&String> = named.collect();
+        let known = self.known.borrow();
+        let owners = named.into_iter().filter_map(|id| known.get(id));
+        owners.for_each(Backend::check);
+    }
+
     /// Whether this proxy runs the group's statements itself.
     pub fn owns(&self, name: &str) -> bool {
         !matches!(self.plans.borrow().get(name), Some(Plan::HandOver { .. }))
@@ -72,7 +101,7 @@
     }
 
     /// The proxies that a statement of the group goes to, best first; `None` if it is run here. Near ones
-    /// take turns; those that failed a moment ago come last.
+    /// take turns; those that failed a moment ago come last, those that are lost only if all are.
     pub fn of(&self, name: &str) -> Option<Vec<Rc<Backend>>> {
         let plans = self.plans.borrow();
         let Some(Plan::HandOver { near, far }) = plans.get(name) else {
@@ -90,6 +119,9 @@
             .filter_map(|id| known.get(*id).cloned())
             .collect();
         let now = clock::now();
+        if peers.iter().any(|peer| !peer.is_lost()) {
+            peers.retain(|peer| !peer.is_lost());
+        }
         peers.sort_by_key(|peer| peer.avoided(now));
         Some(peers)
     }
@@ -111,5 +143,5 @@
         missing_since: None,
         leaving_since: None,
     };
-    Backend::new(&entry, MOST_LINKS, Suspicion::default(), metrics.clone())
+    Backend::peer(&entry, MOST_LINKS, metrics.clone())
 }
--- a/crates/proxy/src/line/traffic/exchange.rs
+++ b/crates/proxy/src/line/traffic/exchange.rs
@@ -14,6 +14,7 @@
     },
     clock,
     group::Group,
+    peers::Peers,
     traffic::call::{missed, Call, Failure, OFFER_AGAIN},
 };
 
@@ -24,10 +25,6 @@
 /// The shortest wait before that: longer than nine in ten statements take.
 const LEAST_LOOK: Duration = Duration::from_millis(100);
 
-/// The longest wait before that: a cut of the data centre must be noticed however slow its servers
-/// were before.
-const MOST_LOOK: Duration = Duration::from_millis(250);
-
 /// An answer counts as lost after this many times the usual length of a statement on its server.
 const PATIENCE: u32 = 8;
 
@@ -57,12 +54,16 @@
 
 /// A connection to another proxy with the session's values in force.
 pub async fn checkout_peer(
+    peers: &Peers,
     peer: &Rc<Backend>,
     session: &Session,
     call: &Call<'_>,
 ) -> Result<Checkout, Failure> {
     lend(peer, session, call).await.map_err(|miss| {
-        peer.avoid();
+        match miss {
+            Miss::Unreachable => peers.lose(peer),
+            Miss::Full | Miss::Refused { .. } => peer.avoid(),
+        }
         missed(call, miss)
     })?
 }
@@ -141,7 +142,7 @@
 /// Returns when an answer is overdue and the server's VM is found not to be there.
 async fn gone(backend: &Backend) {
     loop {
-        let pause = (backend.latency() * LOOK_AFTER).clamp(LEAST_LOOK, MOST_LOOK);
+        let pause = (backend.latency() * LOOK_AFTER).clamp(LEAST_LOOK, backend.most_look());
         tokio::time::sleep(pause).await;
         if !backend.reachable().await {
             return;
--- a/crates/proxy/src/line/traffic/handover.rs
+++ b/crates/proxy/src/line/traffic/handover.rs
@@ -79,14 +79,14 @@
     session: &mut Session,
     call: &Call<'_>,
 ) -> Result<Success, Failure> {
-    let checkout = checkout_peer(peer, session, call).await?;
+    let checkout = checkout_peer(&shared.peers, peer, session, call).await?;
     shared.metrics.handed_over();
     let terms = Terms::new(call.route, call.waited(), session.floor());
     let asked = clock::now();
     let (answer, checkout) = exchange(checkout, peer, call, Condition::Terms(&terms)).await;
     let answer = answer.map_err(|why| {
         note_refused(&shared.metrics, peer, call, &why);
-        peer.avoid();
+        shared.peers.lose(peer);
         Failure::Lost(why)
     })?;
     settle(checkout, &answer);
@@ -149,7 +149,7 @@
         (answer, _) => {
             let why = answer.err().unwrap_or_default();
             note_refused(&shared.metrics, &backend, call, &why);
-            backend.avoid();
+            shared.peers.lose(&backend);
             fail(session, call);
             return Err(lost(call.effect, wrote, &why));
         }
@@ -203,7 +203,7 @@
             break;
         }
         // Nothing was sent: the next one is tried at once.
-        let Ok(mut checkout) = checkout_peer(peer, session, call).await else {
+        let Ok(mut checkout) = checkout_peer(&shared.peers, peer, session, call).await else {
             continue;
         };
         shared.metrics.handed_over();
@@ -226,7 +226,7 @@
             Err(_) => "no answer in time".to_owned(),
         };
         note_refused(&shared.metrics, peer, call, &why);
-        peer.avoid();
+        shared.peers.lose(peer);
     }
     None
 }
--- /dev/null
+++ b/crates/proxy/tests/peers.rs
@@ -0,0 +1,148 @@
+//! Other proxies that statements are handed to, while some of them cannot be reached.
+
+use std::{
+    net::{SocketAddr, TcpListener, TcpStream},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use dandelionpitch_engine::ownership::{Holding, Peer, Plan};
+use dandelionpitch_proxy::{
+    line::{
+        backend::Backend,
+        peers::Peers,
+        view::{Ownership, View},
+    },
+    metrics::Metrics,
+};
+use socket2::{Domain, Socket, Type};
+use tokio::task::LocalSet;
+
+const GROUP: &str = "ledger";
+
+/// Longer than it takes to find out that a VM is not there, and that it is back.
+const SETTLED: Duration = Duration::from_millis(1_500);
+
+/// A VM that accepts no more connections, as one behind a cut: its queue of new ones is full.
+struct Cut {
+    listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl Cut {
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).expect("a free port");
+        socket.listen(0).expect("it listens");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        let patience = Duration::from_millis(50);
+        let queued = (0..3).map_while(|_| TcpStream::connect_timeout(&address, patience).ok());
+        Self {
+            _queued: queued.collect(),
+            listener,
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+
+    /// Accepts what waits and whatever comes.
+    fn heal(self) {
+        std::thread::spawn(move || while self.listener.accept().is_ok() {});
+    }
+}
+
+fn peer(id: &str, address: SocketAddr) -> Peer {
+    Peer {
+        id: id.to_owned(),
+        dc: "dc-1".to_owned(),
+        address,
+        capacity: 1.0,
+    }
+}
+
+/// The group's statements go to the near owner first and then to the far ones.
+fn known(near: &Peer, far: &[&Peer]) -> Peers {
+    let plan = Plan::HandOver {
+        near: vec![near.id.clone()],
+        far: far.iter().map(|peer| peer.id.clone()).collect(),
+    };
+    let holding = Holding::Owners { per_dc: 1, dcs: 2 };
+    let ownership = Ownership { holding, plan };
+    let view = View {
+        peers: std::iter::once(near)
+            .chain(far.iter().copied())
+            .cloned()
+            .collect(),
+        ownership: [(GROUP.to_owned(), ownership)].into_iter().collect(),
+        ..View::default()
+    };
+    let peers = Peers::default();
+    peers.update(&Arc::new(view), "own", &Metrics::default());
+    peers
+}
+
+fn ids(asked: Option<Vec<Rc<Backend>>>) -> Vec<String> {
+    let asked = asked.expect("it is handed over");
+    asked
+        .iter()
+        .map(|peer| peer.server.id().to_owned())
+        .collect()
+}
+
+/// A cut parts half of the proxies from the other half for seconds. The first statement that meets it finds the near
+/// owner gone; from then on statements go to those that are there without waiting, also past a
+/// far owner that nobody has asked yet, and to the near one again once the cut has healed.
+#[tokio::test]
+async fn statements_do_not_wait_for_lost_owners() {
+    let (near, far) = (Cut::new(), Cut::new());
+    let there = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let there_at = there.local_addr().expect("an address");
+    let all = [
+        peer("near", near.address()),
+        peer("far", far.address()),
+        peer("there", there_at),
+    ];
+    let peers = known(&all[0], &[&all[1], &all[2]]);
+    let local = LocalSet::new();
+
+    let (before, during, after) = local
+        .run_until(async {
+            let before = peers.of(GROUP);
+            peers.lose(&before.as_ref().expect("owners")[0]);
+            tokio::time::sleep(SETTLED).await;
+            let during = peers.of(GROUP);
+            near.heal();
+            tokio::time::sleep(SETTLED).await;
+            (ids(before), ids(during), ids(peers.of(GROUP)))
+        })
+        .await;
+
+    assert_eq!(before, ["near", "far", "there"]);
+    assert_eq!(during, ["there"]);
+    assert_eq!(after[0], "near");
+}
+
+/// All owners are behind the cut. They are still named: nobody else can run the statement.
+#[tokio::test]
+async fn lost_owners_are_asked_if_there_are_no_others() {
+    let near = Cut::new();
+    let only = peer("near", near.address());
+    let peers = known(&only, &[]);
+    let local = LocalSet::new();
+
+    let during = local
+        .run_until(async {
+            let owners = peers.of(GROUP).expect("owners");
+            peers.lose(&owners[0]);
+            tokio::time::sleep(SETTLED).await;
+            ids(peers.of(GROUP))
+        })
+        .await;
+
+    assert_eq!(during, ["near"]);
+}
