--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -66,6 +66,7 @@
     let stop = stop::Stop::new(line.grace);
     let (isolation, isolated) = watch::channel(Isolation::default());
     let (records, desk) = records::channel();
+    let copy = mirror::Copy::default();
     let endpoint = operator::Context {
         id: config.id.clone(),
         dc: config.dc.clone(),
@@ -73,8 +74,8 @@
         isolated: isolated.clone(),
         stopping: stop.token(),
         metrics: metrics.clone(),
+        copy: copy.clone(),
     };
-    let copy = mirror::Copy::default();
     let links = thread::Links {
         publish,
         desk,
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -100,7 +100,7 @@
         match source {
             Source::Store if self.anew => self.list().await,
             Source::Store => self.watch().await,
-            Source::Peer(id) => self.ask(id).await,
+            Source::Peer(id) => self.ask(source, id).await,
         }
     }
 
@@ -112,7 +112,7 @@
             whole: true,
             changes: items.iter().map(Change::from).collect(),
         };
-        self.take(&news, asked);
+        self.take(&Source::Store, &news, asked);
         self.anew = false;
         Ok(true)
     }
@@ -130,10 +130,10 @@
             whole: false,
             changes: events.iter().map(Change::from).collect(),
         };
-        Ok(self.take(&news, asked))
+        Ok(self.take(&Source::Store, &news, asked))
     }
 
-    async fn ask(&mut self, id: &str) -> Result<bool, Error> {
+    async fn ask(&mut self, source: &Source, id: &str) -> Result<bool, Error> {
         let known = self.feeder.take().filter(|feeder| feeder.id() == id);
         let (mut feeder, wait) = match known {
             Some(feeder) => (feeder, self.wait()),
@@ -145,16 +145,16 @@
         let answer = feeder.ask(Question { after, wait }).await?;
         self.feeder = Some(feeder);
         let known = feed::known_until(asked, answer.waited, answer.age);
-        let changed = self.take(&answer.news, known);
+        let changed = self.take(source, &answer.news, known);
         // Whatever the store has forgotten, the other proxy has told.
         self.anew = false;
         Ok(changed)
     }
 
     /// Takes news that are complete up to `known`; whether anything has changed.
-    fn take(&self, news: &News<Value>, known: Moment) -> bool {
+    fn take(&self, source: &Source, news: &News<Value>, known: Moment) -> bool {
         let control = &self.control;
-        if !control.copy.update(known, |mirror| mirror.take(news)) {
+        if !control.copy.take(source, news, known) {
             return false;
         }
         let events: Vec<Event> = news.changes.iter().map(Event::from).collect();
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -6,8 +6,13 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::{feed::FRESH_ENOUGH, mirror::Mirror, time::Moment};
+use dandelionpitch_engine::{
+    feed::{Source, FRESH_ENOUGH},
+    mirror::{Mirror, News},
+    time::Moment,
+};
 use dandelionpitch_platform::feed::{Answer, Question, Value};
+use serde::Serialize;
 use tokio::sync::watch;
 
 use crate::line::clock;
@@ -25,8 +30,19 @@
     mirror: Mirror<Value>,
     /// Up to when no change of the store was missed.
     known_until: Moment,
-    /// Whether the last source still answers.
-    answered: bool,
+    /// Who told it last, as long as they still answer.
+    source: Option<Source>,
+}
+
+/// What operators are told of the copy.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    /// The proxy that tells of changes, or `store`; nothing if nobody does.
+    pub from: Option<String>,
+    /// The store's revision that was reached.
+    pub revision: u64,
+    /// How long ago, at most, a change may have been missed.
+    pub age_ms: u64,
 }
 
 impl Default for Copy {
@@ -39,25 +55,24 @@
 }
 
 impl Copy {
-    /// Changes the copy, and says up to when nothing was missed.
-    pub fn update<T>(&self, known: Moment, change: impl FnOnce(&mut Mirror<Value>) -> T) -> T {
+    /// Takes news of `source` that are complete up to `known`; whether they followed what was there.
+    pub fn take(&self, source: &Source, news: &News<Value>, known: Moment) -> bool {
         let mut content = self.lock();
         let before = content.mirror.revision();
-        let result = change(&mut content.mirror);
+        let taken = content.mirror.take(news);
         content.known_until = content.known_until.max(known);
-        content.answered = true;
+        content.source = Some(source.clone());
         let changed = content.mirror.revision() != before;
         drop(content);
         if changed {
             self.changed.send_replace(());
         }
-        result
+        taken
     }
 
     /// Notes that the source of news was lost, which those who wait for news are told at once.
     pub fn lost(&self) {
-        let answered = std::mem::replace(&mut self.lock().answered, false);
-        if answered {
+        if self.lock().source.take().is_some() {
             self.changed.send_replace(());
         }
     }
@@ -72,6 +87,21 @@
         self.lock().mirror.revision()
     }
 
+    /// What operators are told.
+    pub fn report(&self) -> Report {
+        let content = self.lock();
+        let age = clock::now().since(content.known_until);
+        let from = content.source.as_ref().map(|source| match source {
+            Source::Store => "store".to_owned(),
+            Source::Peer(id) => id.clone(),
+        });
+        Report {
+            from,
+            revision: content.mirror.revision(),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
     /// Answers a question, as soon as there is something new; `None` if this process has nothing to go by.
     pub async fn answer(&self, question: Question) -> Option<Answer> {
         let asked = clock::now();
@@ -91,7 +121,7 @@
     fn now(&self, after: u64, waited: Duration, left: Duration) -> Option<Option<Answer>> {
         let content = self.lock();
         let age = clock::now().since(content.known_until);
-        if !content.answered || age > FRESH_ENOUGH {
+        if content.source.is_none() || age > FRESH_ENOUGH {
             return None;
         }
         if content.mirror.revision() <= after && !left.is_zero() {
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    line::{clock, journal, view::View},
+    line::{clock, journal, mirror, view::View},
     metrics::Metrics,
     operator,
 };
@@ -27,6 +27,8 @@
     /// The groups whose connections this proxy holds, for itself or for others as well.
     pub owns: Vec<String>,
     pub servers: Vec<ServerReport>,
+    /// Who tells this proxy what changes in the store, and how old that may be.
+    pub changes: mirror::Report,
     /// Log lines left out because standard output was not read.
     pub log_lines_dropped: u64,
 }
@@ -51,6 +53,7 @@
     pub isolated: watch::Receiver<Isolation>,
     pub stopping: CancellationToken,
     pub metrics: Metrics,
+    pub copy: mirror::Copy,
 }
 
 /// Whether the balancer should send new callers: a configuration is in force, the process is not
@@ -83,6 +86,7 @@
         members: view.members,
         owns: owned(&view),
         servers: servers.collect(),
+        changes: context.copy.report(),
         log_lines_dropped: journal::dropped(),
     })
 }
@@ -97,6 +101,7 @@
 
 #[get("/metrics")]
 fn metrics(context: &State<Context>) -> String {
+    context.metrics.changes_age(context.copy.report().age_ms);
     context.metrics.log_lines_dropped(journal::dropped());
     context.metrics.text()
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -40,6 +40,7 @@
     handed_over: Counter<u64>,
     log_lines_dropped: Gauge<u64>,
     version: Gauge<u64>,
+    changes_age: Gauge<u64>,
     reader: Arc<ManualReader>,
     _provider: SdkMeterProvider,
 }
@@ -114,6 +115,7 @@
             entries_passed_over: meter.u64_counter("entries_passed_over").build(),
             handed_over: meter.u64_counter("statements_handed_over").build(),
             log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
+            changes_age: meter.u64_gauge("store_changes_age_ms").build(),
             version: meter.u64_gauge("configuration_version").build(),
             reader,
             _provider: provider,
@@ -197,6 +199,11 @@
         self.log_lines_dropped.record(lines, &[]);
     }
 
+    /// How old what is known of the store may be, in milliseconds.
+    pub fn changes_age(&self, millis: u64) {
+        self.changes_age.record(millis, &[]);
+    }
+
     /// Notes the version of the configuration in force.
     pub fn version(&self, version: u64) {
         self.version.record(version, &[]);
--- a/crates/standin/src/line/experiment.rs
+++ b/crates/standin/src/line/experiment.rs
@@ -144,7 +144,7 @@
     });
     Json(
         json!({ "leader": leader.map(|(index, _)| index), "log": log,
-        "promotions": world.database.promotions.len(),
+        "promotions": world.database.promotions.len(), "watches": world.store.watches,
         "addresses": servers.iter().map(|server| server.address).collect::<Vec<_>>(),
         "turned_away": servers.iter().map(|server| server.turned_away).sum::<usize>() }),
     )
--- a/crates/standin/src/line/http.rs
+++ b/crates/standin/src/line/http.rs
@@ -69,6 +69,7 @@
 
 #[get("/v1/kv-watch?<prefix>&<after>&<wait_ms>")]
 async fn watch(shared: &State<Shared>, prefix: &str, after: u64, wait_ms: u64) -> Answer {
+    shared.world.lock().expect("no change panics").store.watches += 1;
     let look = async {
         loop {
             let changed = shared.changed.notified();
--- a/crates/standin/src/line/store.rs
+++ b/crates/standin/src/line/store.rs
@@ -49,6 +49,8 @@
     leases: BTreeMap<u64, (Instant, Duration)>,
     /// Every call is answered 503.
     pub down: bool,
+    /// How many calls waited for changes so far.
+    pub watches: usize,
 }
 
 /// Why a conditional change was not made.
