Links between proxies are bounded by what an owner has under way, and closed when nobody needs them

Change: 16 at most, and those idle all through three seconds are closed but for one. Two tests count links.

--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -91,6 +91,8 @@
     /// Connections that are open or being opened.
     open: usize,
     waiting: VecDeque<Waiter>,
+    /// How many connections were idle all the time since the last [`Pool::shrink`].
+    unused: usize,
     /// The server is gone: nothing is lent or kept any more.
     closed: bool,
 }
@@ -165,6 +167,21 @@
         self.state.borrow().closed
     }
 
+    /// Closes the connections that were idle all the time since the last call, but for `spare`.
+    pub fn shrink(&self, spare: usize) {
+        let mut state = self.state.borrow_mut();
+        let excess = state.unused.min(state.idle.len()).saturating_sub(spare);
+        // Those that were used last are taken first, so the others stand in front.
+        state.idle.drain(..excess);
+        state.open -= excess;
+        state.unused = state.idle.len();
+    }
+
+    /// How many connections are open or being opened.
+    pub fn open_now(&self) -> usize {
+        self.state.borrow().open
+    }
+
     /// Closes the idle connections: they may have gone silent.
     pub fn close_idle(&self) {
         let mut state = self.state.borrow_mut();
@@ -208,6 +225,7 @@
             let easiest = state.idle.iter().enumerate().min_by_key(effort);
             let Some((index, _)) = easiest else { break };
             let connection = state.idle.remove(index);
+            state.unused = state.unused.min(state.idle.len());
             if connection.link.at_rest() {
                 return Some(Box::new(connection));
             }
--- a/crates/proxy/src/line/peers.rs
+++ b/crates/proxy/src/line/peers.rs
@@ -20,9 +20,12 @@
     metrics::Metrics,
 };
 
-/// The most connections to one other proxy. Its own queue decides who waits, so this only bounds the
-/// descriptors that one proxy takes of another.
-const MOST_LINKS: usize = 64;
+/// The most connections to one other proxy: more statements than it runs at once for one group. Hundreds of
+/// proxies may have this many to the same owner.
+const MOST_LINKS: usize = 16;
+
+/// How many connections to one other proxy are kept that nobody uses.
+const SPARE_LINKS: usize = 1;
 
 /// The other proxies.
 #[derive(Default)]
@@ -83,6 +86,17 @@
         owners.for_each(Backend::check);
     }
 
+    /// Closes connections that were opened when much was under way and are not needed any more.
+    ///
+    /// Load pattern: after a restart of everything hundreds of proxies have many statements for one owner at
+    /// once. Kept for good, their connections take the descriptors of the owner's VM.
+    pub fn tidy(&self) {
+        let known = self.known.borrow();
+        known
+            .values()
+            .for_each(|peer| peer.pool.shrink(SPARE_LINKS));
+    }
+
     /// Whether this proxy runs the group's statements itself.
     pub fn owns(&self, name: &str) -> bool {
         !matches!(self.plans.borrow().get(name), Some(Plan::HandOver { .. }))
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -25,9 +25,9 @@
     metrics::Metrics,
 };
 
-/// How often connections are closed that a proxy has to servers of groups it does not own: it took
-/// statements while their owners were away.
-const CLOSE_UNOWNED: Duration = Duration::from_secs(3);
+/// How often connections are closed that are not needed any more: to servers of groups that a proxy does
+/// not own, as it took statements while their owners were away, and to other proxies.
+const TIDY_EVERY: Duration = Duration::from_secs(3);
 
 /// What all sessions of the process share, on the traffic thread.
 pub struct Shared {
@@ -79,7 +79,7 @@
 
     /// Brings the groups up to each new view, until the control thread is gone.
     pub async fn follow(self: Rc<Self>, mut view: watch::Receiver<Arc<View>>) {
-        let mut tidy = tokio::time::interval(CLOSE_UNOWNED);
+        let mut tidy = tokio::time::interval(TIDY_EVERY);
         loop {
             tokio::select! {
                 changed = view.changed() => match changed {
@@ -91,6 +91,7 @@
                 },
                 _ = tidy.tick() => {
                     self.groups.borrow().values().for_each(|group| group.close_unowned());
+                    self.peers.tidy();
                 }
             }
         }
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -1,16 +1,24 @@
 //! Other proxies that statements are handed to, while some of them cannot be reached.
 
 use std::{
+    io::Write,
     net::{SocketAddr, TcpListener, TcpStream},
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
-use dandelionpitch_engine::ownership::{Holding, Peer, Plan};
+use dandelionpitch_engine::{
+    ownership::{Holding, Peer, Plan},
+    session::Values,
+};
 use dandelionpitch_proxy::{
     line::{
-        backend::Backend,
+        backend::{
+            pool::{loan::Checkout, Rank, Wish},
+            Backend,
+        },
+        clock,
         peers::Peers,
         view::{Ownership, View},
     },
@@ -146,3 +154,83 @@
 
     assert_eq!(during, ["near"]);
 }
+
+/// Another proxy that takes connections and answers nothing more.
+fn welcoming() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept() {
+            stream.write_all(b"READY I -\r\n").expect("it is read");
+            open.push(stream);
+        }
+    });
+    address
+}
+
+/// After a restart of everything a proxy has many statements for one owner at once, and later one at a time. If
+/// the connections of that moment stayed, hundreds of proxies would take the descriptors of the
+/// owner's VM with what nobody uses.
+#[tokio::test]
+async fn links_of_a_crowded_moment_are_closed_later() {
+    let owner = peer("near", welcoming());
+    let peers = known(&owner, &[]);
+    let local = LocalSet::new();
+
+    let (crowded, later) = local
+        .run_until(async {
+            let owner = peers.of(GROUP).expect("owners").remove(0);
+            let mut lent = Vec::new();
+            for _ in 0..10 {
+                lent.push(checkout(&owner).await);
+            }
+            let crowded = owner.pool.open_now();
+            lent.into_iter().for_each(Checkout::release);
+            for _ in 0..2 {
+                peers.tidy();
+                checkout(&owner).await.release();
+            }
+            peers.tidy();
+            (crowded, owner.pool.open_now())
+        })
+        .await;
+
+    assert_eq!(crowded, 10);
+    assert_eq!(later, 2, "the one that is used and a spare one");
+}
+
+/// Callers press a proxy with more statements for one owner than that owner can have under way. The rest
+/// waits, or is refused, here: connections to an owner do not grow with the number of callers.
+#[tokio::test]
+async fn links_to_one_owner_are_bounded() {
+    let owner = peer("near", welcoming());
+    let peers = known(&owner, &[]);
+    let local = LocalSet::new();
+
+    let open = local
+        .run_until(async {
+            let owner = peers.of(GROUP).expect("owners").remove(0);
+            let asked = (0..100).map(|_| tokio::time::timeout(CROWDED, checkout(&owner)));
+            let lent = futures::future::join_all(asked).await;
+            assert!(lent.iter().any(Result::is_err));
+            owner.pool.open_now()
+        })
+        .await;
+
+    assert!(open <= 16, "{open} connections");
+}
+
+/// How long statements press for connections at once.
+const CROWDED: Duration = Duration::from_millis(300);
+
+async fn checkout(peer: &Rc<Backend>) -> Checkout {
+    let deadline = clock::now() + Duration::from_secs(5);
+    let rank = Rank {
+        priority: 0,
+        due: deadline,
+    };
+    let wish = Wish { rank, deadline };
+    let lent = peer.pool.checkout(&Values::default(), wish).await;
+    lent.unwrap_or_else(|miss| panic!("no connection: {miss:?}"))
+}
