A session at rest is not closed over a statement that has arrived

Ruled out: the balancer (the sessions were the proxies' own to close), frames on their way (6 ms of 250 sessions a proxy are a handful). Change: the socket itself is asked before a session ends at rest.

--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -157,7 +157,26 @@
     }
 
     /// The next thing to do. At rest in a planned stop, the session ends.
+    ///
+    /// Failure: hundreds of sessions end in one turn of the runtime, which does not look at sockets meanwhile; a
+    /// statement that has arrived is not seen, and its caller's connection is closed without an
+    /// answer. Guard: the socket itself is asked before a session ends at rest.
     async fn next(&mut self) -> Next {
+        match self.next_event().await {
+            Next::Retire if self.has_unread() => match self.line().await {
+                Some(line) => Next::Line(line, clock::now()),
+                None => Next::Gone,
+            },
+            next => next,
+        }
+    }
+
+    /// Whether anything has arrived that was not read.
+    fn has_unread(&self) -> bool {
+        !self.buffer.is_empty() || line::has_unread(self.reader.as_ref())
+    }
+
+    async fn next_event(&mut self) -> Next {
         let idle = self.state.phase() == Phase::Idle;
         // Other proxies stop asking by themselves; a connection closed under them costs a statement.
         let ends_at_rest = self.origin == Origin::Caller;
