--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -95,8 +95,7 @@
 /// Load pattern: a primary fails, or a data centre is cut off, and for a second or more every
 /// statement finds nobody to serve it. Held until its timeout it is late in any case, and its
 /// caller cannot try elsewhere; refused at once it can, and comes back when there is a primary
-/// again. Mean score of days with failures (docs/TRIALS.md, four runs each): 0.859 when held to three
-/// quarters of the timeout, 0.878 when refused after a fifth of the target.
+/// again.
 pub fn may_look(waited: Duration, target: Duration) -> bool {
     waited <= target / LOOKING_PART
 }
@@ -104,8 +103,8 @@
 /// How much longer a statement that came `waited` ago may look for a server.
 ///
 /// Load pattern: a primary is lost and each search for the next one waits half a second for servers that
-/// do not answer. Statements that came 200 ms and more before were refused only when it ended
-/// (half of 111 in two seconds waited 242 ms and more, of a target of 400 ms).
+/// do not answer. Statements that came while it ran would be refused only when it ends, past half of
+/// their target.
 pub fn looking_left(waited: Duration, target: Duration) -> Duration {
     (target / LOOKING_PART).saturating_sub(waited)
 }
@@ -122,10 +121,8 @@
 /// Whether a statement that came `waited` ago is offered to the servers again.
 ///
 /// Load pattern: both replicas of a group are seconds behind, and its primary has a third more work
-/// than it can do. Each read that its queue refuses was offered to all three servers four times
-/// over, 15 ms apart, and refused 60 ms later than it could have been. Refused at once its caller
-/// comes back sooner, and the servers turn away 2,860 statements a day in place of 6,460 (mean of 80
-/// days, docs/TRIALS.md).
+/// than it can do. Offered to all servers again, each read that its queue refuses is only turned away more
+/// often. Refused at once its caller comes back sooner.
 pub fn offers_again(obstacle: Obstacle, waited: Duration, target: Duration) -> bool {
     match obstacle {
         Obstacle::Nobody => may_look(waited, target),
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -11,18 +11,17 @@
 ///
 /// A promoter first makes the replicas deaf to the old primary and then waits at least
 /// [`PROMOTION_WAIT`], so no commit can be acknowledged elsewhere while such a word counts.
-/// 500 ms keeps the questions to two a second and group; each is priced like a statement.
+/// Each renewal costs a server as much as a short statement.
 pub const LEADER_LEASE: Duration = Duration::from_millis(500);
 
 /// How long a promoter waits after the replicas obey it: the lease, and 50 ms for the time between
 /// asking a replica and its answer being made.
 pub const PROMOTION_WAIT: Duration = Duration::from_millis(550);
 
-/// Marks closer together than this replace each other: 20 marks a second of allowance are enough
-/// to find one that is old enough for a replica to have applied it.
+/// Marks closer together than this replace each other: a replica's lag is not known more closely.
 const SPACING: Duration = Duration::from_millis(50);
 
-/// Marks kept: with [`SPACING`], somewhat more than the longest allowance seen (2.5 s).
+/// Marks kept: with [`SPACING`], those of six seconds, as no read may be older.
 const KEPT: usize = 128;
 
 /// A primary position and the time at which it was asked for: the log up to `position` holds every
@@ -193,7 +192,7 @@
 ///
 /// Load pattern: a primary is cut off or lost while the store is away, so that nobody can be promoted;
 /// for seconds no position of its log can be had, and all reads with an allowance are refused, though
-/// two replicas answer (3,600 of 100,000 statements in a day of 41 s with a data centre cut off).
+/// two replicas answer.
 /// A commit that a caller was told of is on its primary and on `sync_replicas` more of those that
 /// count. So if no more than `sync_replicas` of them stay silent, one that answered has it, whoever
 /// leads; the highest position among the answers covers every such commit.
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -1,12 +1,11 @@
 //! Which proxies hold the connections of a database group.
 //!
-//! Load pattern: many proxies before servers that take few connections. If each held its own, 75
-//! proxies would ask for 150 connections of 49: servers reset thousands of them a minute, most
-//! statements found none, and each proxy asked every group for itself what its reads must see.
+//! Load pattern: many proxies before servers that take few connections. If each held its own, servers
+//! would turn most of them away, most statements would find none, and each proxy would ask every
+//! group for itself what its reads must see.
 //! So a few proxies of each data centre own a group's connections, and the others hand their
 //! statements to one of them (`docs/DESIGN.md`, "Many proxies"). The group's work then waits in few
-//! queues, and the questions to its servers grow with its owners. Share of a calm day's requests that
-//! were served before 75 proxies: 0.67 with connections of their own.
+//! queues, and the questions to its servers grow with its owners.
 //!
 //! Who owns is a matter of rendezvous hashing over the live proxies: those who know the same proxies
 //! pick the same owners. Two that disagree for a moment hand to different ones, and any proxy serves
--- a/crates/engine/src/placement.rs
+++ b/crates/engine/src/placement.rs
@@ -51,8 +51,7 @@
 /// The candidates in the order to try them; `turn` breaks ties so that equal servers share.
 ///
 /// What a statement lately took on the primary says little of a read there: writes are short. So the
-/// time is not taken to be less than at the quickest replica. Share of allowed reads on replicas in
-/// a calm day (docs/TRIALS.md, a run a site): 0.876 and 0.863 before, 0.985 and 0.953 with it.
+/// time is not taken to be less than at the quickest replica.
 pub fn order(candidates: &[Candidate], turn: usize) -> Vec<usize> {
     let count = candidates.len().max(1);
     let replicas = candidates.iter().filter(|candidate| !candidate.primary);
--- a/crates/engine/src/share.rs
+++ b/crates/engine/src/share.rs
@@ -19,8 +19,7 @@
 /// Load pattern: replicas fall behind, all reads go to the primary, and its queue grows to several
 /// times its slots: every statement is late, and those of transactions several times over. With
 /// fewer connections the work waits in the proxies, by priority and due time, and what would be
-/// late is refused on arrival. Mean score of days with replicas 3 s behind (docs/TRIALS.md, four runs
-/// each), all connections shared out against half of them: 0.833 to 0.892 and 0.920 to 0.998.
+/// late is refused on arrival.
 pub fn connections(max_connections: u32, slots: u32, members: usize) -> usize {
     let members = members.max(1);
     let usable = usable(max_connections);
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -313,8 +313,7 @@
 ///
 /// Failure: a server was promoted and is busy, so its last answer is from before it led, while the
 /// others already follow it. Side by side the answers show a group without a primary, and the sound
-/// one is replaced (40 acknowledged commits lost in one day of 60 s). Guard: only an answer to a
-/// question asked after the newest term was heard of denies that its server leads that term; one
+/// one is replaced, with acknowledged commits lost. Guard: only an answer to a question asked after the newest term was heard of denies that its server leads that term; one
 /// that is in that term itself follows another.
 fn may_lead(member: &Member, (term, heard): (u64, Moment)) -> bool {
     match member.sight {
--- a/crates/proxy/src/control/heartbeat.rs
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -14,8 +14,7 @@
 /// primary dead as well there are no writes until the leases have run out. 9 s leave three for the
 /// failover of the 12 s in which service must be back, and three renewals fit in.
 pub const TTL: u64 = 9;
-/// How often the lease is renewed: 1,133 renewals a second for 3,400 proxies, of the 2,000 reads that
-/// the KV serves (`docs/CAPACITY.md`).
+/// How often the lease is renewed; each renewal is a read of the KV (`docs/CAPACITY.md`).
 pub const EVERY: Duration = Duration::from_secs(3);
 /// Pause before another try after the KV failed.
 const RETRY: Duration = Duration::from_secs(1);
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -31,7 +31,7 @@
     metrics::Metrics,
 };
 
-/// What a statement is first taken to last on a server: the mean of the measured ones.
+/// What a statement is first taken to last on a server.
 const FIRST_LATENCY: Duration = Duration::from_millis(30);
 
 /// How long a server gets no reads after it failed to answer one.
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -26,8 +26,7 @@
     metrics::Metrics,
 };
 
-/// How long opening a connection may take. It takes a slot of the server for about 12 ms, behind
-/// whatever waits there.
+/// How long opening a connection may take. It takes a slot of the server, behind whatever waits there.
 pub const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// How long no connection is opened after the server had no room for one more.
@@ -36,8 +35,7 @@
 /// How long a server is left alone after it could not be reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
 
-/// What a connection is first taken to be held for: one statement of 30 ms, the mean of the
-/// measured ones.
+/// What a connection is first taken to be held for: one statement of usual length.
 const FIRST_HOLD: Duration = Duration::from_millis(30);
 
 /// What decides which of the waiting statements is served next: the more important one, then the
--- a/crates/proxy/src/line/group/kept.rs
+++ b/crates/proxy/src/line/group/kept.rs
@@ -43,8 +43,7 @@
     ///
     /// Failure: a primary acknowledges a commit on the word of a replica that no promoter knows of, or
     /// that received it only when a promotion had taken effect; the server that is promoted lacks what
-    /// callers were told is kept (8 to 28 commits in a day of 34 s, 40 in one of 60 s). Guard:
-    /// [`Commit::is_kept`]. Cost: one question a commit, 0.005 of the worth of a day and about 2 ms.
+    /// callers were told is kept. Guard: [`Commit::is_kept`], at the cost of one question a commit.
     pub async fn is_kept(
         self: &Rc<Self>,
         backend: &Rc<Backend>,
--- a/crates/proxy/src/line/traffic/exchange.rs
+++ b/crates/proxy/src/line/traffic/exchange.rs
@@ -28,8 +28,8 @@
 /// An answer counts as lost after this many times the usual length of a statement on its server.
 const PATIENCE: u32 = 8;
 
-/// The least part of the route's timeout that an answer is waited for: longer than the longest
-/// usual work (82 ms of 1 s, 410 ms of 3 s) behind a full set of slots.
+/// The least part of the route's timeout that an answer is waited for: long work behind a full set of
+/// slots fits in.
 const LEAST_PATIENCE: f64 = 0.4;
 
 /// The same for an answer of another proxy, which itself gives up on its servers: only a connection
@@ -71,8 +71,8 @@
 /// Lends a connection; the inner result is what became of setting the session's values on it.
 ///
 /// Failure: a statement waits in the queue of a server that leaves, is given a connection seconds later,
-/// and reaches it after the time within which it may have new work (by 0.18 s in a day at five times
-/// the usual load). Guard: it waits no longer than that, and what waited is judged again.
+/// and reaches it after the time within which it may have new work. Guard: it waits no longer than
+/// that, and what waited is judged again.
 async fn lend(
     backend: &Rc<Backend>,
     session: &Session,
--- a/crates/proxy/src/line/traffic/run.rs
+++ b/crates/proxy/src/line/traffic/run.rs
@@ -26,8 +26,7 @@
     metrics::Target,
 };
 
-/// When the answer to a write is overdue, at least: longer than the longest usual work (82 ms) and
-/// two round trips to a replica.
+/// When the answer to a write is overdue, at least: longer than its work and two round trips to a replica.
 const OVERDUE: Duration = Duration::from_millis(150);
 
 /// Runs a read or a write that stands alone.
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -27,7 +27,7 @@
 /// The pause before a statement of a transaction that was not run is sent again.
 const SEND_AGAIN: Duration = Duration::from_millis(15);
 
-/// How often it is sent again: a server that sheds work has a queue of 24 and more before it.
+/// How often it is sent again: a server that sheds work has a long queue before it.
 const SENDS: usize = 5;
 
 /// The connection of an open transaction.
