--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use dandelionpitch_core::hash;
 use dandelionpitch_engine::{commit::Testimony, registry::Role, time::Moment};
 
 use super::{
@@ -25,6 +26,8 @@
     pub scenario: Scenario,
     pub servers: Vec<Server>,
     pub store: Store,
+    /// What the store held when a proxy that tells others of it last heard from it.
+    pub fed: (u64, Store),
     mail: Vec<(u64, Mail)>,
     drawn: usize,
     tags: u64,
@@ -47,7 +50,18 @@
     pub trace: Option<Vec<String>>,
 }
 
+/// How many steps pass at most between two times that a feeder hears from the store, while it does.
+const FEED_EVERY: u64 = 60;
+
 impl Cluster {
+    /// Has the proxy that tells others of the store hear from it, at times that differ from case to case.
+    pub fn feed(&mut self) {
+        let spread = hash::salt(&(self.now / FEED_EVERY, self.store.revision)) % FEED_EVERY;
+        if self.now % FEED_EVERY == spread {
+            self.fed = (self.now, self.store.clone());
+        }
+    }
+
     pub fn new(scenario: &Scenario, traced: bool) -> Self {
         let role = |index| match index {
             0 => Role::Primary,
@@ -59,6 +73,7 @@
             scenario: scenario.clone(),
             servers: (0..count).map(|i| Server::new(i, role(i))).collect(),
             store: Store::default(),
+            fed: (0, Store::default()),
             mail: Vec::new(),
             drawn: 0,
             tags: 0,
--- a/crates/engine/tests/interleavings/follower.rs
+++ b/crates/engine/tests/interleavings/follower.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 
-use dandelionpitch_core::hash::Map;
-use dandelionpitch_engine::registry::{Entry, Incarnation, Registry, Role, Server};
+use dandelionpitch_core::hash::{self, Map};
+use dandelionpitch_engine::{
+    feed::FRESH_ENOUGH,
+    registry::{Entry, Incarnation, Registry, Role, Server},
+};
 
 use super::{
-    cluster::{moment, Cluster},
-    mail::Record,
+    cluster::{moment, steps, Cluster},
+    mail::{Record, Store},
     scenario::{Node, STORE},
 };
 
@@ -45,13 +48,17 @@
         }
     }
 
-    /// Looks at the store if it is time to and it is in reach; returns whether it did.
+    /// Hears what the store holds if it is time to, from the store if that is in reach or from a proxy
+    /// that heard it earlier; returns whether it did.
     pub fn step(&mut self, cluster: &mut Cluster) -> bool {
-        if cluster.now < self.next || !cluster.reach(self.node, STORE) {
+        if cluster.now < self.next {
             return false;
         }
+        let Some((known, store)) = self.hear(cluster) else {
+            return false;
+        };
         let now = moment(cluster.now);
-        let registered: Map<usize, (Incarnation, bool)> = cluster.store.registered.clone();
+        let registered: Map<usize, (Incarnation, bool)> = store.registered;
         let servers = registered.values().map(|(id, leaving)| Server {
             incarnation: id.clone(),
             service: GROUP.to_owned(),
@@ -65,16 +72,30 @@
             self.registry.forgive(now);
         }
         self.registry.replace(servers.collect(), now);
-        self.registry.expire(now);
-        if let Some((revision, record)) = cluster.store.record.clone() {
+        self.registry.expire(moment(known));
+        if let Some((revision, record)) = store.record {
             self.note(revision, record, cluster.now);
         }
-        self.duty = cluster.store.duty.map(|(holder, token, _)| (holder, token));
-        self.followed = cluster.now;
+        self.duty = store.duty.map(|(holder, token, _)| (holder, token));
+        self.followed = known;
         self.next = cluster.now + 1 + cluster.draw(20);
         true
     }
 
+    /// What the store holds, and as of when. News from another proxy are as old as that proxy's, and may come though
+    /// the store itself is out of reach.
+    fn hear(&self, cluster: &Cluster) -> Option<(u64, Store)> {
+        let (heard, store) = &cluster.fed;
+        let fresh = cluster.now - heard <= steps(FRESH_ENOUGH) && *heard >= self.followed;
+        let asks_peer = hash::salt(&(cluster.now, self.node)) % 2 == 0;
+        match asks_peer && fresh {
+            true => Some((*heard, store.clone())),
+            false => cluster
+                .reach(self.node, STORE)
+                .then(|| (cluster.now, cluster.store.clone())),
+        }
+    }
+
     /// Notes a record, unless a later one is known.
     pub fn note(&mut self, revision: u64, record: Record, now: u64) {
         let old = self.recorded.as_ref();
--- a/crates/engine/tests/interleavings/main.rs
+++ b/crates/engine/tests/interleavings/main.rs
@@ -57,6 +57,7 @@
         proxies
             .iter_mut()
             .for_each(|proxy| proxy.step(&mut cluster));
+        cluster.feed();
         cluster.now += 1;
     }
     cluster
