--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -152,14 +152,91 @@
     Plan::HandOver { near, far }
 }
 
+/// Which proxies came and went between two lists, both in the order of their ids.
+#[derive(Clone, Debug, Default)]
+pub struct Change<'a> {
+    come: Vec<&'a Peer>,
+    gone: Vec<&'a Peer>,
+}
+
+impl<'a> Change<'a> {
+    /// What changed from `before` to `now`; a proxy that says something else of itself went and came.
+    pub fn new(before: &'a [Peer], now: &'a [Peer]) -> Self {
+        let among = |peers: &[Peer], peer: &Peer| find(peers, &peer.id) == Some(peer);
+        Self {
+            come: now.iter().filter(|peer| !among(before, peer)).collect(),
+            gone: before.iter().filter(|peer| !among(now, peer)).collect(),
+        }
+    }
+}
+
+fn find<'a>(peers: &'a [Peer], id: &str) -> Option<&'a Peer> {
+    let index = peers.binary_search_by(|peer| peer.id.as_str().cmp(id));
+    index.ok().map(|index| &peers[index])
+}
+
+/// Who asks for a plan, and of which group.
+#[derive(Clone, Copy, Debug)]
+pub struct Asker<'a> {
+    pub own: &'a str,
+    pub dc: &'a str,
+    pub service: &'a str,
+}
+
+/// The plan after a change, from the one before under the same `holding`.
+///
+/// Load pattern: one proxy of thousands is restarted, and each of the others ranks all of them anew for
+/// thousands of groups. Only a group that named the one that went, or would name the one that came, is
+/// ranked again.
+pub fn replan(
+    known: &Plan,
+    change: &Change<'_>,
+    peers: &[Peer],
+    asker: Asker<'_>,
+    holding: Holding,
+) -> Plan {
+    let Asker { own, dc, service } = asker;
+    let keeps = match (known, holding) {
+        (Plan::HandOver { near, far }, Holding::Owners { per_dc, .. }) => {
+            let named = near.iter().chain(far);
+            let named: Vec<&str> = named.map(String::as_str).collect();
+            let lost = |peer: &&Peer| named.contains(&peer.id.as_str());
+            let joins = |peer: &&Peer| {
+                let most = match peer.dc == dc {
+                    true => per_dc + SPARES,
+                    false => per_dc,
+                };
+                peer.id == own || would_be_named(peer, &named, peers, service, most)
+            };
+            !change.gone.iter().any(lost) && !change.come.iter().any(joins)
+        }
+        _ => false,
+    };
+    match keeps {
+        true => known.clone(),
+        false => plan(peers, own, dc, service, holding),
+    }
+}
+
+/// Whether `peer` ranks among the first `most` of its data centre, of whom `named` holds those so far.
+fn would_be_named(peer: &Peer, named: &[&str], peers: &[Peer], service: &str, most: usize) -> bool {
+    let same_dc = named.iter().filter_map(|id| find(peers, id));
+    let same_dc: Vec<&Peer> = same_dc.filter(|other| other.dc == peer.dc).collect();
+    let own = score(peer, service);
+    same_dc.len() < most || same_dc.iter().any(|other| score(other, service) <= own)
+}
+
+/// A proxy's rank for a group: higher is earlier.
+fn score(peer: &Peer, service: &str) -> f64 {
+    let share = hash::share(&(service, &peer.id)).clamp(1e-9, 1.0 - 1e-9);
+    -peer.capacity / share.ln()
+}
+
 /// All proxies, the group's first owner first: by weighted rendezvous hashing, so that a proxy that
 /// comes or goes moves only its own groups, and each owns in proportion to its capacity.
 fn rank<'a>(peers: &'a [Peer], service: &str) -> Vec<&'a Peer> {
-    let score = |peer: &Peer| {
-        let share = hash::share(&(service, &peer.id)).clamp(1e-9, 1.0 - 1e-9);
-        -peer.capacity / share.ln()
-    };
-    let mut scored: Vec<(f64, &Peer)> = peers.iter().map(|peer| (score(peer), peer)).collect();
+    let scored = peers.iter().map(|peer| (score(peer, service), peer));
+    let mut scored: Vec<(f64, &Peer)> = scored.collect();
     scored.sort_by(|a, b| match b.0.total_cmp(&a.0) {
         Ordering::Equal => a.1.id.cmp(&b.1.id),
         unequal => unequal,
--- a/crates/engine/tests/ownership.rs
+++ b/crates/engine/tests/ownership.rs
@@ -4,7 +4,7 @@
 
 use dandelionpitch_engine::{
     handover,
-    ownership::{self, Holding, Peer, Plan, Room},
+    ownership::{self, Asker, Change, Holding, Peer, Plan, Room},
     refusal::Code,
 };
 use yare::parameterized;
@@ -176,3 +176,60 @@
 
     assert!(matches!(plan, Plan::HandOver { near, .. } if near.len() == 2));
 }
+
+/// Proxies are restarted in turn among many. Plans that are carried over from list to list are those that
+/// ranking everybody anew would give, whoever asks, also for the proxy that comes and goes itself.
+#[test]
+fn plans_carried_over_are_those_ranked_anew() {
+    let all = peers(60);
+    let holding = Holding::new(all.len(), DCS.len(), room(49, 5));
+    for asker in [&all[0], &all[7], &all[30]] {
+        for service in ["a", "b", "c"] {
+            let asker = Asker {
+                own: &asker.id,
+                dc: &asker.dc,
+                service,
+            };
+            let mut before = all.clone();
+            let mut known = ownership::plan(&before, asker.own, asker.dc, service, holding);
+            for step in 0..120 {
+                // One goes, and the one that went before comes back.
+                let now: Vec<Peer> = (0..all.len())
+                    .filter(|index| *index != step * 7 % all.len())
+                    .map(|index| all[index].clone())
+                    .collect();
+                let change = Change::new(&before, &now);
+
+                known = ownership::replan(&known, &change, &now, asker, holding);
+
+                let anew = ownership::plan(&now, asker.own, asker.dc, service, holding);
+                assert_eq!(known, anew, "{asker:?} step {step}");
+                before = now;
+            }
+        }
+    }
+}
+
+/// A proxy comes back with another capacity: it counts as one that went and one that came.
+#[test]
+fn proxy_that_says_something_else_is_ranked_again() {
+    let before = peers(60);
+    let mut now = before.clone();
+    now[30].capacity = 100_000.0;
+    let holding = Holding::new(before.len(), DCS.len(), room(49, 5));
+    let asker = Asker {
+        own: &before[1].id,
+        dc: &before[1].dc,
+        service: "a",
+    };
+    let known = ownership::plan(&before, asker.own, asker.dc, "a", holding);
+
+    let change = Change::new(&before, &now);
+    let carried = ownership::replan(&known, &change, &now, asker, holding);
+
+    assert_eq!(
+        carried,
+        ownership::plan(&now, asker.own, asker.dc, "a", holding)
+    );
+    assert_ne!(carried, known);
+}
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -14,7 +14,7 @@
     duty::Duty,
     feed::Place,
     members::Members,
-    ownership::{self, Holding, Peer, Room},
+    ownership::{self, Asker, Change, Holding, Peer, Room},
     registry::{Entry, Registry, Server},
     time::Moment,
 };
@@ -283,9 +283,14 @@
         }
     }
 
-    /// Who owns a group. Ranking all proxies anew for each change of anything would cost groups times
-    /// proxies, so the plan before is kept while they are the same.
-    fn ownership(&self, name: &str, service: &Service, now: &View, before: &View) -> Ownership {
+    /// Who owns a group, from who owned it in the view `before`.
+    fn ownership(
+        &self,
+        name: &str,
+        service: &Service,
+        now: &View,
+        (before, change): (&View, &Change<'_>),
+    ) -> Ownership {
         let slots = now.servers[name].iter().map(|entry| entry.server.slots);
         let room = Room {
             max_connections: service.max_connections,
@@ -293,10 +298,16 @@
         };
         let dcs: Set<&str> = now.peers.iter().map(|peer| peer.dc.as_str()).collect();
         let holding = Holding::new(now.members, dcs.len(), room);
+        let asker = Asker {
+            own: &self.id,
+            dc: &self.dc,
+            service: name,
+        };
         let known = before.ownership.get(name);
-        let known = known.filter(|known| known.holding == holding && before.peers == now.peers);
-        let rank = || ownership::plan(&now.peers, &self.id, &self.dc, name, holding);
-        let plan = known.map_or_else(rank, |known| known.plan.clone());
+        let plan = match known.filter(|known| known.holding == holding) {
+            Some(known) => ownership::replan(&known.plan, change, &now.peers, asker, holding),
+            None => ownership::plan(&now.peers, &self.id, &self.dc, name, holding),
+        };
         Ownership { holding, plan }
     }
 
@@ -327,9 +338,10 @@
             peers,
             ownership: Map::default(),
         };
+        let change = Change::new(&before.peers, &view.peers);
         let services = view.catalog.iter().flat_map(|catalog| &catalog.services);
         let ownership = services.map(|(name, service)| {
-            let ownership = self.ownership(name, service, &view, &before);
+            let ownership = self.ownership(name, service, &view, (&before, &change));
             (name.clone(), ownership)
         });
         view.ownership = ownership.collect();
