A long value is told to followers by what of it is new

A configuration grows with the fleet; each feeder sent all of it to 29 followers, whose answers did not come within 0.5 s, so they asked others, of other data centres as well, for all of it again. Ruled out: the store (in force within 682 ms on the untouched code, where each proxy reads it there). Change: engine::delta, by parts of a JSON value, against the value that the follower has (named by its revision, and checked); an answer above 64 KB is not given, and whoever has missed that much reads it from the store.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod commit;
+pub mod delta;
 pub mod duty;
 pub mod feed;
 pub mod fence;
--- a/crates/engine/src/mirror.rs
+++ b/crates/engine/src/mirror.rs
@@ -61,6 +61,12 @@
         self.revision
     }
 
+    /// A key's value and the revision at which it was written.
+    pub fn get(&self, key: &str) -> Option<(u64, &V)> {
+        let (revision, value) = self.values.get(key)?;
+        Some((*revision, value))
+    }
+
     /// Takes news that follow the mirror's revision, and returns whether they did.
     ///
     /// Failure: a proxy turns from one source to another that is behind the first, and a
--- /dev/null
+++ b/crates/engine/tests/delta.rs
@@ -0,0 +1,69 @@
+//! Values told by what of them is new.
+
+use dandelionpitch_engine::delta::{apply, diff, Piece};
+
+/// A configuration of `routes` routes, in which the one at `changed` has another timeout.
+fn configuration(version: u64, routes: usize, changed: usize) -> Vec<u8> {
+    let route = |index: usize| {
+        let timeout = match index == changed {
+            true => 900 + version,
+            false => 1_000,
+        };
+        format!(
+            "{{\"name\":\"r-{index}\",\"service\":\"ledger-{index}\",\"timeout_ms\":{timeout}}}"
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!(
+        "{{\"version\":{version},\"routes\":[{}]}}",
+        routes.join(",")
+    )
+    .into_bytes()
+}
+
+fn new_bytes(pieces: &[Piece]) -> usize {
+    let new = |piece: &Piece| match piece {
+        Piece::New(bytes) => bytes.len(),
+        Piece::Kept { .. } => 0,
+    };
+    pieces.iter().map(new).sum()
+}
+
+/// One route of thousands gets another timeout. Told whole, the configuration would be as long as the
+/// fleet is large; what is told of it is not.
+#[test]
+fn change_costs_the_same_in_a_long_configuration() {
+    for routes in [10, 10_000] {
+        let old = configuration(1, routes, 3);
+        let new = configuration(2, routes, 7);
+
+        let pieces = diff(&old, &new);
+
+        assert_eq!(apply(&old, &pieces).as_deref(), Some(new.as_slice()));
+        assert!(new_bytes(&pieces) < 400, "{routes}: {}", new_bytes(&pieces));
+        assert!(pieces.len() < 10, "{routes}: {}", pieces.len());
+    }
+}
+
+#[test]
+fn routes_may_come_go_and_move() {
+    let old = configuration(1, 50, 3);
+    for new in [
+        configuration(2, 60, 9),
+        configuration(2, 5, 1),
+        b"{}".to_vec(),
+        Vec::new(),
+        b"no object at all".to_vec(),
+    ] {
+        assert_eq!(apply(&old, &diff(&old, &new)), Some(new.clone()));
+        assert_eq!(apply(&[], &diff(&[], &new)), Some(new));
+    }
+}
+
+/// The other end has another value than the one that was compared: what is kept may lie past its end.
+#[test]
+fn pieces_of_another_value_are_none() {
+    let pieces = diff(&configuration(1, 50, 3), &configuration(2, 50, 3));
+
+    assert_eq!(apply(b"{}", &pieces), None);
+}
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -142,7 +142,9 @@
         };
         let after = self.control.copy.revision();
         let asked = clock::now();
-        let answer = feeder.ask(Question { after, wait }).await?;
+        let answer = feeder
+            .ask(&self.control.copy, Question { after, wait })
+            .await?;
         self.feeder = Some(feeder);
         let known = feed::known_until(asked, answer.waited, answer.age);
         let changed = self.take(source, &answer.news, known);
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -2,21 +2,29 @@
 //! other proxies by the traffic thread.
 
 use std::{
+    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
+use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     feed::{Source, FRESH_ENOUGH},
     mirror::{Mirror, News},
     time::Moment,
 };
-use dandelionpitch_platform::feed::{Answer, Question, Value};
+use dandelionpitch_platform::feed::{Answer, Question, Value, Version};
 use serde::Serialize;
 use tokio::sync::watch;
 
 use crate::line::clock;
 
+/// From how many bytes on a value is told by what of it is new.
+const LONG: usize = 4 * 1024;
+
+/// How many earlier values of a key are remembered: configurations may come in quick succession.
+const EARLIER: usize = 8;
+
 /// The copy, shared by both threads.
 #[derive(Clone, Debug)]
 pub struct Copy {
@@ -28,6 +36,8 @@
 #[derive(Debug, Default)]
 struct Content {
     mirror: Mirror<Value>,
+    /// Earlier values of keys that are long, the oldest first.
+    earlier: Map<String, VecDeque<Version>>,
     /// Up to when no change of the store was missed.
     known_until: Moment,
     /// Who told it last, as long as they still answer.
@@ -59,6 +69,7 @@
     pub fn take(&self, source: &Source, news: &News<Value>, known: Moment) -> bool {
         let mut content = self.lock();
         let before = content.mirror.revision();
+        content.keep_earlier(news);
         let taken = content.mirror.take(news);
         content.known_until = content.known_until.max(known);
         content.source = Some(source.clone());
@@ -131,7 +142,40 @@
         Some(Some(Answer { news, waited, age }))
     }
 
+    /// The value of a key at the revision that somebody has reached, if it was long and is remembered.
+    pub fn version(&self, key: &str, reached: u64) -> Option<Version> {
+        let content = self.lock();
+        let earlier = content.earlier.get(key)?;
+        earlier.iter().rfind(|(at, _)| *at <= reached).cloned()
+    }
+
+    /// The present value of a key.
+    pub fn present(&self, key: &str) -> Option<Version> {
+        let content = self.lock();
+        let (at, value) = content.mirror.get(key)?;
+        Some((at, value.clone()))
+    }
+
     fn lock(&self) -> MutexGuard<'_, Content> {
         self.content.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Content {
+    /// Remembers the long values that news replace, so that others can be told what is new of them.
+    fn keep_earlier(&mut self, news: &News<Value>) {
+        for change in &news.changes {
+            let Some((at, old)) = self.mirror.get(&change.key) else {
+                continue;
+            };
+            if old.len() < LONG || change.revision <= at {
+                continue;
+            }
+            let earlier = self.earlier.entry(change.key.clone()).or_default();
+            earlier.push_back((at, old.clone()));
+            if earlier.len() > EARLIER {
+                earlier.pop_front();
+            }
+        }
+    }
+}
--- a/crates/proxy/src/line/traffic/feed.rs
+++ b/crates/proxy/src/line/traffic/feed.rs
@@ -4,33 +4,45 @@
 use dandelionpitch_platform::{
     caller::{self, Stand},
     feed::Question,
-    line,
+    line, Error,
 };
 
 use crate::line::{journal, mirror::Copy};
 
+/// The longest answer that is given. Whoever has missed more reads it from the store: sent to dozens of
+/// others at once, it would fill this VM's link for longer than they wait.
+const LONGEST: usize = 64 * 1024;
+
 /// Appends the answer to a question for changes, to a connection that stands at `stand`.
 pub async fn answer(copy: &Copy, message: &[u8], stand: Stand, out: &mut Vec<u8>) {
-    let answer = match line::text(message).and_then(Question::read) {
-        Ok(question) => copy.answer(question).await,
-        Err(error) => {
-            journal::trouble("feed", &error.to_string());
-            None
-        }
-    };
     let start = out.len();
-    let written = answer.map(|answer| answer.write(out));
-    match written {
-        Some(Ok(())) => caller::done(out, stand),
-        Some(Err(error)) => {
+    let told = match line::text(message).and_then(Question::read) {
+        Ok(question) => tell(copy, question, out).await,
+        Err(error) => Err(error),
+    };
+    match told {
+        Ok(true) if out.len() - start <= LONGEST => caller::done(out, stand),
+        Ok(_) => {
+            out.truncate(start);
+            caller::refused(out, &no_news(), stand);
+        }
+        Err(error) => {
             out.truncate(start);
             journal::trouble("feed", &error.to_string());
             caller::refused(out, &no_news(), stand);
         }
-        None => caller::refused(out, &no_news(), stand),
     }
 }
 
+/// Appends the rows of an answer; `false` if there is none.
+async fn tell(copy: &Copy, question: Question, out: &mut Vec<u8>) -> Result<bool, Error> {
+    let Some(answer) = copy.answer(question).await else {
+        return Ok(false);
+    };
+    answer.write(out, |key| copy.version(key, question.after))?;
+    Ok(true)
+}
+
 fn no_news() -> Refusal {
     Refusal::new(Code::Busy, "this proxy has no news of the store itself")
 }
