--- /dev/null
+++ b/crates/e2e/tests/sweep_table.rs
@@ -0,0 +1,56 @@
+//! The tables of docs/CAPACITY.md are made from recorded sweeps by a script.
+
+use std::{
+    path::{Path, PathBuf},
+    process::{Command, Output},
+};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn table(recorded: &Path) -> Output {
+    let script = root().join("scripts/sweep-table");
+    let run = Command::new("python3").arg(script).arg(recorded).output();
+    run.expect("python3 runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn recorded_sweep_becomes_tables() {
+    let made = table(&root().join("docs/sweeps/before.txt"));
+
+    let printed = text(&made.stdout);
+    assert!(made.status.success(), "{}", text(&made.stderr));
+    assert!(printed.contains("| measured | 102 | 0.991 | 0.942 | none |"));
+    assert!(
+        printed.contains("| proxy: connections | measured | 206 / 677 | 94 / 2133 | 64 / 6281 |")
+    );
+}
+
+/// A sweep takes many minutes and is ended now and then. A table of what it had until then would look whole.
+#[test]
+fn cut_off_sweep_is_an_error() {
+    let whole = std::fs::read_to_string(root().join("docs/sweeps/before.txt")).expect("recorded");
+    let cut: String = whole
+        .lines()
+        .take(3)
+        .map(|line| format!("{line}\n"))
+        .collect();
+    let path = std::env::temp_dir().join(format!("dp-sweep-{}.txt", std::process::id()));
+    std::fs::write(&path, cut).expect("it is written");
+
+    let made = table(&path);
+
+    std::fs::remove_file(&path).expect("it is removed");
+    assert!(!made.status.success());
+    assert!(text(&made.stdout).is_empty());
+    assert!(
+        text(&made.stderr).contains("cut off"),
+        "{}",
+        text(&made.stderr)
+    );
+}
