--- a/crates/engine/benches/fleet.rs
+++ b/crates/engine/benches/fleet.rs
@@ -11,7 +11,7 @@
 
 use dandelionpitch_engine::{
     feed::Place,
-    mirror::{self, Mirror, News},
+    mirror::{self, Mirror, Update},
     ownership::{self, Asker, Change, Holding, Peer, Plan, Room},
 };
 
@@ -77,7 +77,7 @@
     let entries = PROXIES + 3 * GROUPS;
     let mut mirror = Mirror::default();
     for (whole, known) in [(true, 0..entries), (false, entries..entries + TOLD)] {
-        mirror.take(&News {
+        mirror.take(&Update {
             revision: known.end as u64,
             whole,
             changes: known.map(change).collect(),
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -3,7 +3,7 @@
 //! Load pattern: hundreds of proxies that watch the store pay for each change once each, and a third of
 //! them turned away by the store goes by an old list. So a few proxies of each data centre watch
 //! it, the feeders, and the others hear from them, or from those of other data centres, before
-//! they ask the store themselves (`docs/DESIGN.md`, "News of the store"). What only the store may
+//! they ask the store themselves (`docs/DESIGN.md`, "Changes of the store"). What only the store may
 //! decide, such as claims, conditions and leases, stays a call to the store.
 
 use std::{cmp::Reverse, time::Duration};
--- a/crates/engine/src/mirror.rs
+++ b/crates/engine/src/mirror.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: each change of the store wakes every proxy that watches it, so calls grow with proxies
 //! times changes. A proxy that has a mirror tells others what changed after the revision that they
-//! have reached, as the store itself would (`docs/DESIGN.md`, "News of the store").
+//! have reached, as the store itself would (`docs/DESIGN.md`, "Changes of the store").
 
 use std::collections::{BTreeSet, VecDeque};
 
@@ -23,7 +23,7 @@
 
 /// What somebody who has reached an earlier revision is to be told.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct News<V> {
+pub struct Update<V> {
     /// The revision reached with it.
     pub revision: u64,
     /// Whether these are all keys there are, and others are gone.
@@ -67,29 +67,29 @@
         Some((*revision, value))
     }
 
-    /// Takes news that follow the mirror's revision, and returns whether they did.
+    /// Takes an update that follows the mirror's revision, and returns whether it did.
     ///
     /// Failure: a proxy turns from one source to another that is behind the first, and a
-    /// configuration is replaced by an earlier one. Guard: older news are left out.
-    pub fn take(&mut self, news: &News<V>) -> bool {
-        if news.revision < self.revision {
+    /// configuration is replaced by an earlier one. Guard: older updates are left out.
+    pub fn take(&mut self, update: &Update<V>) -> bool {
+        if update.revision < self.revision {
             return false;
         }
-        if news.whole {
-            self.drop_missing(news);
+        if update.whole {
+            self.drop_missing(update);
         }
-        for change in &news.changes {
+        for change in &update.changes {
             match &change.value {
                 Some(value) => self.put(&change.key, change.revision, value.clone()),
                 None => self.remove(&change.key, change.revision),
             }
         }
-        self.revision = news.revision;
+        self.revision = update.revision;
         true
     }
 
     /// What somebody at revision `after` has missed.
-    pub fn after(&self, after: u64) -> News<V> {
+    pub fn after(&self, after: u64) -> Update<V> {
         let whole = after < self.horizon;
         let from = match whole {
             true => 0,
@@ -113,27 +113,27 @@
         });
         let mut changes: Vec<_> = written.chain(removed).collect();
         changes.sort_by_key(|change| change.revision);
-        News {
+        Update {
             revision: self.revision,
             whole,
             changes,
         }
     }
 
-    /// Removes the keys that complete news do not name. When they went is not known, so they count as
+    /// Removes the keys that a complete update does not name. When they went is not known, so they count as
     /// removed with the last of it.
-    fn drop_missing(&mut self, news: &News<V>) {
+    fn drop_missing(&mut self, update: &Update<V>) {
         if self.revision == 0 {
-            self.horizon = news.revision;
+            self.horizon = update.revision;
         }
-        let named: BTreeSet<&str> = news.changes.iter().map(|c| c.key.as_str()).collect();
+        let named: BTreeSet<&str> = update.changes.iter().map(|c| c.key.as_str()).collect();
         let gone = self
             .values
             .keys()
             .filter(|key| !named.contains(key.as_str()));
         let gone: Vec<String> = gone.cloned().collect();
         for key in gone {
-            self.remove(&key, news.revision);
+            self.remove(&key, update.revision);
         }
     }
 
--- a/crates/engine/tests/feed.rs
+++ b/crates/engine/tests/feed.rs
@@ -148,7 +148,7 @@
 /// was held up, or the follower was suspended, for 5 s. What it says holds up to 300 ms after
 /// the question, not up to the moment at which it was taken up.
 #[test]
-fn held_up_news_are_as_old_as_they_are() {
+fn held_up_answers_are_as_old_as_they_are() {
     let asked = at(10_000);
 
     let known = feed::known_until(asked, millis(1_000), millis(700));
@@ -159,7 +159,7 @@
 /// In a calm hour nothing changes, and the list of servers that a follower has must still be young enough to
 /// go by, just before the next answer.
 #[test]
-fn calm_news_keep_lists_young() {
+fn calm_hours_keep_lists_young() {
     let feeder = 2 * WAIT;
     let follower = feeder + WAIT;
 
--- a/crates/engine/tests/interleavings/follower.rs
+++ b/crates/engine/tests/interleavings/follower.rs
@@ -82,7 +82,7 @@
         true
     }
 
-    /// What the store holds, and as of when. News from another proxy are as old as that proxy's, and may come though
+    /// What the store holds, and as of when. What another proxy says is as old as it heard it, and may come though
     /// the store itself is out of reach.
     fn hear(&self, cluster: &Cluster) -> Option<(u64, Store)> {
         let (heard, store) = &cluster.fed;
--- a/crates/engine/tests/mirror.rs
+++ b/crates/engine/tests/mirror.rs
@@ -1,6 +1,6 @@
 //! What a proxy tells others of the store's content.
 
-use dandelionpitch_engine::mirror::{Change, Mirror, News};
+use dandelionpitch_engine::mirror::{Change, Mirror, Update};
 
 fn written(key: &str, revision: u64, value: &'static str) -> Change<&'static str> {
     Change {
@@ -18,8 +18,8 @@
     }
 }
 
-fn news(revision: u64, whole: bool, changes: &[Change<&'static str>]) -> News<&'static str> {
-    News {
+fn update(revision: u64, whole: bool, changes: &[Change<&'static str>]) -> Update<&'static str> {
+    Update {
         revision,
         whole,
         changes: changes.to_vec(),
@@ -30,8 +30,8 @@
 fn mirror() -> Mirror<&'static str> {
     let mut mirror = Mirror::default();
     let all = [written("config", 4, "v1"), written("server", 9, "up")];
-    mirror.take(&news(10, true, &all));
-    mirror.take(&news(
+    mirror.take(&update(10, true, &all));
+    mirror.take(&update(
         13,
         false,
         &[written("config", 12, "v2"), removed("server", 13)],
@@ -46,8 +46,8 @@
     let told = mirror.after(11);
 
     let missed = [written("config", 12, "v2"), removed("server", 13)];
-    assert_eq!(told, news(13, false, &missed));
-    assert_eq!(mirror.after(13), news(13, false, &[]));
+    assert_eq!(told, update(13, false, &missed));
+    assert_eq!(mirror.after(13), update(13, false, &[]));
 }
 
 /// A follower has reached a revision before the mirror's first list. What was removed until then is
@@ -56,7 +56,7 @@
 fn follower_from_before_the_first_list_is_told_everything() {
     let mirror = mirror();
     let mut follower = Mirror::default();
-    follower.take(&news(3, true, &[written("gone", 2, "x")]));
+    follower.take(&update(3, true, &[written("gone", 2, "x")]));
 
     let told = mirror.after(3);
     follower.take(&told);
@@ -65,13 +65,13 @@
     assert_eq!(follower.after(0).changes, [written("config", 12, "v2")]);
 }
 
-/// A follower turns from one source to another that is behind the first. Its news are older than
+/// A follower turns from one source to another that is behind the first. Its updates are older than
 /// what the follower has: taken, they would put an earlier configuration back in force.
 #[test]
-fn older_news_change_nothing() {
+fn older_updates_change_nothing() {
     let mut mirror = mirror();
 
-    let taken = mirror.take(&news(11, true, &[written("config", 4, "v1")]));
+    let taken = mirror.take(&update(11, true, &[written("config", 4, "v1")]));
 
     assert!(!taken);
     assert_eq!(mirror.revision(), 13);
@@ -83,11 +83,11 @@
 #[test]
 fn removals_found_by_reading_anew_are_told() {
     let mut mirror = mirror();
-    mirror.take(&news(14, false, &[written("other", 14, "y")]));
+    mirror.take(&update(14, false, &[written("other", 14, "y")]));
 
-    mirror.take(&news(20, true, &[written("config", 12, "v2")]));
+    mirror.take(&update(20, true, &[written("config", 12, "v2")]));
 
-    assert_eq!(mirror.after(14), news(20, false, &[removed("other", 20)]));
+    assert_eq!(mirror.after(14), update(20, false, &[removed("other", 20)]));
 }
 
 /// Entries come and go by the thousand. The removals that are remembered are bounded; whoever has
@@ -97,7 +97,7 @@
     let mut mirror = mirror();
     for revision in (14..10_000).step_by(2) {
         let come_and_gone = [written("k", revision, "x"), removed("k", revision + 1)];
-        mirror.take(&news(revision + 1, false, &come_and_gone));
+        mirror.take(&update(revision + 1, false, &come_and_gone));
     }
 
     assert!(mirror.after(13).whole);
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -66,7 +66,7 @@
     let stop = stop::Stop::new(line.grace);
     let (isolation, isolated) = watch::channel(Isolation::default());
     let (records, desk) = records::channel();
-    let copy = mirror::Copy::default();
+    let mirror = mirror::Handle::default();
     let endpoint = operator::Context {
         id: config.id.clone(),
         dc: config.dc.clone(),
@@ -74,12 +74,12 @@
         isolated: isolated.clone(),
         stopping: stop.token(),
         metrics: metrics.clone(),
-        copy: copy.clone(),
+        mirror: mirror.clone(),
     };
     let links = thread::Links {
         publish,
         desk,
-        copy: copy.clone(),
+        mirror: mirror.clone(),
     };
     let operator = thread::spawn(&config, &line, peer, links, endpoint)?;
     let operator = operator
@@ -100,7 +100,7 @@
         isolated,
         suspicion: suspicion.clone(),
         records,
-        copy,
+        mirror,
         open: Rc::default(),
     });
     let looking = isolation::run(shared.clone(), suspicion, isolation);
--- a/crates/proxy/src/line/control/feeder.rs
+++ b/crates/proxy/src/line/control/feeder.rs
@@ -8,7 +8,7 @@
     Error,
 };
 
-use crate::line::{control::state::Control, mirror::Copy};
+use crate::line::{control::state::Control, mirror::Handle};
 
 /// How much longer than a question's wait its answer may take: what a busy VM needs to write it.
 const SLACK: Duration = Duration::from_millis(500);
@@ -36,21 +36,21 @@
     }
 
     /// Asks it; after an error the connection is not used again.
-    pub async fn ask(&mut self, copy: &Copy, question: Question) -> Result<Answer, Error> {
+    pub async fn ask(&mut self, mirror: &Handle, question: Question) -> Result<Answer, Error> {
         let limit = question.wait + SLACK;
-        match tokio::time::timeout(limit, self.exchange(copy, question)).await {
+        match tokio::time::timeout(limit, self.exchange(mirror, question)).await {
             Ok(answer) => answer,
             Err(_) => Err(Error::Timeout),
         }
     }
 
-    async fn exchange(&mut self, copy: &Copy, question: Question) -> Result<Answer, Error> {
+    async fn exchange(&mut self, mirror: &Handle, question: Question) -> Result<Answer, Error> {
         let mut link = match self.link.take() {
             Some(link) => link,
             None => Link::open(self.address, feed::NAME, &self.id).await?,
         };
         let answer = link.ask(Query::Follow(question)).await?;
         self.link = Some(link);
-        Answer::read(&answer.result?.rows, |key| copy.present(key))
+        Answer::read(&answer.result?.rows, |key| mirror.present(key))
     }
 }
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -7,7 +7,7 @@
 
 use dandelionpitch_engine::{
     feed::{self, Failures, Source},
-    mirror::{Change, News},
+    mirror::{Change, Update},
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -87,7 +87,7 @@
 
     /// A process that has just started asks the store itself: it must know the newest configuration.
     fn choose(&self) -> Source {
-        match self.control.copy.revision() {
+        match self.control.mirror.revision() {
             0 => Source::Store,
             _ => self
                 .failures
@@ -107,30 +107,30 @@
     async fn list(&mut self) -> Result<bool, Error> {
         let asked = clock::now();
         let (items, revision) = self.control.store().list(EVERYTHING).await?;
-        let news = News {
+        let update = Update {
             revision,
             whole: true,
             changes: items.iter().map(Change::from).collect(),
         };
-        self.take(&Source::Store, &news, asked);
+        self.take(&Source::Store, &update, asked);
         self.anew = false;
         Ok(true)
     }
 
     async fn watch(&mut self) -> Result<bool, Error> {
         let asked = clock::now();
-        let (after, wait) = (self.control.copy.revision(), self.wait());
+        let (after, wait) = (self.control.mirror.revision(), self.wait());
         let watched = self.control.store().watch(EVERYTHING, after, wait).await?;
         let Watched::Changes { events, next } = watched else {
             self.anew = true;
             return Ok(true);
         };
-        let news = News {
+        let update = Update {
             revision: next,
             whole: false,
             changes: events.iter().map(Change::from).collect(),
         };
-        Ok(self.take(&Source::Store, &news, asked))
+        Ok(self.take(&Source::Store, &update, asked))
     }
 
     async fn ask(&mut self, source: &Source, id: &str) -> Result<bool, Error> {
@@ -140,27 +140,27 @@
             // The first answer of a new source comes at once, so that one that hangs costs little.
             None => (Feeder::new(&self.control, id)?, Duration::ZERO),
         };
-        let after = self.control.copy.revision();
+        let after = self.control.mirror.revision();
         let asked = clock::now();
         let answer = feeder
-            .ask(&self.control.copy, Question { after, wait })
+            .ask(&self.control.mirror, Question { after, wait })
             .await?;
         self.feeder = Some(feeder);
         let known = feed::known_until(asked, answer.waited, answer.age);
-        let changed = self.take(source, &answer.news, known);
+        let changed = self.take(source, &answer.update, known);
         // Whatever the store has forgotten, the other proxy has told.
         self.anew = false;
         Ok(changed)
     }
 
-    /// Takes news that are complete up to `known`; whether anything has changed.
-    fn take(&self, source: &Source, news: &News<Value>, known: Moment) -> bool {
+    /// Takes an update that is complete up to `known`; whether anything has changed.
+    fn take(&self, source: &Source, update: &Update<Value>, known: Moment) -> bool {
         let control = &self.control;
-        if !control.copy.take(source, news, known) {
+        if !control.mirror.take(source, update, known) {
             return false;
         }
-        let events: Vec<Event> = news.changes.iter().map(Event::from).collect();
-        match news.whole {
+        let events: Vec<Event> = update.changes.iter().map(Event::from).collect();
+        match update.whole {
             true => control.replace(&events),
             false => control.apply(&events),
         }
@@ -188,7 +188,7 @@
             journal::dependency("store", "followed", "");
             control.registry.borrow_mut().forgive(clock::now());
         }
-        let known = control.copy.known_until();
+        let known = control.mirror.known_until();
         control.expire(known);
         control.registry.borrow_mut().known_until(known);
         records::note_followed(&control.followed, known);
@@ -214,7 +214,7 @@
         }
         if self.source.as_ref() == Some(source) {
             self.source = None;
-            control.copy.lost();
+            control.mirror.lost();
             journal::dependency("source", "lost", &format!("{source:?}: {error}"));
         }
         let next = self.choose();
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -34,7 +34,7 @@
             record,
         },
         journal,
-        mirror::Copy,
+        mirror::Handle,
         view::{Ownership, View},
     },
     metrics::Metrics,
@@ -78,7 +78,7 @@
     /// From whom changes of the store are heard.
     pub place: RefCell<Place>,
     /// What the store holds, as far as it was heard.
-    pub copy: Copy,
+    pub mirror: Handle,
     /// Up to when no change of the store was missed, in milliseconds, as traffic sees it.
     pub followed: Arc<AtomicU64>,
     pub(super) publish: watch::Sender<Arc<View>>,
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -25,7 +25,7 @@
             testify,
         },
         journal,
-        mirror::Copy,
+        mirror::Handle,
         operator,
         records::{Desk, Inquiry},
         view::View,
@@ -36,7 +36,7 @@
 pub struct Links {
     pub publish: watch::Sender<Arc<View>>,
     pub desk: Desk,
-    pub copy: Copy,
+    pub mirror: Handle,
 }
 
 /// Starts the control thread, which runs until the process ends; returns where operators connect.
@@ -51,7 +51,7 @@
     let Links {
         publish,
         desk,
-        copy,
+        mirror,
     } = links;
     let store = Store::new(&config.kv)?;
     let (metrics, stopping) = (endpoint.metrics.clone(), endpoint.stopping.clone());
@@ -87,7 +87,7 @@
             unreadable: RefCell::default(),
             followed_lately: Cell::new(false),
             place,
-            copy,
+            mirror,
             followed: desk.followed,
             publish,
         });
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -10,7 +10,7 @@
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     feed::{Source, FRESH_ENOUGH},
-    mirror::{Mirror, News},
+    mirror::{Mirror, Update},
     time::Moment,
 };
 use dandelionpitch_platform::feed::{Answer, Question, Value, Version};
@@ -25,9 +25,9 @@
 /// How many earlier values of a key are remembered: configurations may come in quick succession.
 const EARLIER: usize = 8;
 
-/// The copy, shared by both threads.
+/// The mirror of the process, shared by both threads.
 #[derive(Clone, Debug)]
-pub struct Copy {
+pub struct Handle {
     content: Arc<Mutex<Content>>,
     /// Told with each change, and when it feeds no longer.
     changed: watch::Sender<()>,
@@ -55,7 +55,7 @@
     pub age_ms: u64,
 }
 
-impl Default for Copy {
+impl Default for Handle {
     fn default() -> Self {
         Self {
             content: Arc::default(),
@@ -64,13 +64,13 @@
     }
 }
 
-impl Copy {
-    /// Takes news of `source` that are complete up to `known`; whether they followed what was there.
-    pub fn take(&self, source: &Source, news: &News<Value>, known: Moment) -> bool {
+impl Handle {
+    /// Takes an update of `source` that is complete up to `known`; whether it followed what was there.
+    pub fn take(&self, source: &Source, update: &Update<Value>, known: Moment) -> bool {
         let mut content = self.lock();
         let before = content.mirror.revision();
-        content.keep_earlier(news);
-        let taken = content.mirror.take(news);
+        content.keep_earlier(update);
+        let taken = content.mirror.take(update);
         content.known_until = content.known_until.max(known);
         content.source = Some(source.clone());
         let changed = content.mirror.revision() != before;
@@ -81,7 +81,7 @@
         taken
     }
 
-    /// Notes that the source of news was lost, which those who wait for news are told at once.
+    /// Notes that the source was lost, which those who wait for changes are told at once.
     pub fn lost(&self) {
         if self.lock().source.take().is_some() {
             self.changed.send_replace(());
@@ -138,8 +138,12 @@
         if content.mirror.revision() <= after && !left.is_zero() {
             return Some(None);
         }
-        let news = content.mirror.after(after);
-        Some(Some(Answer { news, waited, age }))
+        let update = content.mirror.after(after);
+        Some(Some(Answer {
+            update,
+            waited,
+            age,
+        }))
     }
 
     /// The value of a key at the revision that somebody has reached, if it was long and is remembered.
@@ -162,9 +166,9 @@
 }
 
 impl Content {
-    /// Remembers the long values that news replace, so that others can be told what is new of them.
-    fn keep_earlier(&mut self, news: &News<Value>) {
-        for change in &news.changes {
+    /// Remembers the long values that an update replaces, so that others can be told what is new of them.
+    fn keep_earlier(&mut self, update: &Update<Value>) {
+        for change in &update.changes {
             let Some((at, old)) = self.mirror.get(&change.key) else {
                 continue;
             };
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -53,7 +53,7 @@
     pub isolated: watch::Receiver<Isolation>,
     pub stopping: CancellationToken,
     pub metrics: Metrics,
-    pub copy: mirror::Copy,
+    pub mirror: mirror::Handle,
 }
 
 /// Whether the balancer should send new callers: a configuration is in force, the process is not
@@ -86,7 +86,7 @@
         members: view.members,
         owns: owned(&view),
         servers: servers.collect(),
-        changes: context.copy.report(),
+        changes: context.mirror.report(),
         log_lines_dropped: journal::dropped(),
     })
 }
@@ -101,7 +101,7 @@
 
 #[get("/metrics")]
 fn metrics(context: &State<Context>) -> String {
-    context.metrics.changes_age(context.copy.report().age_ms);
+    context.metrics.changes_age(context.mirror.report().age_ms);
     context.metrics.log_lines_dropped(journal::dropped());
     context.metrics.text()
 }
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -15,7 +15,7 @@
         backend::Backend,
         clock,
         group::{Group, Groups},
-        mirror::Copy,
+        mirror::Handle,
         peers::Peers,
         reach::Suspicion,
         records::Records,
@@ -43,7 +43,7 @@
     pub suspicion: Suspicion,
     pub records: Records,
     /// What the store holds, for other proxies.
-    pub copy: Copy,
+    pub mirror: Handle,
     /// How many callers are connected.
     pub open: Rc<Cell<usize>>,
 }
--- a/crates/proxy/src/line/traffic/feed.rs
+++ b/crates/proxy/src/line/traffic/feed.rs
@@ -7,42 +7,42 @@
     line, Error,
 };
 
-use crate::line::{journal, mirror::Copy};
+use crate::line::{journal, mirror::Handle};
 
 /// The longest answer that is given. Whoever has missed more reads it from the store: sent to dozens of
 /// others at once, it would fill this VM's link for longer than they wait.
 const LONGEST: usize = 64 * 1024;
 
 /// Appends the answer to a question for changes, to a connection that stands at `stand`.
-pub async fn answer(copy: &Copy, message: &[u8], stand: Stand, out: &mut Vec<u8>) {
+pub async fn answer(mirror: &Handle, message: &[u8], stand: Stand, out: &mut Vec<u8>) {
     let start = out.len();
     let told = match line::text(message).and_then(Question::read) {
-        Ok(question) => tell(copy, question, out).await,
+        Ok(question) => tell(mirror, question, out).await,
         Err(error) => Err(error),
     };
     match told {
         Ok(true) if out.len() - start <= LONGEST => caller::done(out, stand),
         Ok(_) => {
             out.truncate(start);
-            caller::refused(out, &no_news(), stand);
+            caller::refused(out, &nothing_known(), stand);
         }
         Err(error) => {
             out.truncate(start);
             journal::trouble("feed", &error.to_string());
-            caller::refused(out, &no_news(), stand);
+            caller::refused(out, &nothing_known(), stand);
         }
     }
 }
 
 /// Appends the rows of an answer; `false` if there is none.
-async fn tell(copy: &Copy, question: Question, out: &mut Vec<u8>) -> Result<bool, Error> {
-    let Some(answer) = copy.answer(question).await else {
+async fn tell(mirror: &Handle, question: Question, out: &mut Vec<u8>) -> Result<bool, Error> {
+    let Some(answer) = mirror.answer(question).await else {
         return Ok(false);
     };
-    answer.write(out, |key| copy.version(key, question.after))?;
+    answer.write(out, |key| mirror.version(key, question.after))?;
     Ok(true)
 }
 
-fn no_news() -> Refusal {
-    Refusal::new(Code::Busy, "this proxy has no news of the store itself")
+fn nothing_known() -> Refusal {
+    Refusal::new(Code::Busy, "this proxy hears nothing of the store itself")
 }
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -34,7 +34,7 @@
     shared::Shared,
     traffic::{
         call::Call,
-        feed as news,
+        feed as changes,
         handover::{self, Handed},
         origin::{Origin, UnderWay},
         run,
@@ -273,7 +273,7 @@
             return false;
         }
         let stand = self.stand();
-        news::answer(&self.shared.copy, line, stand, &mut self.out).await;
+        changes::answer(&self.shared.mirror, line, stand, &mut self.out).await;
         self.flush().await
     }
 
