--- a/crates/proxy/src/line/peers.rs
+++ b/crates/proxy/src/line/peers.rs
@@ -40,6 +40,9 @@
 /// The least time between two checks of all proxies that statements go to.
 const CHECK_EVERY: Duration = Duration::from_secs(1);
 
+/// The most that are checked at once.
+const MOST_CHECKED: usize = 32;
+
 impl Peers {
     /// Takes the live proxies, and who owns which group, as they now are.
     pub fn update(&self, view: &View, own: &str, metrics: &Metrics) {
@@ -67,7 +70,8 @@
     /// Notes that a proxy failed, and finds out about all others that statements go to.
     ///
     /// Load pattern: a cut takes half of all owners away at once. Guard: the first statement that meets it
-    /// is enough, the others need not wait for each owner in turn.
+    /// is enough, the others need not wait for each owner in turn. Of hundreds only some are checked,
+    /// or a restart of all proxies would have each of them call on all others.
     pub fn lose(&self, peer: &Rc<Backend>) {
         peer.lose();
         let now = clock::now();
@@ -75,15 +79,25 @@
             return;
         }
         self.checked.set(now);
+        let known = self.known.borrow();
+        let owners = self
+            .named()
+            .into_iter()
+            .filter_map(|id| known.get(&id).cloned());
+        owners.take(MOST_CHECKED).for_each(|owner| owner.check());
+    }
+
+    /// The proxies that statements go to, those of the own data centre first, each once.
+    fn named(&self) -> Vec<String> {
         let plans = self.plans.borrow();
-        let named = plans.values().flat_map(|plan| match plan {
-            Plan::Own => [].iter().chain(&[]),
-            Plan::HandOver { near, far } => near.iter().chain(far),
+        let handed = plans.values().filter_map(|plan| match plan {
+            Plan::Own => None,
+            Plan::HandOver { near, far } => Some((near, far)),
         });
-        let named: Set<&String> = named.collect();
-        let known = self.known.borrow();
-        let owners = named.into_iter().filter_map(|id| known.get(id));
-        owners.for_each(Backend::check);
+        let (near, far): (Vec<_>, Vec<_>) = handed.unzip();
+        let mut seen = Set::default();
+        let all = near.into_iter().chain(far).flatten();
+        all.filter(|id| seen.insert(id.as_str())).cloned().collect()
     }
 
     /// Closes connections that were opened when much was under way and are not needed any more.
