--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -77,11 +77,6 @@
         }
         Self { feeds, sources }
     }
-
-    /// Whether the proxy is fed by others and never needs the store for it.
-    pub fn follows(&self) -> bool {
-        !self.feeds
-    }
 }
 
 /// Some feeders of other data centres, others for each proxy.
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -44,7 +44,7 @@
     source: Option<Source>,
 }
 
-/// What operators are told of the copy.
+/// What operators are told of the mirror.
 #[derive(Debug, Serialize)]
 pub struct Report {
     /// The proxy that tells of changes, or `store`; nothing if nobody does.
@@ -93,7 +93,7 @@
         self.lock().known_until
     }
 
-    /// The revision that the copy has reached.
+    /// The revision that the mirror has reached.
     pub fn revision(&self) -> u64 {
         self.lock().mirror.revision()
     }
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -34,7 +34,6 @@
     shared::Shared,
     traffic::{
         call::Call,
-        feed as changes,
         handover::{self, Handed},
         origin::{Origin, UnderWay},
         run,
@@ -267,16 +266,6 @@
         self.flush().await
     }
 
-    /// Answers another proxy that asks what changed in the store. A process that stops sends it elsewhere.
-    async fn tell_changes(&mut self, line: &[u8]) -> bool {
-        if self.shared.stop.token().is_cancelled() {
-            return false;
-        }
-        let stand = self.stand();
-        changes::answer(&self.shared.mirror, line, stand, &mut self.out).await;
-        self.flush().await
-    }
-
     /// Runs a statement; `None` is success without a server.
     async fn statement(
         &mut self,
--- a/crates/proxy/src/line/traffic/session/reply.rs
+++ b/crates/proxy/src/line/traffic/session/reply.rs
@@ -10,7 +10,7 @@
 use tokio::io::AsyncWriteExt;
 
 use super::{Origin, Session, WRITE_TIMEOUT};
-use crate::line::{clock, journal};
+use crate::line::{clock, journal, traffic::feed};
 
 impl Session {
     /// Where the session stands, as the other end is told.
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Answers another proxy that asks what changed in the store. A process that stops sends it elsewhere.
+    pub(super) async fn tell_changes(&mut self, line: &[u8]) -> bool {
+        if self.shared.stop.token().is_cancelled() {
+            return false;
+        }
+        let stand = self.stand();
+        feed::answer(&self.shared.mirror, line, stand, &mut self.out).await;
+        self.flush().await
+    }
+
     /// Writes what is ready; `false` when the caller does not take it.
     pub(super) async fn flush(&mut self) -> bool {
         let write = self.writer.write_all(&self.out);
