A busy proxy is waited for; only one whose VM accepts nothing is lost

Cause: the 75 ms within which a peer's VM has to accept a connection bounded the whole opening, with what its process takes to answer. Change: the bound is the connection's alone. Test: proxy/tests/peers.rs::busy_owner_is_not_lost (its owner answers after 250 ms).

--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -20,11 +20,14 @@
     takeover::Status,
     time::Moment,
 };
-use dandelionpitch_platform::{backend::Order, Error};
+use dandelionpitch_platform::{
+    backend::{Order, CONNECT_TIMEOUT},
+    Error,
+};
 
 use crate::{
     line::{
-        backend::pool::{Pool, Rank, Wish, OPEN_TIMEOUT},
+        backend::pool::{Pool, Rank, Wish},
         clock, life,
         reach::{self, Suspicion},
     },
@@ -87,12 +90,12 @@
 impl Backend {
     /// A server that nothing is known of yet, with `limit` connections at most.
     pub fn new(entry: &Entry, limit: usize, suspicion: Suspicion, metrics: Metrics) -> Rc<Self> {
-        let pool = Pool::new(entry.server.clone(), limit, OPEN_TIMEOUT, metrics);
+        let pool = Pool::new(entry.server.clone(), limit, CONNECT_TIMEOUT, metrics);
         Self::with_pool(entry, pool, (REACH_TIMEOUT, MOST_LOOK), suspicion)
     }
 
-    /// Another proxy, spoken to as a server is. No slot of a server stands before its connections, so a
-    /// VM that has not accepted one by then is not there.
+    /// Another proxy, spoken to as a server is. Its VM accepts a connection however busy its process is, so one
+    /// that has not by then is not there.
     pub fn peer(entry: &Entry, limit: usize, metrics: Metrics) -> Rc<Self> {
         let pool = Pool::new(entry.server.clone(), limit, PEER_REACH_TIMEOUT, metrics);
         Self::with_pool(
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -27,7 +27,7 @@
 };
 
 /// How long opening a connection may take. It takes a slot of the server, behind whatever waits there.
-pub const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// How long no connection is opened after the server had no room for one more.
 const FULL_PAUSE: Duration = Duration::from_millis(500);
@@ -101,18 +101,18 @@
     metrics: Metrics,
     state: RefCell<State>,
     limit: Cell<usize>,
-    /// How long opening a connection may take.
-    open_within: Duration,
+    /// How long the server's VM may take to accept a connection.
+    accepts_within: Duration,
     hold: Cell<Mean>,
     rest_until: Cell<Moment>,
 }
 
 impl Pool {
-    /// An empty pool that may open `limit` connections, each within `open_within`.
+    /// An empty pool that may open `limit` connections to a VM that accepts each `accepts_within`.
     pub fn new(
         server: Arc<Server>,
         limit: usize,
-        open_within: Duration,
+        accepts_within: Duration,
         metrics: Metrics,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -120,7 +120,7 @@
             metrics,
             state: RefCell::default(),
             limit: Cell::new(limit),
-            open_within,
+            accepts_within,
             hold: Cell::new(Mean::new(FIRST_HOLD)),
             rest_until: Cell::default(),
         })
@@ -246,8 +246,9 @@
             return Err(Miss::Unreachable);
         }
         let server = &self.server;
-        let open = Link::open(server.address, &server.service, server.id());
-        let limit = self.open_within.min(left);
+        let (address, id) = (server.address, server.id());
+        let open = Link::open_within(self.accepts_within, address, &server.service, id);
+        let limit = OPEN_TIMEOUT.min(left);
         let (miss, why, pause) = match tokio::time::timeout(limit, open).await {
             Ok(Ok(link)) => {
                 place.keep();
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -276,3 +276,31 @@
     let lent = peer.pool.checkout(&Values::default(), wish).await;
     lent.unwrap_or_else(|miss| panic!("no connection: {miss:?}"))
 }
+
+/// The owner is there and busy: its VM accepts a connection at once, and its process says so a quarter of a
+/// second later. It is waited for; taken for lost, it would get none of its callers' statements while busy.
+#[tokio::test]
+async fn busy_owner_is_not_lost() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let owner = peer("near", listener.local_addr().expect("an address"));
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("it is asked");
+        std::thread::sleep(Duration::from_millis(250));
+        stream.write_all(b"READY I -\r\n").expect("it is read");
+        std::thread::sleep(SETTLED);
+    });
+    let peers = known(&owner, &[]);
+    let local = LocalSet::new();
+
+    let open = local
+        .run_until(async {
+            let owner = peers.of(GROUP).expect("owners").remove(0);
+            let lent = checkout(&owner).await;
+            let open = owner.pool.open_now();
+            lent.release();
+            open
+        })
+        .await;
+
+    assert_eq!(open, 1);
+}
