--- a/crates/proxy/src/line/control/member.rs
+++ b/crates/proxy/src/line/control/member.rs
@@ -59,10 +59,10 @@
 ///
 /// Failure: an entry that is just gone may have lapsed with the store, so the others go on handing
 /// statements to this proxy for seconds, and those under way when it ends have an unknown outcome.
-/// Guard: it first says that it takes none any more, which the others see at once.
+/// Guard: it says that it takes none any more, and leaves that until the lease lapses: others are told
+/// how a key now is, not what became of it in between.
 async fn withdraw(control: &Control, lease: u64) -> Result<(), Error> {
-    write(control, lease, None).await?;
-    control.store().end_lease(lease).await
+    write(control, lease, None).await
 }
 
 /// Writes the entry, with the address at which statements are taken.
