A proxy whose VM is found is still avoided for a while: its process may be frozen

A frozen owner's VM accepts connections, so the look for it ended at once and cleared the time for which it is avoided; the caller's next statement went to it again and waited 0.8 s for its first answer. Change: that time stays.

--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -229,8 +229,8 @@
             tokio::time::sleep(pause).await;
             pause = (pause * 2).min(LOOK_LAST);
         }
+        // Its process may be frozen though its VM accepts connections, so it is avoided for a while longer.
         self.lost.set(false);
-        self.avoid_until.set(Moment::default());
     }
 
     /// Notes that the server could not be reached.
