--- /dev/null
+++ b/crates/e2e/tests/line_restarts.rs
@@ -0,0 +1,77 @@
+//! The line protocol while servers start again under their ids, with nothing of their earlier lives.
+
+mod fixture;
+
+use fixture::line::{rows, Site, FAILOVER_LIMIT, LATEST, ROSTER_FOLLOWS, SESSION};
+
+/// A caller hears that its commit is kept, as replica 1 has it; replica 2 is behind. Replica 1 crashes
+/// behind a cut and starts again under its id with nothing, and the primary is lost. Replica 1 and
+/// replica 2 are two of three, but neither has the commit: nobody may be promoted until the
+/// primary, which has it, is back.
+#[tokio::test]
+async fn empty_replica_under_an_old_id_is_no_reason_to_promote() {
+    let site = Site::start("empty", 2).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a first").done());
+    site.fault(2, "deaf", true).await;
+    tokio::time::sleep(ROSTER_FOLLOWS).await;
+    assert!(caller.ask("PUT a kept").done());
+
+    site.fault(1, "cut", true).await;
+    site.restart(1).await;
+    site.fault(0, "dead", true).await;
+    tokio::time::sleep(FAILOVER_LIMIT).await;
+    let promotions = site.group().await["promotions"].clone();
+    site.fault(1, "cut", false).await;
+    site.fault(2, "deaf", false).await;
+    site.fault(0, "dead", false).await;
+    let mut after = site.caller(0, LATEST);
+    after.ask_until_done("PUT b after", FAILOVER_LIMIT);
+
+    assert_eq!(promotions, 0);
+    assert_eq!(site.count("a", "kept").await, 1);
+}
+
+/// A replica starts again under its id between two reads. The pooled connections lead to its earlier
+/// life: they are not used any more, and the caller's read is served all the same.
+#[tokio::test]
+async fn connections_to_an_earlier_life_are_not_used() {
+    let site = Site::start("lives", 1).await;
+    let mut caller = site.caller(0, SESSION);
+    assert!(caller.ask("PUT a one").done());
+    for _ in 0..10 {
+        assert!(caller.ask("FETCH a").done());
+    }
+
+    for server in [1, 2] {
+        site.restart(server).await;
+        for _ in 0..10 {
+            assert_eq!(rows(&caller.ask("FETCH a")), ["one"]);
+        }
+    }
+}
+
+/// The primary starts again under its id with an empty log. Its proxies still hold the proof that nobody
+/// else leads, and reach it at once; what callers read must not come from the empty log.
+#[tokio::test]
+async fn primary_that_starts_again_empty_is_not_read() {
+    let site = Site::start("empty-primary", 1).await;
+    let mut caller = site.caller(0, LATEST);
+    assert!(caller.ask("PUT a one").done());
+    for _ in 0..5 {
+        assert_eq!(rows(&caller.ask("FETCH a")), ["one"]);
+    }
+
+    site.restart(0).await;
+    let until = std::time::Instant::now() + FAILOVER_LIMIT;
+    let mut served = 0;
+    while std::time::Instant::now() < until {
+        let answer = caller.ask("FETCH a");
+        if answer.done() {
+            assert_eq!(rows(&answer), ["one"]);
+            served += 1;
+        }
+    }
+
+    assert!(served > 0);
+}
