One type for a key's change; a delta is made once for all who have the same version

Change: engine::mirror::Item and Change are the store's own types as well, with a shared value; engine::delta::Delta holds what makes one value of another, and the process keeps the last one. The benches share what they measure with. Behaviour as before; the tests keep their assertions, and one more case is refused: the same value under another revision.

--- a/crates/engine/benches/fleet.rs
+++ b/crates/engine/benches/fleet.rs
@@ -3,22 +3,20 @@
 //!
 //! Run with `cargo bench -p dandelionpitch-engine`.
 
-use std::{
-    hint::black_box,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+mod measure;
+
+use std::{hint::black_box, net::SocketAddr, time::Duration};
 
 use dandelionpitch_engine::{
     feed::Place,
-    mirror::{self, Mirror, Update},
-    ownership::{self, Asker, Change, Holding, Peer, Plan, Room},
+    mirror::{Change, Item, Mirror, Update},
+    ownership::{self, Asker, Holding, Peer, Plan, Room},
 };
+use measure::{median, resident};
 
 const PROXIES: usize = 3_400;
 const DCS: usize = 15;
 const GROUPS: usize = 4_000;
-const ROUNDS: usize = 5;
 /// How many changes a follower is told at once.
 const TOLD: usize = 10;
 /// The proxy that computes.
@@ -46,33 +44,14 @@
     peers
 }
 
-/// The median time of some rounds.
-fn median(mut work: impl FnMut()) -> Duration {
-    let mut times: Vec<Duration> = (0..ROUNDS)
-        .map(|_| {
-            let started = Instant::now();
-            work();
-            started.elapsed()
-        })
-        .collect();
-    times.sort();
-    times[ROUNDS / 2]
-}
-
-/// Resident memory of this process, in KB.
-fn resident() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").expect("Linux");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let field = line.and_then(|line| line.split_whitespace().nth(1));
-    field.expect("a resident size").parse().expect("a number")
-}
-
 /// The store's content as a proxy keeps it: an entry of 200 bytes for each proxy and server.
 fn mirror() -> Mirror<Vec<u8>> {
-    let change = |index: usize| mirror::Change {
-        key: format!("dandelionpitch/member/proxy-{index:05}"),
-        revision: index as u64 + 1,
-        value: Some(vec![b'x'; 200]),
+    let change = |index: usize| {
+        Change::Written(Item {
+            key: format!("dandelionpitch/member/proxy-{index:05}"),
+            value: vec![b'x'; 200],
+            revision: index as u64 + 1,
+        })
     };
     let entries = PROXIES + 3 * GROUPS;
     let mut mirror = Mirror::default();
@@ -108,7 +87,7 @@
 
     let anew = median(|| services.iter().for_each(|s| drop(black_box(rank(s)))));
     let carried = median(|| {
-        let change = Change::new(&before, &now);
+        let change = ownership::Change::new(&before, &now);
         for (service, known) in services.iter().zip(&known) {
             let plan = ownership::replan(known, &change, &now, asker(service), holding);
             drop(black_box(plan));
--- /dev/null
+++ b/crates/engine/benches/measure/mod.rs
@@ -0,0 +1,27 @@
+//! What benches measure with: times of repeated work, and the memory of this process.
+
+use std::time::{Duration, Instant};
+
+/// How often work is repeated.
+const ROUNDS: usize = 5;
+
+/// The median time of some rounds.
+pub fn median(mut work: impl FnMut()) -> Duration {
+    let mut times: Vec<Duration> = (0..ROUNDS)
+        .map(|_| {
+            let started = Instant::now();
+            work();
+            started.elapsed()
+        })
+        .collect();
+    times.sort();
+    times[ROUNDS / 2]
+}
+
+/// Resident memory of this process, in KB.
+pub fn resident() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("Linux");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let field = line.and_then(|line| line.split_whitespace().nth(1));
+    field.expect("a resident size").parse().expect("a number")
+}
--- a/crates/engine/src/delta.rs
+++ b/crates/engine/src/delta.rs
@@ -4,7 +4,7 @@
 //! of others of it fills its link for seconds; they give up, ask others for all of it, and fill those
 //! links as well. What is new of it is a few hundred bytes, however long it is.
 
-use dandelionpitch_core::hash::Map;
+use dandelionpitch_core::hash::{self, Map};
 
 /// A part of a value.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,8 +20,35 @@
 /// Values are compared by the parts that end here: the end of an object in JSON.
 const END: u8 = b'}';
 
-/// What makes `new` of `old`.
-pub fn diff(old: &[u8], new: &[u8]) -> Vec<Piece> {
+/// What makes one value of an earlier one of the same key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delta {
+    /// The revision of the earlier one.
+    pub of: u64,
+    /// Tells whether the result is the value that was meant.
+    pub check: u64,
+    pub pieces: Vec<Piece>,
+}
+
+impl Delta {
+    /// What makes `new` of `old`, which was written at the revision `of`.
+    pub fn new(of: u64, old: &[u8], new: &[u8]) -> Self {
+        Self {
+            of,
+            check: hash::salt(&new),
+            pieces: diff(old, new),
+        }
+    }
+
+    /// The value meant; `None` if `old`, which was written at the revision `at`, is another one than it
+    /// was made of.
+    pub fn apply(&self, at: u64, old: &[u8]) -> Option<Vec<u8>> {
+        let value = apply(old, &self.pieces).filter(|_| at == self.of)?;
+        (hash::salt(&value.as_slice()) == self.check).then_some(value)
+    }
+}
+
+fn diff(old: &[u8], new: &[u8]) -> Vec<Piece> {
     let mut known: Map<&[u8], usize> = Map::default();
     let mut offset = 0;
     for part in parts(old) {
@@ -51,8 +78,7 @@
     value.split_inclusive(|&byte| byte == END)
 }
 
-/// The value that `pieces` make of `old`; `None` if they are not of it.
-pub fn apply(old: &[u8], pieces: &[Piece]) -> Option<Vec<u8>> {
+fn apply(old: &[u8], pieces: &[Piece]) -> Option<Vec<u8>> {
     let mut value = Vec::new();
     for piece in pieces {
         match piece {
--- a/crates/engine/src/mirror.rs
+++ b/crates/engine/src/mirror.rs
@@ -11,14 +11,36 @@
 /// How many removals are remembered; whoever has missed more is told everything anew.
 const MOST_REMOVED: usize = 2_000;
 
-/// A key as it now is.
+/// A key and its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change<V> {
+pub struct Item<V> {
     pub key: String,
-    /// The store's revision at which it became so.
+    pub value: V,
+    /// The store's revision at which the value was written.
     pub revision: u64,
-    /// `None` when it was removed.
-    pub value: Option<V>,
+}
+
+/// A key as it now is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change<V> {
+    Written(Item<V>),
+    Removed { key: String, revision: u64 },
+}
+
+impl<V> Change<V> {
+    /// The key that changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(Item { key, .. }) | Self::Removed { key, .. } => key,
+        }
+    }
+
+    /// The store's revision at which it changed.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Written(Item { revision, .. }) | Self::Removed { revision, .. } => *revision,
+        }
+    }
 }
 
 /// What somebody who has reached an earlier revision is to be told.
@@ -79,9 +101,9 @@
             self.drop_missing(update);
         }
         for change in &update.changes {
-            match &change.value {
-                Some(value) => self.put(&change.key, change.revision, value.clone()),
-                None => self.remove(&change.key, change.revision),
+            match change {
+                Change::Written(item) => self.put(&item.key, item.revision, item.value.clone()),
+                Change::Removed { key, revision } => self.remove(key, *revision),
             }
         }
         self.revision = update.revision;
@@ -98,21 +120,20 @@
         let written = self.order.range((from, String::new())..);
         let written = written.filter_map(|(revision, key)| {
             let (_, value) = self.values.get(key)?;
-            Some(Change {
+            Some(Change::Written(Item {
                 key: key.clone(),
+                value: value.clone(),
                 revision: *revision,
-                value: Some(value.clone()),
-            })
+            }))
         });
         let removed = self.removed.iter();
         let removed = removed.filter(|(revision, _)| !whole && *revision > after);
-        let removed = removed.map(|(revision, key)| Change {
+        let removed = removed.map(|(revision, key)| Change::Removed {
             key: key.clone(),
             revision: *revision,
-            value: None,
         });
         let mut changes: Vec<_> = written.chain(removed).collect();
-        changes.sort_by_key(|change| change.revision);
+        changes.sort_by_key(Change::revision);
         Update {
             revision: self.revision,
             whole,
@@ -126,7 +147,7 @@
         if self.revision == 0 {
             self.horizon = update.revision;
         }
-        let named: BTreeSet<&str> = update.changes.iter().map(|c| c.key.as_str()).collect();
+        let named: BTreeSet<&str> = update.changes.iter().map(Change::key).collect();
         let gone = self
             .values
             .keys()
--- a/crates/engine/tests/delta.rs
+++ b/crates/engine/tests/delta.rs
@@ -1,6 +1,9 @@
 //! Values told by what of them is new.
 
-use dandelionpitch_engine::delta::{apply, diff, Piece};
+use dandelionpitch_engine::delta::{Delta, Piece};
+
+/// The revision of the earlier value.
+const OF: u64 = 7;
 
 /// A configuration of `routes` routes, in which the one at `changed` has another timeout.
 fn configuration(version: u64, routes: usize, changed: usize) -> Vec<u8> {
@@ -37,10 +40,11 @@
         let old = configuration(1, routes, 3);
         let new = configuration(2, routes, 7);
 
-        let pieces = diff(&old, &new);
+        let delta = Delta::new(OF, &old, &new);
 
-        assert_eq!(apply(&old, &pieces).as_deref(), Some(new.as_slice()));
-        assert!(new_bytes(&pieces) < 400, "{routes}: {}", new_bytes(&pieces));
+        let pieces = &delta.pieces;
+        assert_eq!(delta.apply(OF, &old).as_deref(), Some(new.as_slice()));
+        assert!(new_bytes(pieces) < 400, "{routes}: {}", new_bytes(pieces));
         assert!(pieces.len() < 10, "{routes}: {}", pieces.len());
     }
 }
@@ -55,15 +59,23 @@
         Vec::new(),
         b"no object at all".to_vec(),
     ] {
-        assert_eq!(apply(&old, &diff(&old, &new)), Some(new.clone()));
-        assert_eq!(apply(&[], &diff(&[], &new)), Some(new));
+        let of_nothing = Delta::new(OF, &[], &new);
+        assert_eq!(
+            Delta::new(OF, &old, &new).apply(OF, &old),
+            Some(new.clone())
+        );
+        assert_eq!(of_nothing.apply(OF, &[]), Some(new));
     }
 }
 
-/// The other end has another value than the one that was compared: what is kept may lie past its end.
+/// The other end has another value than the one that was compared: a shorter one, one of the same shape, or the
+/// same under another revision. It makes nothing of the delta rather than a value that never was.
 #[test]
-fn pieces_of_another_value_are_none() {
-    let pieces = diff(&configuration(1, 50, 3), &configuration(2, 50, 3));
+fn delta_of_another_value_makes_none() {
+    let old = configuration(1, 50, 3);
+    let delta = Delta::new(OF, &old, &configuration(2, 50, 3));
 
-    assert_eq!(apply(b"{}", &pieces), None);
+    assert_eq!(delta.apply(OF, b"{}"), None);
+    assert_eq!(delta.apply(OF, &configuration(3, 50, 9)), None);
+    assert_eq!(delta.apply(OF + 1, &old), None);
 }
--- a/crates/engine/tests/mirror.rs
+++ b/crates/engine/tests/mirror.rs
@@ -1,20 +1,19 @@
 //! What a proxy tells others of the store's content.
 
-use dandelionpitch_engine::mirror::{Change, Mirror, Update};
+use dandelionpitch_engine::mirror::{Change, Item, Mirror, Update};
 
 fn written(key: &str, revision: u64, value: &'static str) -> Change<&'static str> {
-    Change {
+    Change::Written(Item {
         key: key.to_owned(),
+        value,
         revision,
-        value: Some(value),
-    }
+    })
 }
 
 fn removed(key: &str, revision: u64) -> Change<&'static str> {
-    Change {
+    Change::Removed {
         key: key.to_owned(),
         revision,
-        value: None,
     }
 }
 
--- a/crates/proxy/benches/control.rs
+++ b/crates/proxy/benches/control.rs
@@ -3,7 +3,10 @@
 //!
 //! Run with `cargo bench -p dandelionpitch-proxy`.
 
-use std::time::{Duration, Instant};
+#[path = "../../engine/benches/measure/mod.rs"]
+mod measure;
+
+use std::time::Duration;
 
 use dandelionpitch_core::bundle::Bundle;
 use dandelionpitch_proxy::{
@@ -11,11 +14,11 @@
     control::duty::{Member, Roster},
     pool,
 };
+use measure::{median, resident};
 
 const PROXIES: usize = 3_400;
 const DCS: usize = 15;
 const GROUPS: usize = 4_000;
-const ROUNDS: usize = 5;
 const DUTY_BOUND: Duration = Duration::from_millis(300);
 const POOL_KB_BOUND: f64 = 4.0;
 const BUNDLE_BOUND: Duration = Duration::from_millis(500);
@@ -43,27 +46,6 @@
     text
 }
 
-/// The median time of some rounds.
-fn median(mut work: impl FnMut()) -> Duration {
-    let mut times: Vec<Duration> = (0..ROUNDS)
-        .map(|_| {
-            let started = Instant::now();
-            work();
-            started.elapsed()
-        })
-        .collect();
-    times.sort();
-    times[ROUNDS / 2]
-}
-
-/// Resident memory of this process, in KB.
-fn resident() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").expect("Linux");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let field = line.and_then(|line| line.split_whitespace().nth(1));
-    field.expect("a resident size").parse().expect("a number")
-}
-
 /// KB for the pool of one backend server without a connection.
 fn pool_size() -> f64 {
     let config = Config::load(None).expect("the embedded settings");
--- a/crates/proxy/src/line/control/duty.rs
+++ b/crates/proxy/src/line/control/duty.rs
@@ -138,7 +138,7 @@
         Ok(Change::Conflict | Change::LeaseGone) => None,
         Err(_) => {
             let found = store.get(DUTY).await?;
-            let own = found.filter(|item| item.value == control.name.as_bytes());
+            let own = found.filter(|item| item.value.as_slice() == control.name.as_bytes());
             own.map(|item| item.revision)
         }
     };
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -11,8 +11,8 @@
     time::Moment,
 };
 use dandelionpitch_platform::{
-    feed::{Question, Value},
-    store::{Event, Watched},
+    feed::Question,
+    store::{Value, Watched},
     Error,
 };
 use serde_json::json;
@@ -110,7 +110,7 @@
         let update = Update {
             revision,
             whole: true,
-            changes: items.iter().map(Change::from).collect(),
+            changes: items.into_iter().map(Change::Written).collect(),
         };
         self.take(&Source::Store, &update, asked);
         self.anew = false;
@@ -128,7 +128,7 @@
         let update = Update {
             revision: next,
             whole: false,
-            changes: events.iter().map(Change::from).collect(),
+            changes: events,
         };
         Ok(self.take(&Source::Store, &update, asked))
     }
@@ -159,12 +159,11 @@
         if !control.mirror.take(source, update, known) {
             return false;
         }
-        let events: Vec<Event> = update.changes.iter().map(Event::from).collect();
         match update.whole {
-            true => control.replace(&events),
-            false => control.apply(&events),
+            true => control.replace(&update.changes),
+            false => control.apply(&update.changes),
         }
-        !events.is_empty()
+        !update.changes.is_empty()
     }
 
     /// How long a question waits for changes.
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -9,11 +9,15 @@
 
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
+    delta::Delta,
     feed::{Source, FRESH_ENOUGH},
     mirror::{Mirror, Update},
     time::Moment,
 };
-use dandelionpitch_platform::feed::{Answer, Question, Value, Version};
+use dandelionpitch_platform::{
+    feed::{Answer, Question, Version},
+    store::Value,
+};
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -36,14 +40,24 @@
 #[derive(Debug, Default)]
 struct Content {
     mirror: Mirror<Value>,
-    /// Earlier values of keys that are long, the oldest first.
-    earlier: Map<String, VecDeque<Version>>,
+    /// The earlier values of keys that are long.
+    earlier: Map<String, Earlier>,
     /// Up to when no change of the store was missed.
     known_until: Moment,
     /// Who told it last, as long as they still answer.
     source: Option<Source>,
 }
 
+/// What a key was before.
+#[derive(Debug, Default)]
+struct Earlier {
+    /// The oldest first.
+    versions: VecDeque<Version>,
+    /// What was last told of the key, and the revision of the value that it makes: most followers have
+    /// the same version.
+    told: Option<(u64, Arc<Delta>)>,
+}
+
 /// What operators are told of the mirror.
 #[derive(Debug, Serialize)]
 pub struct Report {
@@ -146,11 +160,24 @@
         }))
     }
 
-    /// The value of a key at the revision that somebody has reached, if it was long and is remembered.
-    pub fn version(&self, key: &str, reached: u64) -> Option<Version> {
-        let content = self.lock();
-        let earlier = content.earlier.get(key)?;
-        earlier.iter().rfind(|(at, _)| *at <= reached).cloned()
+    /// What makes the present value of a key, if that is long, of the one that it had for somebody who has
+    /// reached a revision; `None` if that one is not remembered.
+    pub fn delta(&self, key: &str, reached: u64) -> Option<Arc<Delta>> {
+        let mut content = self.lock();
+        let Content {
+            mirror, earlier, ..
+        } = &mut *content;
+        let earlier = earlier.get_mut(key)?;
+        let (of, old) = earlier.versions.iter().rfind(|(at, _)| *at <= reached)?;
+        let (to, value) = mirror.get(key)?;
+        match &earlier.told {
+            Some((made, told)) if *made == to && told.of == *of => Some(told.clone()),
+            _ => {
+                let delta = Arc::new(Delta::new(*of, old, value));
+                earlier.told = Some((to, delta.clone()));
+                Some(delta)
+            }
+        }
     }
 
     /// The present value of a key.
@@ -169,16 +196,16 @@
     /// Remembers the long values that an update replaces, so that others can be told what is new of them.
     fn keep_earlier(&mut self, update: &Update<Value>) {
         for change in &update.changes {
-            let Some((at, old)) = self.mirror.get(&change.key) else {
+            let Some((at, old)) = self.mirror.get(change.key()) else {
                 continue;
             };
-            if old.len() < LONG || change.revision <= at {
+            if old.len() < LONG || change.revision() <= at {
                 continue;
             }
-            let earlier = self.earlier.entry(change.key.clone()).or_default();
-            earlier.push_back((at, old.clone()));
-            if earlier.len() > EARLIER {
-                earlier.pop_front();
+            let earlier = self.earlier.entry(change.key().to_owned()).or_default();
+            earlier.versions.push_back((at, old.clone()));
+            if earlier.versions.len() > EARLIER {
+                earlier.versions.pop_front();
             }
         }
     }
--- a/crates/proxy/src/line/traffic/feed.rs
+++ b/crates/proxy/src/line/traffic/feed.rs
@@ -39,7 +39,7 @@
     let Some(answer) = mirror.answer(question).await else {
         return Ok(false);
     };
-    answer.write(out, |key| mirror.version(key, question.after))?;
+    answer.write(out, |key| mirror.delta(key, question.after))?;
     Ok(true)
 }
 
