--- a/crates/e2e/tests/line_faults.rs
+++ b/crates/e2e/tests/line_faults.rs
@@ -11,7 +11,7 @@
 /// still counted it has stopped, and a question to the others after that.
 const ROSTER_FORGETS: Duration = Duration::from_millis(7_500);
 
-/// The holder's lease (2 s), a claim, and a failover of 1.7 s as measured here.
+/// The holder's lease, a claim, and a failover.
 const BOTH_LOST_LIMIT: Duration = Duration::from_millis(4_500);
 
 /// A caller leaves in the middle of a transaction: its writes are gone, its connection is free.
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -66,7 +66,7 @@
 /// Judges the waiting statements again, which are in order of rank, for connections that are held for
 /// `hold`.
 ///
-/// Load pattern: both replicas of a group are behind, its primary has a third more work than it can
+/// Load pattern: both replicas of a group are behind, its primary has more work than it can
 /// do, and what waits is overtaken by what ranks higher. A statement past its target was served
 /// before one that could still meet its own, so both were late; and one that had waited until just
 /// before its deadline was sent all the same, or refused only then. Half of the mean time is reckoned
@@ -120,7 +120,7 @@
 
 /// Whether a statement that came `waited` ago is offered to the servers again.
 ///
-/// Load pattern: both replicas of a group are seconds behind, and its primary has a third more work
+/// Load pattern: both replicas of a group are seconds behind, and its primary has more work
 /// than it can do. Offered to all servers again, each read that its queue refuses is only turned away more
 /// often. Refused at once its caller comes back sooner.
 pub fn offers_again(obstacle: Obstacle, waited: Duration, target: Duration) -> bool {
--- a/crates/engine/src/duty.rs
+++ b/crates/engine/src/duty.rs
@@ -37,8 +37,8 @@
 ///
 /// Failure: proxies are stopped and started in turn, and one that has just started takes the duty over
 /// from a holder that was cut off. It cannot know when a group's last promotion was, so it waits for
-/// [`TURN_GAP`] from its start; a group whose primary was cut off with the holder had none for 6 s
-/// instead of 2.5. Guard: a process that is older than that goes first, if there is one.
+/// [`TURN_GAP`] from its start, and a group whose primary was cut off with the holder has none for as
+/// long. Guard: a process that is older than that goes first, if there is one.
 pub fn claim_after(age: Duration, feeds: bool) -> Duration {
     let yielded = match age < TURN_GAP {
         true => YIELD,
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -1,7 +1,7 @@
 //! From whom a proxy hears what changed in the store, and how old what it heard may be.
 //!
-//! Load pattern: hundreds of proxies that watch the store pay for each change once each, and a third of
-//! them turned away by the store goes by an old list. So a few proxies of each data centre watch
+//! Load pattern: hundreds of proxies that watch the store pay for each change once each, and those that
+//! the store turns away go by an old list. So a few proxies of each data centre watch
 //! it, the feeders, and the others hear from them, or from those of other data centres, before
 //! they ask the store themselves (`docs/DESIGN.md`, "Changes of the store"). What only the store may
 //! decide, such as claims, conditions and leases, stays a call to the store.
@@ -149,7 +149,7 @@
 ///
 /// Failure: the feeder or the follower is suspended, or the answer is held up on its way, and a list
 /// that is seconds old looks young. Guard: the answer was given `waited` after the question at the
-/// earliest, and both lengths were measured by the one clock of the feeder that counts suspensions.
+/// earliest, and both lengths are by the one clock of the feeder, which counts suspensions.
 pub fn known_until(asked: Moment, waited: Duration, age: Duration) -> Moment {
     asked + waited - age
 }
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -28,7 +28,7 @@
 /// How many connections to each server a proxy may open that owns none of its group's: for when it reaches
 /// the servers but no owner.
 ///
-/// Load pattern: a third of the proxies is cut off from the others for seconds and still gets its share
+/// Load pattern: some proxies are cut off from the others for seconds and still get their share
 /// of the callers. One connection each fits into the room that owners leave.
 pub const UNOWNED: usize = 1;
 
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -201,8 +201,8 @@
     /// Has another proxy that failed left alone until its VM accepts a connection.
     ///
     /// Load pattern: a cut parts half of all proxies from the other half for seconds. If statements found out
-    /// again and again whether an owner is back, a fifth of all would wait for a connection that
-    /// does not come. Guard: one task looks, and statements go to others meanwhile.
+    /// again and again whether an owner is back, each of those would wait for a connection that does
+    /// not come. Guard: one task looks, and statements go to others meanwhile.
     pub fn lose(self: &Rc<Self>) {
         self.avoid();
         if !self.lost.replace(true) {
