A server taken out of the list is watched while it counts

A replica that was taken out of the bundle's list but not stopped goes on confirming commits; after 6 s it was forgotten, and when the primary died a replica without the order was promoted. - primary_taken_out_is_replaced: every write is refused for ever. Operators took out the server that led; its replicas go on hearing from it, so nobody judged it failed, and no proxy used it. - server_taken_out_during_a_failover_still_counts: the same after a failover: the replica promoted was taken out between claim and promotion.

Cause, one for all three: a proxy asked just the servers of the newest list, so of a server taken out it knew neither that it leads nor that it is still sent commits. Evidence: the tests' logs show the promotion 6 s after the bundle at a quorum of one, or no line of the failover role at all. Ruled out: the record (it names all three servers), lost answers of the KV, two bundles in a row, all proxies started again, a frozen claimant, an unreadable record: a test each in lists.rs, green before and after.

Change: such a server stays in the group, as one that leaves, until it counts no longer; watchers ask it, a primary among them serves until it is replaced, it may be held for a promotion and, if it alone has the newest commits, leads until another has caught up. It counts as long as it is seen to receive (Roster::keep). A record that no longer names a server tells the other proxies that it is covered (Roster::forget), else they would write it back in turns. Its address may belong to another group by now: it is dropped if another group of the bundle lists it, and used as a primary only if the record names it.

--- a/crates/e2e/tests/lists.rs
+++ b/crates/e2e/tests/lists.rs
@@ -4,9 +4,56 @@
 
 use std::time::Duration;
 
-use fixture::{connect, eventually, insert, operator, Layout, Site};
+use dandelionpitch_core::{
+    keys,
+    kv::{self, Swap},
+};
+use fixture::{connect, eventually, insert, operator, scalar, Layout, Site};
 
 const WAIT: Duration = Duration::from_secs(20);
+/// After this a server that was taken out and has stopped counts no longer.
+const FORGOTTEN: Duration = Duration::from_secs(12);
+/// Well above the time in which a dead primary is replaced.
+const FAILOVER: Duration = Duration::from_secs(3);
+const TWO_IN_ONE_DC: &[&str] = &["dc-1", "dc-1"];
+
+/// Puts bundle `version` without these servers and waits until every proxy runs it.
+async fn take_out(site: &Site, version: u64, servers: &[usize]) {
+    let all = site.servers().into_iter().enumerate();
+    let kept = all.filter(|(index, _)| !servers.contains(index));
+    let kept: Vec<String> = kept.map(|(_, address)| format!("\"{address}\"")).collect();
+    let kept = format!("servers = [{}]", kept.join(", "));
+    let line = |line: &str| match line.starts_with("servers = ") {
+        true => kept.clone(),
+        false => line.to_owned(),
+    };
+    let edit = |bundle: String| bundle.lines().map(line).collect::<Vec<_>>().join("\n");
+    let (put, text) = site.put_edited(version, edit);
+    assert!(put, "{text}");
+    for proxy in &site.proxies {
+        let runs = || async { operator(proxy, "/status").await["bundle_version"] == version };
+        assert!(eventually(WAIT, runs).await, "version {version} in force");
+    }
+}
+
+/// Writes `id` until it is acknowledged; each attempt is a row of its own.
+async fn write(site: &Site, id: &str) {
+    let written = eventually(WAIT, || async {
+        let member = connect(&site.proxies[0], "member", "").await;
+        member.simple_query(&insert(id)).await.is_ok()
+    })
+    .await;
+    assert!(written, "{id} is acknowledged");
+}
+
+/// Whether the primary that the record names, if it names one of a later term, has the row.
+async fn kept(site: &Site, id: &str) -> bool {
+    let record = site.record().await.expect("a record");
+    match record.server.is_some() && record.term > 1 {
+        true => site.leader_rows(&record).await.contains_key(id),
+        false => true,
+    }
+}
 
 /// Replica 1 is cut off, so a member's order is acknowledged by replica 2 alone. Operators then take
 /// replica 2 out of the group, and the primary dies. Of the servers still listed only replica 1 is
@@ -35,3 +82,170 @@
         assert!(rows.contains_key("order-1"), "lost: {record:?}");
     }
 }
+
+/// The server taken out of the list is not stopped and goes on confirming commits, alone, long after it
+/// was taken out. Guards against a promotion that loses them.
+#[tokio::test]
+async fn server_taken_out_that_still_replicates_counts() {
+    let site = Site::build(&Layout::new("still-replicates", TWO_IN_ONE_DC)).await;
+    take_out(&site, 2, &[2]).await;
+    tokio::time::sleep(FORGOTTEN).await;
+    site.fault(0, "isolate", 1, "").await;
+    write(&site, "order-1").await;
+
+    site.fault(2, "kill", 0, "").await;
+    tokio::time::sleep(FAILOVER).await;
+
+    assert!(kept(&site, "order-1").await);
+}
+
+/// Operators take the server that leads out of the list. Guards against a group whose writes are refused
+/// from then on, as its replicas go on hearing from a primary that no proxy uses.
+#[tokio::test]
+async fn primary_taken_out_is_replaced() {
+    let site = Site::build(&Layout::new("primary-out", TWO_IN_ONE_DC)).await;
+    write(&site, "order-1").await;
+
+    take_out(&site, 2, &[0]).await;
+    write(&site, "order-2").await;
+    let record = site.replaced(1).await;
+    let rows = site.leader_rows(&record).await;
+
+    assert_ne!(site.leader(&record), 0);
+    assert!(rows.contains_key("order-1") && rows.contains_key("order-2"));
+}
+
+/// While a failover is under way, operators take out the replica that alone has an acknowledged order.
+/// Guards against an order lost, and a group left without a primary.
+#[tokio::test]
+async fn server_taken_out_during_a_failover_still_counts() {
+    let site = Site::build(&Layout::new("out-failover", TWO_IN_ONE_DC)).await;
+    site.fault(2, "isolate", 1, "").await;
+    for server in [1, 2] {
+        site.fault(0, "slow_fence", server, "600").await;
+    }
+    write(&site, "order-1").await;
+
+    site.fault(2, "kill", 0, "").await;
+    let claimed = || async { site.record().await.is_some_and(|r| r.server.is_none()) };
+    assert!(eventually(WAIT, claimed).await);
+    take_out(&site, 2, &[2]).await;
+    tokio::time::sleep(FAILOVER).await;
+    let safe = kept(&site, "order-1").await;
+    site.fault(2, "join", 1, "").await;
+    site.fault(2, "start", 0, "").await;
+    write(&site, "order-2").await;
+
+    assert!(safe);
+    assert!(kept(&site, "order-1").await);
+}
+
+/// Two bundles in a row take out the replica that has the order and the one that lacks it. Guards against
+/// a group of which one server is left that looks complete.
+#[tokio::test]
+async fn servers_taken_out_one_after_the_other_still_count() {
+    let site = Site::build(&Layout::new("two-out", TWO_IN_ONE_DC)).await;
+    site.fault(2, "isolate", 1, "").await;
+    write(&site, "order-1").await;
+
+    take_out(&site, 2, &[2]).await;
+    take_out(&site, 3, &[0, 2]).await;
+    site.fault(2, "kill", 0, "").await;
+    tokio::time::sleep(FAILOVER).await;
+
+    assert!(kept(&site, "order-1").await);
+}
+
+/// All proxies die, and those that replace them know only a bundle that lacks the replica with the order.
+/// Guards against proxies that take the list of the bundle for the whole group.
+#[tokio::test]
+async fn server_taken_out_while_no_proxy_runs_still_counts() {
+    let mut site = Site::build(&Layout::new("out-restart", TWO_IN_ONE_DC)).await;
+    site.fault(2, "isolate", 1, "").await;
+    write(&site, "order-1").await;
+
+    site.proxies
+        .iter_mut()
+        .for_each(|proxy| proxy.process.kill());
+    site.put_edited(2, |bundle| {
+        bundle.replace(&format!(", \"{}\"", site.servers()[2]), "")
+    });
+    site.restart_proxies();
+    take_out(&site, 3, &[2]).await;
+    site.fault(2, "kill", 0, "").await;
+    tokio::time::sleep(FAILOVER).await;
+
+    assert!(kept(&site, "order-1").await);
+}
+
+/// The KV loses the answers to all writes while the list shrinks and the primary dies. Guards against a
+/// record that keeps the shorter list.
+#[tokio::test]
+async fn server_taken_out_while_the_kv_loses_answers_still_counts() {
+    let site = Site::build(&Layout::new("out-kv-lost", TWO_IN_ONE_DC)).await;
+    site.fault(2, "isolate", 1, "").await;
+    write(&site, "order-1").await;
+    site.kv_fault("dc-1", serde_json::json!({ "lose_answer": true }))
+        .await;
+
+    take_out(&site, 2, &[2]).await;
+    site.fault(2, "kill", 0, "").await;
+    tokio::time::sleep(FAILOVER).await;
+
+    assert!(kept(&site, "order-1").await);
+}
+
+/// The KV is slow while the list shrinks and the primary dies, and the claimant is frozen for a while in
+/// the middle. Guards against an attempt that goes on by the list it began with.
+#[tokio::test]
+async fn server_taken_out_while_the_claimant_is_frozen_still_counts() {
+    let site = Site::build(&Layout::new("out-frozen", TWO_IN_ONE_DC)).await;
+    site.kv_fault("dc-1", serde_json::json!({ "delay_ms": 100 }))
+        .await;
+    site.fault(2, "isolate", 1, "").await;
+    for server in [1, 2] {
+        site.fault(0, "slow_fence", server, "600").await;
+    }
+    write(&site, "order-1").await;
+
+    site.fault(2, "kill", 0, "").await;
+    let claimed = || async { site.record().await.is_some_and(|r| r.server.is_none()) };
+    assert!(eventually(WAIT, claimed).await);
+    site.proxies[0].process.pause(true);
+    let (put, text) = site.put_edited(2, |bundle| {
+        bundle.replace(&format!(", \"{}\"", site.servers()[2]), "")
+    });
+    tokio::time::sleep(FAILOVER).await;
+    site.proxies[0].process.pause(false);
+    tokio::time::sleep(FAILOVER).await;
+
+    assert!(put, "{text}");
+    assert!(kept(&site, "order-1").await);
+}
+
+/// The record of the group cannot be read when the list shrinks and all proxies start again. Guards against
+/// proxies that promote as if there were no record.
+#[tokio::test]
+async fn unreadable_record_is_no_reason_to_promote() {
+    let mut site = Site::build(&Layout::new("out-unreadable", TWO_IN_ONE_DC)).await;
+    site.fault(2, "isolate", 1, "").await;
+    write(&site, "order-1").await;
+
+    site.proxies
+        .iter_mut()
+        .for_each(|proxy| proxy.process.kill());
+    let kv = kv::Client::new(site.kv_url());
+    let key = keys::primary("ledger");
+    let now = kv.get(&key).await.expect("the KV").expect("a record");
+    let swap = kv.swap(&key, b"not a record", now.mod_revision).await;
+    site.restart_proxies();
+    take_out(&site, 2, &[2]).await;
+    site.fault(2, "kill", 0, "").await;
+    tokio::time::sleep(FAILOVER).await;
+    let led = site.server(1).await;
+    let led = scalar(&led, "SHOW dandelionpitch.status").await;
+
+    assert!(matches!(swap, Ok(Swap::Done { .. })));
+    let left = kv.get(&key).await.expect("the KV").expect("a record");
+    assert_eq!(left.value, b"not a record", "{led:?}");
+}
--- a/crates/engine/src/roster.rs
+++ b/crates/engine/src/roster.rs
@@ -79,6 +79,18 @@
         }
     }
 
+    /// Goes on counting a vanished server that is still sent commits, so may be alone in confirming one.
+    pub fn keep(&mut self, id: &Incarnation, now: Moment) {
+        if let Some(since) = self.vanished.get_mut(id) {
+            *since = now;
+        }
+    }
+
+    /// Stops counting vanished servers that another process has seen to be covered by the others.
+    pub fn forget(&mut self, covered: &[Incarnation]) {
+        self.vanished.retain(|id, _| !covered.contains(id));
+    }
+
     /// How many servers count.
     pub fn len(&self) -> usize {
         self.present.len() + self.vanished.len()
--- a/crates/engine/tests/roster.rs
+++ b/crates/engine/tests/roster.rs
@@ -111,3 +111,40 @@
 
     assert_eq!(roster.ids(), ["a", "b", "c"].map(Incarnation::from));
 }
+
+/// A server that is not registered any more is still sent commits. Guards against forgetting it because
+/// the others have what the primary had a while ago: it alone may confirm the next commit.
+#[test]
+fn vanished_server_that_still_receives_counts() {
+    let listed = LIST_HOLDS.as_millis() as u64;
+    let left = |asked| [primary("a", 31, asked), replica("b", 31, asked)];
+    let mut roster = Roster::default();
+    roster.update(
+        &[
+            primary("a", 20, 0),
+            replica("b", 20, 0),
+            replica("c", 20, 0),
+        ],
+        at(0),
+    );
+    roster.update(&left(100), at(100));
+
+    roster.keep(&"c".into(), at(listed));
+    roster.update(&left(listed + 200), at(listed + 200));
+    let receiving = roster.len();
+    roster.update(&left(2 * listed + 200), at(2 * listed + 200));
+
+    assert_eq!((receiving, roster.len()), (3, 2));
+}
+
+/// Another process has seen that the others have everything of a vanished server. Guards against processes
+/// that remind each other of it for ever; one that is present is not forgotten on anybody's word.
+#[test]
+fn covered_server_is_forgotten() {
+    let mut roster = Roster::new(&["c"].map(Incarnation::from), at(0));
+    roster.update(&[primary("a", 20, 0), replica("b", 10, 0)], at(0));
+
+    roster.forget(&["b", "c"].map(Incarnation::from));
+
+    assert_eq!(roster.ids(), ["a", "b"].map(Incarnation::from));
+}
--- a/crates/proxy/src/control/counted.rs
+++ b/crates/proxy/src/control/counted.rs
@@ -22,8 +22,9 @@
     /// The origin of the moments that the roster goes by.
     started: Instant,
     roster: Roster,
-    /// The revision of the record that was taken in last.
+    /// The revision of the record that was taken in last, and the servers that it names.
     revision: u64,
+    recorded: Vec<Incarnation>,
 }
 
 impl Counted {
@@ -33,24 +34,41 @@
             started: now,
             roster: Roster::default(),
             revision: 0,
+            recorded: Vec::new(),
         }
     }
 
     /// Takes in the listed servers as they are seen, and what the record says.
     pub fn update(&mut self, group: &view::Group, now: Instant) {
-        let members: Vec<Member> = group
-            .servers
-            .iter()
-            .map(|server| self.member(server, group, now))
-            .collect();
         let at = self.moment(now);
+        let (listed, taken_out): (Vec<_>, Vec<_>) =
+            group.servers.iter().partition(|server| server.listed);
+        // First, since after a pause of this process the others may look as if they covered it.
+        for server in taken_out {
+            if receives(server, group, now) {
+                self.roster.keep(&id(server.address), at);
+            }
+        }
+        let member = |server: &view::Server| self.member(server, group, now);
+        let members: Vec<Member> = listed.into_iter().map(member).collect();
         self.roster.update(&members, at);
-        let Some(held) = &group.held else { return };
-        if held.revision > self.revision {
-            self.revision = held.revision;
-            let recorded: Vec<_> = held.record.members.iter().copied().map(id).collect();
-            self.roster.merge(&recorded, at);
+        if let Some(held) = &group.held {
+            self.take(held, at);
+        }
+    }
+
+    /// Takes in a newer record. A server that the one before names and this one does not is covered:
+    /// whoever writes a record has taken in the one that it replaces.
+    fn take(&mut self, held: &view::Held, at: Moment) {
+        if held.revision <= self.revision {
+            return;
         }
+        let recorded: Vec<_> = held.record.members.iter().copied().map(id).collect();
+        let mut covered = std::mem::replace(&mut self.recorded, recorded);
+        covered.retain(|id| !self.recorded.contains(id));
+        self.revision = held.revision;
+        self.roster.forget(&covered);
+        self.roster.merge(&self.recorded, at);
     }
 
     /// How many servers must hold a new term before a primary of that term may be promoted.
@@ -71,7 +89,8 @@
     pub fn outdates(&self, group: &view::Group) -> Option<(u64, SocketAddr)> {
         let record = &group.held.as_ref()?.record;
         let recorded = |address: &SocketAddr| record.members.contains(address);
-        let lacks = !group.servers.iter().all(|server| recorded(&server.address));
+        let mut listed = group.servers.iter().filter(|server| server.listed);
+        let lacks = !listed.all(|server| recorded(&server.address));
         let counted = self.addresses();
         let keeps = !record.members.iter().all(|one| counted.contains(one));
         Some((record.term, record.server?)).filter(|_| lacks || keeps)
@@ -106,6 +125,12 @@
     }
 }
 
+/// Whether a server is sent the group's commits, or leads it.
+fn receives(server: &view::Server, group: &view::Group, now: Instant) -> bool {
+    let status = server.fresh(now, group.fresh_for);
+    status.is_some_and(|status| status.silent < group.fresh_for)
+}
+
 /// A server of the bundle as the roster names it; the bundle says nothing of its earlier lives.
 fn id(address: SocketAddr) -> Incarnation {
     Incarnation {
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -77,6 +77,8 @@
     task: Task,
     group: String,
     servers: Vec<SocketAddr>,
+    /// Those of the servers that are about to stop or were taken out.
+    leaving: Vec<SocketAddr>,
     /// The servers that count, listed or not; the record keeps them for the next claimant.
     members: Vec<SocketAddr>,
     quorum: usize,
@@ -218,10 +220,12 @@
     ) -> Attempt {
         let on_servers = view.fresh(now).map(|(_, status)| status.term).max();
         let in_record = view.held.as_ref().map(|held| held.record.term);
+        let leaving = view.servers.iter().filter(|server| server.leaving);
         Attempt {
             task,
             group: group.name.clone(),
-            servers: group.servers.clone(),
+            servers: view.servers.iter().map(|server| server.address).collect(),
+            leaving: leaving.map(|server| server.address).collect(),
             members,
             quorum,
             top_term: on_servers.max(in_record).unwrap_or_default(),
@@ -333,11 +337,15 @@
         })
     }
 
-    /// Promotes the most advanced of the fenced servers.
+    /// Promotes the most advanced of the fenced servers, of equal ones one that stays. One that was
+    /// taken out may alone have a commit: it leads until another has caught up and replaces it.
     async fn promote(&self, term: u64, fenced: Vec<Fenced>) -> Result<SocketAddr, Error> {
         let best = fenced
             .into_iter()
-            .max_by_key(|fenced| (fenced.received, fenced.server))
+            .max_by_key(|fenced| {
+                let stays = !self.leaving.contains(&fenced.server);
+                (fenced.received, stays, fenced.server)
+            })
             .expect("a quorum has at least one server");
         let limit = self.config.failover.step_timeout;
         match backend::promote(&best.client, term, limit).await {
--- a/crates/proxy/src/control/groups.rs
+++ b/crates/proxy/src/control/groups.rs
@@ -3,7 +3,10 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use dandelionpitch_core::bundle::{self, Bundle};
+use dandelionpitch_core::{
+    bundle::{self, Bundle},
+    hash::Set,
+};
 use tokio_util::sync::CancellationToken;
 
 use super::{duty::Member, probe::Probe, Change, Control};
@@ -25,14 +28,24 @@
             }
             return Change::Nothing;
         }
+        log::info!(target: "control", "Applied bundle version {} (was {current}).", bundle.version);
+        self.bundle = Some(Arc::new(bundle));
+        self.rebuild()
+    }
+
+    /// Builds all groups anew from the bundle in force and the records.
+    fn rebuild(&mut self) -> Change {
+        let Some(bundle) = self.bundle.clone() else {
+            return Change::Nothing;
+        };
+        let listed = bundle.groups.values().flat_map(|group| &group.servers);
+        let listed: Set<SocketAddr> = listed.copied().collect();
         let mut old = std::mem::take(&mut self.groups);
         for group in bundle.groups.values() {
             let kept = old.remove(&group.name);
-            let built = self.build(group, kept.as_ref());
+            let built = self.build(group, kept.as_ref(), &listed);
             self.groups.insert(group.name.clone(), built);
         }
-        log::info!(target: "control", "Applied bundle version {} (was {current}).", bundle.version);
-        self.bundle = Some(Arc::new(bundle));
         self.assign()
     }
 
@@ -62,33 +75,56 @@
         Change::Routing
     }
 
-    /// The group's servers, with the pools and statuses of those it already had.
-    fn build(&self, group: &bundle::Group, kept: Option<&Group>) -> Group {
-        let servers = group
+    /// The group's servers, with the pools and statuses of those it already had, and those that were
+    /// taken out and count.
+    fn build(&self, group: &bundle::Group, kept: Option<&Group>, taken: &Set<SocketAddr>) -> Group {
+        let held = self.records.get(&group.name).cloned();
+        let had = kept.into_iter().flat_map(|kept| &kept.servers);
+        let recorded = held.iter().flat_map(|held| &held.record.members);
+        let known: Vec<SocketAddr> = had.map(|s| s.address).chain(recorded.copied()).collect();
+        let mut servers: Vec<Server> = group
             .servers
             .iter()
-            .map(|&address| self.server(address, group, kept))
+            .map(|&address| self.server(address, group, kept, true))
             .collect();
+        for address in known {
+            let here = servers.iter().any(|server| server.address == address);
+            if !here && !taken.contains(&address) {
+                servers.push(self.server(address, group, kept, false));
+            }
+        }
         Group {
             servers,
             fresh_for: view::fresh_for(self.config.backend.status_every),
             claim_limit: self.config.failover.claim_limit,
-            held: self.records.get(&group.name).cloned(),
+            held,
             watched: kept.is_some_and(|kept| kept.watched),
             found: kept.map(|kept| kept.found.clone()).unwrap_or_default(),
         }
     }
 
-    fn server(&self, address: SocketAddr, group: &bundle::Group, kept: Option<&Group>) -> Server {
+    fn server(
+        &self,
+        address: SocketAddr,
+        group: &bundle::Group,
+        kept: Option<&Group>,
+        listed: bool,
+    ) -> Server {
+        let leaving = !listed || self.leaving.contains(&address);
         let old = kept.and_then(|kept| kept.servers.iter().find(|s| s.address == address));
         if let Some(old) = old.filter(|old| old.pool.status().max_size == group.pool_size) {
-            return old.clone();
+            return Server {
+                leaving,
+                listed,
+                ..old.clone()
+            };
         }
         Server {
             address,
             pool: pool::build(address, &group.name, group.pool_size, &self.config),
             status: old.map(|old| old.status.clone()).unwrap_or_default(),
-            leaving: self.leaving.contains(&address),
+            leaving,
+            listed,
             rest: old.map(|old| old.rest.clone()).unwrap_or_default(),
             superseded: CancellationToken::new(),
         }
@@ -101,10 +137,21 @@
         if held.revision <= newest {
             return Change::Nothing;
         }
+        let mut others = false;
         if let Some(group) = self.groups.get_mut(&group) {
+            let recorded = &held.record.members;
+            let here = |address| group.servers.iter().any(|s| s.address == address);
+            others = !recorded.iter().all(|&address| here(address));
+            let before = group.servers.len();
+            let counts = |s: &Server| s.listed || recorded.contains(&s.address);
+            group.servers.retain(counts);
+            others |= group.servers.len() < before;
             group.held = Some(held.clone());
         }
         self.records.insert(group.clone(), held);
+        if others {
+            self.rebuild();
+        }
         self.hurry(&group);
         self.supersede();
         Change::Routing
@@ -113,7 +160,7 @@
     /// Marks the servers that are leaving, in every group.
     pub(super) fn leave(&mut self, leaving: Vec<SocketAddr>) -> Change {
         for server in self.groups.values_mut().flat_map(|g| &mut g.servers) {
-            let leaves = leaving.contains(&server.address);
+            let leaves = !server.listed || leaving.contains(&server.address);
             if leaves && !server.leaving {
                 log::info!(target: "control", "Server {} is leaving.", server.address);
             }
--- a/crates/proxy/src/control/verdict.rs
+++ b/crates/proxy/src/control/verdict.rs
@@ -62,7 +62,7 @@
         return Verdict::Failed;
     }
     match group
-        .primary(now)
+        .leader(now)
         .and_then(|index| Some((index, group.servers[index].status.get()?)))
     {
         None => Verdict::Unsure,
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -82,9 +82,12 @@
     pub address: SocketAddr,
     pub pool: Pool,
     pub status: Latest,
-    /// Whether the platform is about to stop it; it gets no new reads, and a primary is
-    /// replaced first.
+    /// Whether it is about to stop or was taken out of the list; it gets no new reads, and a
+    /// primary is replaced first.
     pub leaving: bool,
+    /// Whether the bundle in force lists it. One that it does not list stays while it counts for
+    /// commits (`docs/DESIGN.md`, "Failover").
+    pub listed: bool,
     /// Set while it is left alone, in a group that is not watched.
     pub rest: Rest,
     /// Cancelled when another server has taken over from this one: what is under way here as
@@ -188,19 +191,35 @@
 }
 
 impl Group {
+    /// The primary that callers may use.
+    pub fn primary(&self, now: Instant) -> Option<usize> {
+        self.leader(now)
+    }
+
     /// The server that leads at the highest term among those with a fresh status, unless a
     /// later term has been taken.
-    pub fn primary(&self, now: Instant) -> Option<usize> {
+    pub fn leader(&self, now: Instant) -> Option<usize> {
         if !self.watched {
             return self.recorded();
         }
         let floor = self.term_floor(now);
         self.fresh(now)
             .filter(|(_, status)| status.role == Role::Primary && status.term >= floor)
+            .filter(|&(index, status)| self.may_lead(index, status.term))
             .max_by_key(|(_, status)| status.term)
             .map(|(index, _)| index)
     }
 
+    /// Whether a server's word is enough that it leads this group at `term`. The address of one
+    /// that was taken out may belong to another group by now, so the record has to name it.
+    fn may_lead(&self, index: usize, term: u64) -> bool {
+        let server = &self.servers[index];
+        let record = self.held.as_ref().map(|held| &held.record);
+        server.listed
+            || record
+                .is_some_and(|record| record.term == term && record.server == Some(server.address))
+    }
+
     /// The server that leads by the record, or at a later term by its own word.
     fn recorded(&self) -> Option<usize> {
         let record = self.held.as_ref().map(|held| &held.record);
--- a/crates/proxy/tests/counted.rs
+++ b/crates/proxy/tests/counted.rs
@@ -39,6 +39,7 @@
         pool: pool::build(address(index), "ledger", 1, &config),
         status,
         leaving: false,
+        listed: true,
         rest: Default::default(),
         superseded: Default::default(),
     }
@@ -124,3 +125,22 @@
     assert_eq!(when_shrunk, None);
     assert_eq!(when_covered, Some((1, address(0))));
 }
+
+/// Replica 2 was taken out and still hears from the primary. Guards against forgetting it.
+#[test]
+fn server_taken_out_counts_while_it_receives() {
+    let start = Instant::now();
+    let later = start + LIST_HOLDS + Duration::from_secs(1);
+    let taken_out = |now| {
+        let mut group = group(&[(0, 10), (1, 10), (2, 10)], &[0, 1, 2], now);
+        group.servers[2].listed = false;
+        group
+    };
+    let mut counted = Counted::new(start);
+
+    counted.update(&taken_out(start), start);
+    counted.update(&taken_out(later), later);
+    counted.update(&taken_out(later), later);
+
+    assert_eq!(counted.quorum(SYNC_REPLICAS), Some(2));
+}
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -44,6 +44,7 @@
             pool: pool::build(address, "ledger", 1, &config),
             status: latest,
             leaving: false,
+            listed: true,
             rest: Default::default(),
             superseded: Default::default(),
         }
