A group's record names every server that counts before callers write

What callers could see: an acknowledged order is lost when a bundle adds a server, the next takes it out within 2 s, and all proxies start again: the record never named it. The same for a group so new that it has no record: its commits could be acknowledged by a server that a proxy which starts later never hears of.

Shown by unit tests (proxy/tests/counted.rs, red before: outdates() was None, and a primary was used without a record); not provoked end to end, which needs the KV to lose the first write of the record for just that long.

Change: a record that lacks a server that counts, listed or not, is written at once; before there is a record the primary is not offered to callers. What is left: a list that grows while the KV is out of reach for all proxies, until they reach it again.

--- a/crates/proxy/src/control/counted.rs
+++ b/crates/proxy/src/control/counted.rs
@@ -85,15 +85,20 @@
     }
 
     /// The term and server of the record, if it is to be written again with the servers that count:
-    /// it lacks a listed one, or keeps one that counts no longer.
+    /// it lacks one, or keeps one that counts no longer.
     pub fn outdates(&self, group: &view::Group) -> Option<(u64, SocketAddr)> {
         let record = &group.held.as_ref()?.record;
-        let recorded = |address: &SocketAddr| record.members.contains(address);
-        let mut listed = group.servers.iter().filter(|server| server.listed);
-        let lacks = !listed.all(|server| recorded(&server.address));
         let counted = self.addresses();
         let keeps = !record.members.iter().all(|one| counted.contains(one));
-        Some((record.term, record.server?)).filter(|_| lacks || keeps)
+        Some((record.term, record.server?)).filter(|_| keeps || self.is_missing_in(group))
+    }
+
+    /// Whether the record lacks a server that counts. Until it is written, a proxy that starts after
+    /// this server was taken out does not know of it.
+    pub fn is_missing_in(&self, group: &view::Group) -> bool {
+        let Some(held) = &group.held else { return true };
+        let recorded = |address: &SocketAddr| held.record.members.contains(address);
+        !self.addresses().iter().all(recorded)
     }
 
     /// All servers that count.
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -136,6 +136,7 @@
         memory.counted.update(view, now);
         let quorum = memory.counted.quorum(group.sync_replicas)?;
         let outdated = memory.counted.outdates(view);
+        let missing = memory.counted.is_missing_in(view);
         let after = self.config.failover.after;
         let limits = Limits {
             quorum,
@@ -147,8 +148,7 @@
             (Verdict::Led, Some((term, server))) => Verdict::Unrecorded { term, server },
             _ => verdict,
         };
-        let first = view.held.is_none();
-        let wait = self.wait(&group.name, verdict, first);
+        let wait = self.wait(&group.name, verdict, missing);
         let memory = self.remember(&group.name, now);
         if memory.verdict != verdict {
             memory.verdict = verdict;
@@ -195,14 +195,14 @@
     /// How long a verdict must hold before this proxy acts on it; the share of the spread is
     /// its own and the same each time.
     ///
-    /// The `first` record of a group is written at once: until it is there, a proxy that starts
-    /// cannot know of a server that was taken out of the list.
-    fn wait(&self, group: &str, verdict: Verdict, first: bool) -> Duration {
+    /// A record in which a server that counts is `missing` is written at once: until then a proxy
+    /// that starts cannot know of that server once it is taken out of the list.
+    fn wait(&self, group: &str, verdict: Verdict, missing: bool) -> Duration {
         let share = backoff::share(&(&self.config.id, group));
         let spread = self.config.failover.spread.mul_f64(share);
         match verdict {
             Verdict::Led | Verdict::Unsure | Verdict::Failed | Verdict::Leaving => spread,
-            Verdict::Unrecorded { .. } if first => Duration::ZERO,
+            Verdict::Unrecorded { .. } if missing => Duration::ZERO,
             Verdict::Outranked | Verdict::Unrecorded { .. } => {
                 self.config.failover.claim_limit + spread
             }
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -191,8 +191,10 @@
 }
 
 impl Group {
-    /// The primary that callers may use.
+    /// The primary that callers may use. Before the group has a record there is none: a proxy that
+    /// starts could not know of a server that was taken out and alone has a commit.
     pub fn primary(&self, now: Instant) -> Option<usize> {
+        self.held.as_ref()?;
         self.leader(now)
     }
 
--- a/crates/proxy/tests/counted.rs
+++ b/crates/proxy/tests/counted.rs
@@ -126,6 +126,25 @@
     assert_eq!(when_covered, Some((1, address(0))));
 }
 
+/// One bundle adds replica 3, the next takes it out before the record names it. Guards against a proxy that
+/// starts then and does not know of replica 3, which may alone have a commit.
+#[test]
+fn record_lacks_a_server_until_it_is_written_again() {
+    let now = Instant::now();
+    let grown = group(&[(0, 10), (1, 10), (2, 10), (3, 12)], &[0, 1, 2], now);
+    let shrunk = group(&[(0, 12), (1, 10), (2, 10)], &[0, 1, 2], now);
+    let written = group(&[(0, 12), (1, 10), (2, 10)], &[0, 1, 2, 3], now);
+    let mut counted = Counted::new(now);
+
+    counted.update(&grown, now);
+    counted.update(&shrunk, now);
+    let outdated = counted.outdates(&shrunk);
+
+    assert_eq!(outdated, Some((1, address(0))));
+    assert!(counted.is_missing_in(&shrunk));
+    assert!(!counted.is_missing_in(&written));
+}
+
 /// Replica 2 was taken out and still hears from the primary. Guards against forgetting it.
 #[test]
 fn server_taken_out_counts_while_it_receives() {
@@ -144,3 +163,24 @@
 
     assert_eq!(counted.quorum(SYNC_REPLICAS), Some(2));
 }
+
+/// A group is new and its record is not written yet. Guards against commits of which a proxy that starts
+/// later, with a shorter list, cannot know that they are on a server that was taken out.
+#[test]
+fn primary_is_not_used_before_the_group_is_recorded() {
+    let now = Instant::now();
+    let recorded = Group {
+        watched: true,
+        ..group(&[(0, 10), (1, 10), (2, 10)], &[0, 1, 2], now)
+    };
+    let new = Group {
+        held: None,
+        ..recorded.clone()
+    };
+
+    assert_eq!(
+        (recorded.primary(now), recorded.leader(now)),
+        (Some(0), Some(0))
+    );
+    assert_eq!((new.primary(now), new.leader(now)), (None, Some(0)));
+}
