A replica's word counts for the store's word only while no second promotion can lie between

What a caller could see: it hears that its commit is kept, and it is lost.

Cause: the store's word names a server, not a promotion, and the replica's word could be seconds older than the question to the store. Change: the replica's last word must be younger than PROMOTION_WAIT: a promoter waits that long after it holds the members, so a second promotion is not written down by then. A replica that is asked again says so again. Test red before: engine/tests/commits.rs::word_from_before_the_wait_of_a_promotion_is_no_witness.

--- a/crates/engine/src/commit.rs
+++ b/crates/engine/src/commit.rs
@@ -8,7 +8,7 @@
 use dandelionpitch_core::position::Position;
 
 use crate::{
-    freshness::{has_commit, Lease},
+    freshness::{has_commit, Lease, PROMOTION_WAIT},
     registry::Incarnation,
     takeover::Status,
     time::Moment,
@@ -50,8 +50,10 @@
     id: Incarnation,
     /// It stands on the proxy's list of those that count.
     counts: bool,
-    /// By when it had said so.
+    /// By when it had said so first.
     at: Moment,
+    /// By when it had said so last.
+    again: Moment,
 }
 
 impl Commit {
@@ -71,13 +73,17 @@
 
     /// Notes what a server said by `now`, one that `counts` or not.
     pub fn note(&mut self, id: &Incarnation, counts: bool, status: &Status, now: Moment) {
-        let known = self.holders.iter().any(|holder| holder.id == *id);
-        if has_commit(status.received, self.position) && !known {
-            self.holders.push(Holder {
+        if !has_commit(status.received, self.position) {
+            return;
+        }
+        match self.holders.iter_mut().find(|holder| holder.id == *id) {
+            Some(known) => known.again = now,
+            None => self.holders.push(Holder {
                 id: id.clone(),
                 counts,
                 at: now,
-            });
+                again: now,
+            }),
         }
     }
 
@@ -112,11 +118,17 @@
     /// It was asked for after servers that count had the commit. No promotion was written down by then
     /// but the primary's own, and whoever promotes asks its members once more after writing: those
     /// servers are then found with the commit.
+    ///
+    /// Failure: a server says that it has the commit after `leader` was replaced, `leader` is promoted a
+    /// second time, and only then the store is asked, which names it. Guard: the server's last word is
+    /// younger than [`PROMOTION_WAIT`], which lies between that and the second promotion.
     pub fn is_witnessed(&self, testimony: &Testimony, leader: &Incarnation) -> bool {
         let promoted = testimony.promoted.as_deref();
         let leads = promoted.is_none_or(|promoted| promoted == leader.id);
         let counts = |holder: &Holder| {
-            holder.at <= testimony.asked && testimony.members.contains(&holder.id)
+            holder.again <= testimony.asked
+                && testimony.asked < holder.again + PROMOTION_WAIT
+                && testimony.members.contains(&holder.id)
         };
         leads && self.is_enough(counts)
     }
--- a/crates/engine/tests/commits.rs
+++ b/crates/engine/tests/commits.rs
@@ -5,7 +5,7 @@
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     commit::{Commit, List, Testimony},
-    freshness::{Lease, Poll},
+    freshness::{Lease, Poll, PROMOTION_WAIT},
     registry::{Incarnation, Role},
     takeover::Status,
     time::Moment,
@@ -211,3 +211,21 @@
 
     assert!(!lease.leads(at(20)));
 }
+
+/// b confirmed the commit, then b followed another primary, and the first was promoted again before the
+/// store was asked. Guards against a name in the store that stands for the primary's second time.
+#[test]
+fn word_from_before_the_wait_of_a_promotion_is_no_witness() {
+    let late = |millis| Testimony {
+        asked: at(millis),
+        ..testimony(Some("a"))
+    };
+    let mut commit = held_by_b();
+    let wait = PROMOTION_WAIT.as_millis() as u64;
+
+    let stale = commit.is_witnessed(&late(20 + wait), &id("a@1"));
+    commit.note(&id("b@1"), true, &received(705), at(600));
+    let again = commit.is_witnessed(&late(10 + wait + 60), &id("a@1"));
+
+    assert!(!stale && again);
+}
