Reads that must see every commit never run on a log shorter than the one that led

What a caller could see: a read on a primary route misses acknowledged commits (STALE). A proxy that has just begun to run a group's statements takes a server for the primary; that one steps down or dies and starts again with nothing under its id; no mark of its log is known yet, so the read is sent without a position, on a lease that the other replicas renew.

Ruled out: the list of registrations (the new life registers up to 2 s later), the lease (nobody else leads, so it holds truly).

Change: the end of the log with which a server said that it leads stands beside the marks (Marks::lead), and reads must reach the higher of the two. Test of the new interface: engine/tests/freshness.rs.

--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Marks {
     marks: VecDeque<Mark>,
+    /// The end of the primary's log when it said that it leads.
+    led: Option<Position>,
 }
 
 impl Marks {
@@ -78,6 +80,20 @@
         self.marks.iter().find(|mark| mark.asked >= since).copied()
     }
 
+    /// Notes the end of a server's log as it said that it leads.
+    pub fn lead(&mut self, position: Position) {
+        self.led = Some(position);
+    }
+
+    /// The newest position that the primary's log is known to have had.
+    ///
+    /// Failure: the primary starts again under its id with an empty log. Nobody else leads, so its lease
+    /// still holds, and a read on a new connection to it finds nothing. Guard: reads that must see
+    /// every commit run only on a log that goes up to this position, which an empty one does not.
+    pub fn reached(&self) -> Option<Position> {
+        self.newest().map(|mark| mark.position).max(self.led)
+    }
+
     /// The newest mark.
     pub fn newest(&self) -> Option<Mark> {
         self.marks.back().copied()
--- a/crates/engine/tests/freshness.rs
+++ b/crates/engine/tests/freshness.rs
@@ -236,3 +236,22 @@
     assert_eq!(marks.floor(at(100)), None);
     assert_eq!(marks.newest(), Some(mark(0, 40)));
 }
+
+/// A proxy that has just started takes a server for the primary, and that server starts again with nothing
+/// before any mark is noted. Guards against a read on the empty log: it must go up to what the server had.
+#[test]
+fn log_that_led_is_what_reads_must_reach() {
+    let mut marks = Marks::default();
+
+    let unknown = marks.reached();
+    marks.lead(position(2, 40));
+    let led = marks.reached();
+    marks.note(mark(0, 2, 41));
+    let marked = marks.reached();
+    marks.lead(position(3, 20));
+
+    assert_eq!(unknown, None);
+    assert_eq!(led, Some(position(2, 40)));
+    assert_eq!(marked, Some(position(2, 41)));
+    assert_eq!(marks.reached(), Some(position(3, 20)));
+}
--- a/crates/proxy/src/line/group/proof.rs
+++ b/crates/proxy/src/line/group/proof.rs
@@ -164,14 +164,9 @@
             .map(|mark| mark.position)
     }
 
-    /// The newest position that the primary's log is known to have had.
-    ///
-    /// Failure: the primary starts again under its id with an empty log. Nobody else leads, so its lease
-    /// still holds, and a read on a new connection to it finds nothing. Guard: reads that must see
-    /// every commit run only on a log that goes up to this position, which an empty one does not.
-    pub fn newest_mark(&self) -> Option<Position> {
-        let marks = self.marks.borrow();
-        marks.newest().map(|mark| mark.position)
+    /// What the primary's log must go up to for a read that must see every commit.
+    pub fn reached(&self) -> Option<Position> {
+        self.marks.borrow().reached()
     }
 
     fn note(&self, mark: Mark) {
--- a/crates/proxy/src/line/group/search.rs
+++ b/crates/proxy/src/line/group/search.rs
@@ -106,6 +106,7 @@
         );
         self.revoke();
         self.doubted.set(false);
+        self.marks.borrow_mut().lead(status.received);
         *self.leader.borrow_mut() = Some(Leader {
             backend: backend.clone(),
             term: status.term,
--- a/crates/proxy/src/line/traffic/run.rs
+++ b/crates/proxy/src/line/traffic/run.rs
@@ -47,7 +47,7 @@
         let (servers, after) = match call.route.consistency {
             Consistency::Latest => {
                 let leader = confirmed_leader(group, call).await?;
-                (leader, group.newest_mark())
+                (leader, group.reached())
             }
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let own = session.floor();
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -215,7 +215,7 @@
     }
     loop {
         let after = match call.route.consistency {
-            Consistency::Latest => group.newest_mark(),
+            Consistency::Latest => group.reached(),
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let since = call.since(transaction.begun);
                 match group.floor(since, session.floor()).await {
