Model: reads on the known primary, promoted servers that are too busy to answer

The interleaving search draws a fault in which whichever server is promoted has no time for questions from the effect on, and each proxy's reads that must see every commit; half of the cases have a proxy whose callers only read.

--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use dandelionpitch_core::hash;
+use dandelionpitch_core::{hash, position::Position};
 use dandelionpitch_engine::{commit::Testimony, registry::Role, time::Moment};
 
 use super::{
@@ -37,6 +37,8 @@
     in_touch: Vec<Option<u64>>,
     /// The newest promotion that took effect.
     pub lead: (usize, u64),
+    /// When it took effect.
+    led_since: Option<u64>,
     /// The log with which that server began to lead.
     led: Vec<Entry>,
     /// How many calls for each server have yet to take effect.
@@ -45,8 +47,12 @@
     serials: usize,
     acked: Vec<Entry>,
     kept: Vec<Entry>,
+    /// When each of them was reported.
+    reported: Vec<u64>,
+    pub reads: usize,
     pub promotions: usize,
     pub lost: Option<String>,
+    pub stale: Option<String>,
     pub trace: Option<Vec<String>>,
 }
 
@@ -80,14 +86,18 @@
             spoke: vec![(0, 0); count],
             in_touch: vec![None; count],
             lead: (0, 1),
+            led_since: None,
             led: Vec::new(),
             called: vec![0; count],
             emptied: false,
             serials: 0,
             acked: Vec::new(),
             kept: Vec::new(),
+            reported: Vec::new(),
+            reads: 0,
             promotions: 0,
             lost: None,
+            stale: None,
             trace: traced.then(Vec::new),
         }
     }
@@ -133,8 +143,12 @@
     }
 
     fn busy(&self, server: usize) -> bool {
-        self.troubles()
-            .any(|t| matches!(t.fault, Fault::Busy { inside } if inside >> server & 1 == 1))
+        let (lead, since) = (self.lead.0, self.led_since);
+        self.troubles().any(|trouble| match trouble.fault {
+            Fault::Busy { inside } => inside >> server & 1 == 1,
+            Fault::Crowd => server == lead && since.is_some_and(|since| trouble.from <= since),
+            _ => false,
+        })
     }
 
     pub fn post(&mut self, delay: u64, mail: Mail) {
@@ -224,7 +238,15 @@
                     .reach(answer.to.node, answer.server)
                     .then_some(Mail::Answer(answer))
             }
-            Mail::Acked { proxy, server, .. } | Mail::Refused { proxy, server } => {
+            Mail::Read {
+                proxy,
+                server,
+                since,
+                after,
+            } => self.read(proxy, server, since, after),
+            Mail::Acked { proxy, server, .. }
+            | Mail::Refused { proxy, server }
+            | Mail::Rows { proxy, server, .. } => {
                 let node = proxy_node(proxy);
                 return self.reach(node, server).then_some(mail);
             }
@@ -273,6 +295,38 @@
         self.servers[server].commit(proxy, serial);
     }
 
+    /// Runs a read on whatever a server has, if that goes up to `after`.
+    fn read(&mut self, proxy: usize, server: usize, since: u64, after: Position) {
+        let one = &self.servers[server];
+        let position = one.status(self.scenario.by_server).received;
+        if !self.reach(proxy_node(proxy), server) || position < after {
+            return;
+        }
+        let reported = self.reported.partition_point(|at| *at < since);
+        let missed = |entry: &&Entry| !one.has(entry);
+        let missed = self.kept[..reported].iter().rev().find(missed).copied();
+        let delay = self.draw(4);
+        self.post(
+            delay,
+            Mail::Rows {
+                proxy,
+                server,
+                position,
+                missed,
+            },
+        );
+    }
+
+    /// A proxy hands rows to its caller.
+    pub fn hand(&mut self, proxy: usize, server: usize, missed: Option<Entry>) {
+        self.reads += 1;
+        if let Some(entry) = missed {
+            let stale = format!("STALE proxy {proxy} read on s{server}, which lacks {entry:?}");
+            self.note(|| stale.clone());
+            self.stale.get_or_insert(stale);
+        }
+    }
+
     fn write(&mut self, from: Asker, token: u64, known: u64, record: Record) {
         if !self.reach(from.node, STORE) {
             return;
@@ -320,6 +374,7 @@
         }
         let term = self.lead.1 + 1;
         self.lead = (server, term);
+        self.led_since = Some(self.now);
         self.promotions += 1;
         for one in &mut self.servers {
             if one.held <= term {
@@ -337,6 +392,7 @@
     pub fn report(&mut self, proxy: usize, entry: Entry, why: &str) {
         self.note(|| format!("proxy {proxy} reports {entry:?} as kept: {why}"));
         self.kept.push(entry);
+        self.reported.push(self.now);
         self.check(self.kept.len() - 1);
     }
 
--- a/crates/engine/tests/interleavings/cluster/servers.rs
+++ b/crates/engine/tests/interleavings/cluster/servers.rs
@@ -49,7 +49,7 @@
                     let nodes = (0..NODES).filter(|node| *inside >> node & 1 == 1);
                     *inside = nodes.map(|node| 1 << turned(node)).sum();
                 }
-                Fault::Freeze { .. } => {}
+                Fault::Freeze { .. } | Fault::Crowd => {}
             }
         }
     }
--- a/crates/engine/tests/interleavings/mail.rs
+++ b/crates/engine/tests/interleavings/mail.rs
@@ -1,6 +1,6 @@
 //! What is on its way between the parties, and what the store holds.
 
-use dandelionpitch_core::hash::Map;
+use dandelionpitch_core::{hash::Map, position::Position};
 use dandelionpitch_engine::{commit::Testimony, registry::Incarnation, takeover::Status};
 
 use super::{
@@ -63,6 +63,20 @@
         proxy: usize,
         server: usize,
     },
+    /// A read that must see all that was reported as kept before `since`, on a log that goes up to `after`.
+    Read {
+        proxy: usize,
+        server: usize,
+        since: u64,
+        after: Position,
+    },
+    /// What a server's log that was read had, and a commit that it should have had.
+    Rows {
+        proxy: usize,
+        server: usize,
+        position: Position,
+        missed: Option<Entry>,
+    },
     Write {
         from: Asker,
         token: u64,
--- a/crates/engine/tests/interleavings/main.rs
+++ b/crates/engine/tests/interleavings/main.rs
@@ -34,7 +34,9 @@
         for mail in cluster.arrivals() {
             let node = match &mail {
                 Mail::Answer(answer) => answer.to.node,
-                Mail::Acked { proxy, .. } | Mail::Refused { proxy, .. } => SERVERS + proxy,
+                Mail::Acked { proxy, .. }
+                | Mail::Refused { proxy, .. }
+                | Mail::Rows { proxy, .. } => SERVERS + proxy,
                 Mail::Written { to, .. } | Mail::Testified { to, .. } => to.node,
                 _ => continue,
             };
@@ -69,12 +71,17 @@
     wished.and_then(|cases| cases.parse().ok()).unwrap_or(CASES)
 }
 
-/// A caller is told that its commit is kept; then, or a moment before, another server is promoted. Servers,
-/// promoters, proxies and the store lose touch, are busy, crash, start again and freeze at any time, and
-/// answers and calls come late or never. Whatever the order, the promoted server has the commit: else the
-/// caller was told something that is not true.
-#[test]
-fn commit_that_is_reported_as_kept_is_in_every_promoted_log() {
+/// What the cases came to, up to the first that shows a fault.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    cases: usize,
+    promotions: usize,
+    kept: usize,
+    reads: usize,
+}
+
+/// Plays all cases; fails with the trace of one in which `fault` finds something.
+fn search(fault: impl Fn(&Cluster) -> Option<String>) -> Tally {
     let config = Config {
         cases: cases(),
         failure_persistence: None,
@@ -83,35 +90,55 @@
     };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let played = Cell::new((0, 0, 0));
+    let played = Cell::new(Tally::default());
     let first = Cell::new(None);
 
     let found = runner.run(&scenario::scenario(), |scenario| {
         let cluster = play(&scenario, false);
-        let (count, promotions, kept) = played.get();
-        let (promotions, kept) = (promotions + cluster.promotions, kept + cluster.kept());
+        let mut tally = played.get();
+        tally.cases += 1;
+        tally.promotions += cluster.promotions;
+        tally.kept += cluster.kept();
+        tally.reads += cluster.reads;
         if first.get().is_none() {
-            played.set((count + 1, promotions, kept));
+            played.set(tally);
         }
-        match cluster.lost {
+        match fault(&cluster) {
             None => Ok(()),
-            Some(lost) => {
-                first.set(first.get().or(Some(count + 1)));
-                Err(TestCaseError::fail(lost))
+            Some(fault) => {
+                first.set(first.get().or(Some(tally.cases)));
+                Err(TestCaseError::fail(fault))
             }
         }
     });
 
-    let (count, promotions, kept) = played.get();
     if let Err(TestError::Fail(why, scenario)) = found {
         let trace = play(&scenario, true).trace.unwrap_or_default();
-        let trace = trace.join("\n");
-        panic!("{why} (found by case {count}, then made smaller)\n{scenario:?}\n{trace}");
+        let (trace, case) = (trace.join("\n"), played.get().cases);
+        panic!("{why} (found by case {case}, then made smaller)\n{scenario:?}\n{trace}");
     }
-    println!("{count} cases, {promotions} promotions, {kept} commits reported as kept");
-    let enough = promotions > count / 2 && kept > 10 * count;
-    assert!(
-        enough,
-        "too little happened: {promotions} promotions, {kept} commits"
-    );
+    let tally = played.get();
+    println!("{tally:?}");
+    tally
+}
+
+/// A caller is told that its commit is kept; then, or a moment before, another server is promoted. Servers,
+/// promoters, proxies and the store lose touch, are busy, crash, start again and freeze at any time, and
+/// answers and calls come late or never. Whatever the order, the promoted server has the commit: else the
+/// caller was told something that is not true.
+#[test]
+fn commit_that_is_reported_as_kept_is_in_every_promoted_log() {
+    let tally = search(|cluster| cluster.lost.clone());
+
+    let enough = tally.promotions > tally.cases / 2 && tally.kept > 10 * tally.cases;
+    assert!(enough, "too little happened: {tally:?}");
+}
+
+/// A read that must see every commit runs on a server that the proxy takes for the primary. Guards against a
+/// lease that outlives its primary's lead: the rows lack a commit that another caller was told is kept.
+#[test]
+fn read_on_the_known_primary_misses_no_commit_reported_before() {
+    let tally = search(|cluster| cluster.stale.clone());
+
+    assert!(tally.reads > 10 * tally.cases, "too few reads: {tally:?}");
 }
--- a/crates/engine/tests/interleavings/proxy.rs
+++ b/crates/engine/tests/interleavings/proxy.rs
@@ -2,6 +2,7 @@
 //! that is proved, in the order of the daemon's.
 
 mod proof;
+mod reads;
 
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
@@ -20,6 +21,7 @@
     server::Order,
 };
 use proof::Pending;
+use reads::Reads;
 
 /// How many replicas a commit waits for.
 const SYNC_REPLICAS: usize = 1;
@@ -63,6 +65,7 @@
     polled: u64,
     pending: Vec<Pending>,
     flying: bool,
+    reads: Reads,
 }
 
 impl Proxy {
@@ -79,6 +82,7 @@
             polled: 0,
             pending: Vec::new(),
             flying: false,
+            reads: Reads::default(),
         }
     }
 
@@ -87,6 +91,12 @@
             Mail::Answer(answer) => self.hear(cluster, answer),
             Mail::Acked { server, entry, .. } => self.acked(cluster, *server, *entry),
             Mail::Refused { server, .. } => self.depose(*server),
+            Mail::Rows {
+                server,
+                position,
+                missed,
+                ..
+            } => self.rows(cluster, *server, *position, *missed),
             Mail::Testified { to, testimony } => self.testified(cluster, *to, testimony.as_ref()),
             _ => {}
         }
@@ -105,7 +115,9 @@
         for pending in std::mem::take(&mut self.pending) {
             self.go_on(cluster, pending);
         }
-        let due = cluster.now % cluster.scenario.pace == self.number as u64;
+        self.keep_reads(cluster);
+        let writes = self.number == 0 || !cluster.scenario.reads_only;
+        let due = writes && cluster.now % cluster.scenario.pace == self.number as u64;
         if let (true, Some((id, _))) = (due, &self.leader) {
             let (proxy, server, delay) = (self.number, index(id), cluster.draw(4));
             cluster.post(delay, Mail::Commit { proxy, server });
@@ -294,6 +306,7 @@
             return;
         }
         self.lease = Lease::default();
+        self.reads.led_anew(status.received);
         self.leader = Some((id.clone(), status.term));
         let number = self.number;
         cluster.note(|| format!("proxy {number} believes in {id}, term {}", status.term));
--- a/crates/engine/tests/interleavings/proxy/proof.rs
+++ b/crates/engine/tests/interleavings/proxy/proof.rs
@@ -58,6 +58,7 @@
             .iter()
             .find(|e| index(&e.server.incarnation) == server);
         let Some(known) = known else { return };
+        self.reads.position(entry.position());
         self.pending.push(Pending {
             entry,
             primary: known.server.incarnation.clone(),
--- a/crates/engine/tests/interleavings/scenario.rs
+++ b/crates/engine/tests/interleavings/scenario.rs
@@ -36,6 +36,8 @@
     Link { one: Node, other: Node },
     /// The servers of a bit mask have no time for questions.
     Busy { inside: u16 },
+    /// Whichever server is promoted meanwhile has no time for questions from the effect on, until the end.
+    Crowd,
     /// A server is down; `empty` if it comes back without its log.
     Crash { server: usize, empty: bool },
     /// A promoter does nothing, and what comes for it waits.
@@ -64,6 +66,8 @@
     pub by_server: bool,
     /// How many steps are between two commits through the same proxy.
     pub pace: u64,
+    /// Whether the callers of one proxy only read.
+    pub reads_only: bool,
 }
 
 /// A server, by its distance from the one that leads.
@@ -78,6 +82,7 @@
         2 => (SERVERS..STORE).prop_map(|one| Fault::Link { one, other: STORE }),
         2 => server().prop_map(|server| Fault::Busy { inside: 1 << server }),
         3 => (1_u16..1 << SERVERS).prop_map(|inside| Fault::Busy { inside }),
+        4 => Just(Fault::Crowd),
         4 => (server(), prop::bool::weighted(0.5))
             .prop_map(|(server, empty)| Fault::Crash { server, empty }),
         1 => (0..PROMOTERS).prop_map(|promoter| Fault::Freeze { promoter }),
@@ -116,12 +121,16 @@
         vec(any::<u8>(), 61),
         any::<bool>(),
         3_u64..12,
+        any::<bool>(),
     )
-        .prop_map(|(servers, troubles, delays, by_server, pace)| Scenario {
-            servers,
-            troubles,
-            delays,
-            by_server,
-            pace,
-        })
+        .prop_map(
+            |(servers, troubles, delays, by_server, pace, reads_only)| Scenario {
+                servers,
+                troubles,
+                delays,
+                by_server,
+                pace,
+                reads_only,
+            },
+        )
 }
