A server that lost its log is another one, on PostgreSQL's side too

What callers saw: an acknowledged order is lost. The replica that alone has it loses its log and is put back under its address, empty, as the primary dies (also after a time outside the list): it is held for the new term like any other, two of three look like a quorum, and the replica without the order is promoted.

Cause: servers were told apart by address alone. First try, the length of the log alone (the earlier position against the later one): still red, since statuses are read every 50 ms and the order came after the last of them.

Change: a server's status and its answer to a fence say which log it has (column `log`, zero from groups that do not say); another number, or a log shorter than before, is another life: the earlier one counts until the others have everything (the roster's rule on the line protocol's side), and an empty one is not counted among those that hold a term. A server that starts again with its log is the same as before, so a plain restart costs nothing. The stand-in's new fault `wipe` brings it about. What is left: proxies that all start again between the loss and the failover know the earlier life no more, as the record names addresses.

--- a/crates/e2e/tests/lists.rs
+++ b/crates/e2e/tests/lists.rs
@@ -249,3 +249,42 @@
     let left = kv.get(&key).await.expect("the KV").expect("a record");
     assert_eq!(left.value, b"not a record", "{led:?}");
 }
+
+/// The replica that alone has an order loses its log and is put back under its address, empty, as the
+/// primary dies. Guards against counting it among those that hold the new term.
+#[tokio::test]
+async fn server_put_back_empty_is_no_reason_to_promote() {
+    let site = Site::build(&Layout::new("put-back", TWO_IN_ONE_DC)).await;
+    site.fault(2, "isolate", 1, "").await;
+    write(&site, "order-1").await;
+
+    site.fault(1, "kill", 0, "").await;
+    site.fault(1, "kill", 2, "").await;
+    site.fault(1, "wipe", 2, "").await;
+    tokio::time::sleep(FAILOVER).await;
+    let safe = kept(&site, "order-1").await;
+    site.fault(1, "join", 1, "").await;
+    site.fault(1, "start", 0, "").await;
+    write(&site, "order-2").await;
+
+    assert!(safe);
+    assert!(kept(&site, "order-1").await);
+}
+
+/// The same with the replica out of the list in between. Guards against taking its new life for the one
+/// that has the order.
+#[tokio::test]
+async fn server_listed_again_empty_is_no_reason_to_promote() {
+    let site = Site::build(&Layout::new("listed-again", TWO_IN_ONE_DC)).await;
+    site.fault(2, "isolate", 1, "").await;
+    write(&site, "order-1").await;
+
+    take_out(&site, 2, &[2]).await;
+    site.fault(1, "kill", 0, "").await;
+    site.fault(1, "kill", 2, "").await;
+    site.fault(1, "wipe", 2, "").await;
+    take_out(&site, 3, &[]).await;
+    tokio::time::sleep(FAILOVER).await;
+
+    assert!(kept(&site, "order-1").await);
+}
--- a/crates/proxy/src/backend.rs
+++ b/crates/proxy/src/backend.rs
@@ -89,6 +89,15 @@
     text.parse().map_err(|_| Error::Shape)
 }
 
+/// Which log the server has; groups that do not say have no such column.
+fn log_number(row: &SimpleQueryRow) -> Result<u64, Error> {
+    let named = |column: &tokio_postgres::SimpleColumn| column.name() == "log";
+    match row.columns().iter().any(named) {
+        true => column(row, "log"),
+        false => Ok(0),
+    }
+}
+
 async fn position_of(client: &Client, query: &str, limit: Duration) -> Result<Position, Error> {
     let row = row(client, query, limit).await?;
     let text = row.get(0).ok_or(Error::Shape)?;
@@ -107,6 +116,7 @@
             _ => Role::Replica,
         },
         term: column(&row, "term")?,
+        log: log_number(&row)?,
         position: column(&row, "position")?,
         lag: Duration::from_millis(column(&row, "lag_ms")?),
         silent: Duration::from_millis(column(&row, "silent_ms")?),
@@ -129,10 +139,11 @@
     position_of(client, "SELECT dandelionpitch_barrier()", limit).await
 }
 
-/// Makes the server hold `term`; returns the last position it has received.
-pub async fn fence(client: &Client, term: u64, limit: Duration) -> Result<Position, Error> {
+/// Makes the server hold `term`; returns which log it has and the last position it has received.
+pub async fn fence(client: &Client, term: u64, limit: Duration) -> Result<(u64, Position), Error> {
     let query = format!("SELECT dandelionpitch_fence({term})");
-    position_of(client, &query, limit).await
+    let row = row(client, &query, limit).await?;
+    Ok((log_number(&row)?, column(&row, "received")?))
 }
 
 /// Makes the server primary at `term`; returns its first position there.
--- a/crates/proxy/src/control/counted.rs
+++ b/crates/proxy/src/control/counted.rs
@@ -7,10 +7,11 @@
 
 use std::{net::SocketAddr, time::Instant};
 
+use dandelionpitch_core::{hash::Map, position::Position};
 use dandelionpitch_engine::{
     registry::{Incarnation, Role},
     roster::Roster,
-    takeover::{Member, Sight, Status},
+    takeover::{self, Member, Sight, Status},
     time::Moment,
 };
 
@@ -25,6 +26,27 @@
     /// The revision of the record that was taken in last, and the servers that it names.
     revision: u64,
     recorded: Vec<Incarnation>,
+    lives: Map<SocketAddr, Life>,
+}
+
+/// What is known of the server behind an address.
+///
+/// Failure: a replica that alone has a commit loses its log and comes back empty; held for a promotion it
+/// looks like one of the quorum. Guard: another log, or one that has become shorter within a term, belongs
+/// to another life, and the earlier one still counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Life {
+    /// How many lives are known to have ended before this one.
+    number: u64,
+    log: u64,
+    last: Status,
+}
+
+impl Life {
+    /// Whether a server that has this log up to `received` is still in this life.
+    pub fn goes_on(&self, log: u64, received: Position) -> bool {
+        log == self.log && received >= self.last.received
+    }
 }
 
 impl Counted {
@@ -35,18 +57,24 @@
             roster: Roster::default(),
             revision: 0,
             recorded: Vec::new(),
+            lives: Map::default(),
         }
     }
 
     /// Takes in the listed servers as they are seen, and what the record says.
     pub fn update(&mut self, group: &view::Group, now: Instant) {
         let at = self.moment(now);
+        for server in &group.servers {
+            if let Some(status) = server.status.get() {
+                self.note_life(server.address, status);
+            }
+        }
         let (listed, taken_out): (Vec<_>, Vec<_>) =
             group.servers.iter().partition(|server| server.listed);
         // First, since after a pause of this process the others may look as if they covered it.
         for server in taken_out {
             if receives(server, group, now) {
-                self.roster.keep(&id(server.address), at);
+                self.roster.keep(&self.id(server.address), at);
             }
         }
         let member = |server: &view::Server| self.member(server, group, now);
@@ -63,7 +91,8 @@
         if held.revision <= self.revision {
             return;
         }
-        let recorded: Vec<_> = held.record.members.iter().copied().map(id).collect();
+        let members = held.record.members.iter();
+        let recorded: Vec<_> = members.map(|&address| self.id(address)).collect();
         let mut covered = std::mem::replace(&mut self.recorded, recorded);
         covered.retain(|id| !self.recorded.contains(id));
         self.revision = held.revision;
@@ -104,23 +133,48 @@
     /// All servers that count.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let ids = self.roster.ids();
-        ids.iter().filter_map(|id| id.id.parse().ok()).collect()
+        let addresses = ids.iter().filter_map(|id| id.id.parse().ok());
+        let mut addresses: Vec<SocketAddr> = addresses.collect();
+        // Two lives of one server stand side by side.
+        addresses.dedup();
+        addresses
+    }
+
+    /// The life that each server was last seen in.
+    pub fn lives(&self) -> &Map<SocketAddr, Life> {
+        &self.lives
+    }
+
+    fn note_life(&mut self, address: SocketAddr, status: view::Status) {
+        let (log, last) = (status.log, read(status));
+        let first = Life {
+            number: 0,
+            log,
+            last,
+        };
+        let life = self.lives.entry(address).or_insert(first);
+        if log != life.log || takeover::has_restarted(&life.last, &last) {
+            life.number += 1;
+            log::warn!(target: "control", "Server {address} has lost its log: it ends at {}, after {}.",
+                last.received, life.last.received);
+        }
+        (life.log, life.last) = (log, last);
+    }
+
+    /// A server as the roster names it, by its address and life.
+    fn id(&self, address: SocketAddr) -> Incarnation {
+        Incarnation {
+            id: address.to_string(),
+            born: self.lives.get(&address).map_or(0, |life| life.number),
+        }
     }
 
     fn member(&self, server: &view::Server, group: &view::Group, now: Instant) -> Member {
         let status = server.fresh(now, group.fresh_for);
-        let sight = |status: view::Status| {
-            Sight::Answered(Status {
-                role: role(status.role),
-                term: status.term,
-                received: status.position,
-                held: 0,
-            })
-        };
         Member {
-            id: id(server.address),
+            id: self.id(server.address),
             leaving: server.leaving,
-            sight: status.map_or(Sight::Unknown, sight),
+            sight: status.map_or(Sight::Unknown, |status| Sight::Answered(read(status))),
             asked: status.map_or(Moment::default(), |status| self.moment(status.read_at)),
         }
     }
@@ -136,11 +190,12 @@
     status.is_some_and(|status| status.silent < group.fresh_for)
 }
 
-/// A server of the bundle as the roster names it; the bundle says nothing of its earlier lives.
-fn id(address: SocketAddr) -> Incarnation {
-    Incarnation {
-        id: address.to_string(),
-        born: 0,
+fn read(status: view::Status) -> Status {
+    Status {
+        role: role(status.role),
+        term: status.term,
+        received: status.position,
+        held: 0,
     }
 }
 
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -24,7 +24,7 @@
 
 use super::{
     backoff::{self, Backoff},
-    counted::Counted,
+    counted::{Counted, Life},
     verdict::{self, Limits, Verdict},
     Leader,
 };
@@ -79,6 +79,8 @@
     servers: Vec<SocketAddr>,
     /// Those of the servers that are about to stop or were taken out.
     leaving: Vec<SocketAddr>,
+    /// The life that each server was last seen in.
+    lives: Map<SocketAddr, Life>,
     /// The servers that count, listed or not; the record keeps them for the next claimant.
     members: Vec<SocketAddr>,
     quorum: usize,
@@ -165,8 +167,8 @@
             Verdict::Outranked => Task::Replace { suspect: None },
             Verdict::Unrecorded { term, server } => Task::Record { term, server },
         };
-        let members = memory.counted.addresses();
-        Some(self.attempt(task, group, view, members, quorum, now))
+        let counted = &self.groups[&group.name].counted;
+        Some(self.attempt(task, group, view, counted, quorum, now))
     }
 
     /// Notes how an attempt on `group` ended, which says when the next one may be made.
@@ -214,7 +216,7 @@
         task: Task,
         group: &bundle::Group,
         view: &view::Group,
-        members: Vec<SocketAddr>,
+        counted: &Counted,
         quorum: usize,
         now: Instant,
     ) -> Attempt {
@@ -226,7 +228,8 @@
             group: group.name.clone(),
             servers: view.servers.iter().map(|server| server.address).collect(),
             leaving: leaving.map(|server| server.address).collect(),
-            members,
+            lives: counted.lives().clone(),
+            members: counted.addresses(),
             quorum,
             top_term: on_servers.max(in_record).unwrap_or_default(),
             revision: view.held.as_ref().map_or(0, |held| held.revision),
@@ -240,6 +243,7 @@
 struct Fenced {
     server: SocketAddr,
     client: Client,
+    log: u64,
     received: Position,
 }
 
@@ -325,6 +329,10 @@
             if Some(one.server) == suspect {
                 continue;
             }
+            if self.has_lost_its_log(&one) {
+                log::warn!(target: "failover", "{} has lost its log and does not count.", one.server);
+                continue;
+            }
             fenced.push(one);
             if fenced.len() >= self.quorum {
                 return Ok(fenced);
@@ -337,6 +345,12 @@
         })
     }
 
+    /// Whether a server's log is shorter than it was: it has started again empty.
+    fn has_lost_its_log(&self, fenced: &Fenced) -> bool {
+        let life = self.lives.get(&fenced.server);
+        life.is_some_and(|life| !life.goes_on(fenced.log, fenced.received))
+    }
+
     /// Promotes the most advanced of the fenced servers, of equal ones one that stays. One that was
     /// taken out may alone have a commit: it leads until another has caught up and replaces it.
     async fn promote(&self, term: u64, fenced: Vec<Fenced>) -> Result<SocketAddr, Error> {
@@ -370,9 +384,10 @@
 ) -> Option<Fenced> {
     let client = backend::connect(&options, limit).await.ok()?;
     match backend::fence(&client, term, limit).await {
-        Ok(received) => Some(Fenced {
+        Ok((log, received)) => Some(Fenced {
             server,
             client,
+            log,
             received,
         }),
         Err(error) => {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -40,6 +40,8 @@
     pub role: Role,
     /// The highest term the server has accepted.
     pub term: u64,
+    /// Which log it has: another number once it has lost one, zero if it does not say.
+    pub log: u64,
     /// The last entry in its table.
     pub position: Position,
     /// At most how old its table was at `read_at`.
--- a/crates/proxy/tests/counted.rs
+++ b/crates/proxy/tests/counted.rs
@@ -29,6 +29,7 @@
             _ => Role::Replica,
         },
         term: 1,
+        log: 0,
         position: Position { term: 1, lsn },
         lag: Duration::ZERO,
         silent: Duration::ZERO,
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -25,6 +25,7 @@
     Some(Status {
         role,
         term,
+        log: 0,
         position: Position { term, lsn: 10 },
         lag: Duration::ZERO,
         silent: Duration::from_millis(silent_ms),
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -81,6 +81,11 @@
                 group.set_up(server, true);
                 self.switches[server].start();
             }
+            Fault::Wipe(server) => {
+                group.wipe(server);
+                group.set_up(server, true);
+                self.switches[server].start();
+            }
             Fault::Freeze(server) => group.set_frozen(server, true),
             Fault::Thaw(server) => group.set_frozen(server, false),
             Fault::Isolate(server) => group.set_isolated(server, true),
--- a/crates/standin/src/group/fault.rs
+++ b/crates/standin/src/group/fault.rs
@@ -9,6 +9,8 @@
     Kill(usize),
     /// `start`: a killed server comes back with its log.
     Start(usize),
+    /// `wipe`: a killed server comes back on its address with an empty log.
+    Wipe(usize),
     /// `freeze`: the server answers nothing and replicates nothing; connections stay open.
     Freeze(usize),
     /// `thaw`: the end of a freeze.
@@ -42,6 +44,7 @@
         Ok(match kind {
             "kill" => Self::Kill(server),
             "start" => Self::Start(server),
+            "wipe" => Self::Wipe(server),
             "freeze" => Self::Freeze(server),
             "thaw" => Self::Thaw(server),
             "isolate" => Self::Isolate(server),
@@ -62,6 +65,7 @@
         match self {
             Self::Kill(server)
             | Self::Start(server)
+            | Self::Wipe(server)
             | Self::Freeze(server)
             | Self::Thaw(server)
             | Self::Isolate(server)
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -206,7 +206,12 @@
         let received = outcome.map_err(|text| error("55000", text))?;
         let late = self.shared.faults.lock().unwrap().slow_fence(self.index);
         tokio::time::sleep(Duration::from_millis(late)).await;
-        text_rows(&["received"], vec![vec![received.to_string()]])
+        let log = self.shared.group.lock().unwrap();
+        let log = log.status(self.index, Instant::now()).log;
+        text_rows(
+            &["received", "log"],
+            vec![vec![received.to_string(), log.to_string()]],
+        )
     }
 
     async fn promote(&self, term: u64) -> PgWireResult<Response> {
@@ -221,11 +226,20 @@
         let status = group.status(self.index, Instant::now());
         match name {
             "dandelionpitch.status" => text_rows(
-                &["server", "role", "term", "position", "lag_ms", "silent_ms"],
+                &[
+                    "server",
+                    "role",
+                    "term",
+                    "log",
+                    "position",
+                    "lag_ms",
+                    "silent_ms",
+                ],
                 vec![vec![
                     status.server.to_string(),
                     status.role.name().to_owned(),
                     status.term.to_string(),
+                    status.log.to_string(),
                     status.position.to_string(),
                     status.lag.as_millis().to_string(),
                     status.silent.as_millis().to_string(),
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -85,6 +85,8 @@
     pub role: Role,
     /// The highest term the server has accepted.
     pub term: u64,
+    /// Which log it has.
+    pub log: u64,
     /// The last entry in its table.
     pub position: Position,
     /// At most how old its table is.
@@ -193,6 +195,7 @@
             server,
             role: this.role,
             term: this.term,
+            log: this.log_number,
             position: this.position(),
             lag: silent.max(waiting),
             silent,
@@ -243,6 +246,17 @@
         }
     }
 
+    /// Leaves `server` with the first entry and nothing else, as a replica of the first term.
+    pub fn wipe(&mut self, server: usize) {
+        let target = &mut self.servers[server];
+        *target = Server {
+            up: target.up,
+            isolated: target.isolated,
+            log_number: target.log_number + 1,
+            ..Server::new(Role::Replica, target.lag, Instant::now())
+        };
+    }
+
     /// Freezes or thaws `server`: it neither answers nor replicates while frozen.
     pub fn set_frozen(&mut self, server: usize, frozen: bool) {
         self.servers[server].frozen = frozen;
--- a/crates/standin/src/group/state/member.rs
+++ b/crates/standin/src/group/state/member.rs
@@ -14,6 +14,8 @@
 pub struct Server {
     pub role: Role,
     pub term: u64,
+    /// Which log it has: another one after it was lost.
+    pub log_number: u64,
     /// Everything received; the first `applied` entries are in the table.
     pub log: Vec<Entry>,
     pub applied: usize,
@@ -38,6 +40,7 @@
         Self {
             role,
             term: 1,
+            log_number: 0,
             log: vec![first],
             applied: 1,
             table: BTreeMap::new(),
