--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -1,10 +1,11 @@
 //! The servers, the store, the platform's promotions and the network between all parties, in steps.
 
+mod reads;
 mod servers;
 
 use std::time::Duration;
 
-use dandelionpitch_core::{hash, position::Position};
+use dandelionpitch_core::hash;
 use dandelionpitch_engine::{commit::Testimony, registry::Role, time::Moment};
 
 use super::{
@@ -295,38 +296,6 @@
         self.servers[server].commit(proxy, serial);
     }
 
-    /// Runs a read on whatever a server has, if that goes up to `after`.
-    fn read(&mut self, proxy: usize, server: usize, since: u64, after: Position) {
-        let one = &self.servers[server];
-        let position = one.status(self.scenario.by_server).received;
-        if !self.reach(proxy_node(proxy), server) || position < after {
-            return;
-        }
-        let reported = self.reported.partition_point(|at| *at < since);
-        let missed = |entry: &&Entry| !one.has(entry);
-        let missed = self.kept[..reported].iter().rev().find(missed).copied();
-        let delay = self.draw(4);
-        self.post(
-            delay,
-            Mail::Rows {
-                proxy,
-                server,
-                position,
-                missed,
-            },
-        );
-    }
-
-    /// A proxy hands rows to its caller.
-    pub fn hand(&mut self, proxy: usize, server: usize, missed: Option<Entry>) {
-        self.reads += 1;
-        if let Some(entry) = missed {
-            let stale = format!("STALE proxy {proxy} read on s{server}, which lacks {entry:?}");
-            self.note(|| stale.clone());
-            self.stale.get_or_insert(stale);
-        }
-    }
-
     fn write(&mut self, from: Asker, token: u64, known: u64, record: Record) {
         if !self.reach(from.node, STORE) {
             return;
