Operators see which servers were taken out and still count

GET /status marks each server as listed or not; one that was taken out is shown until it counts no longer, then its VM may be used for something else. The test stops the server and sees it forgotten, and the primary replaced by the one that is left, which the quorum of two would not have allowed before.

--- a/crates/e2e/tests/lists.rs
+++ b/crates/e2e/tests/lists.rs
@@ -83,6 +83,30 @@
     }
 }
 
+/// Operators wait until the server that they took out counts no longer before its VM is used for something
+/// else. Guards against a status that keeps it for ever, or drops it while it may be alone with a commit.
+#[tokio::test]
+async fn server_taken_out_and_stopped_is_forgotten() {
+    let site = Site::build(&Layout::new("forgotten", TWO_IN_ONE_DC)).await;
+    let shown = || async {
+        let servers = &operator(&site.proxies[0], "/status").await["groups"][0]["servers"];
+        let unlisted = |server: &serde_json::Value| server["listed"] == false;
+        servers
+            .as_array()
+            .is_some_and(|all| all.iter().any(unlisted))
+    };
+
+    take_out(&site, 2, &[2]).await;
+    let counts = shown().await;
+    site.fault(0, "kill", 2, "").await;
+    let forgotten = eventually(WAIT, || async { !shown().await }).await;
+    site.fault(1, "kill", 0, "").await;
+    let record = site.replaced(1).await;
+
+    assert!(counts && forgotten);
+    assert_eq!(site.leader(&record), 1);
+}
+
 /// The server taken out of the list is not stopped and goes on confirming commits, alone, long after it
 /// was taken out. Guards against a promotion that loses them.
 #[tokio::test]
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -37,6 +37,8 @@
 #[derive(Debug, Serialize)]
 pub struct ServerReport {
     pub address: SocketAddr,
+    /// Whether the bundle in force lists it; one that it does not list still counts for commits.
+    pub listed: bool,
     pub role: Option<String>,
     pub position: Option<String>,
     pub lag_ms: Option<u128>,
@@ -66,6 +68,7 @@
                 .iter()
                 .map(|server| ServerReport {
                     address: server.address,
+                    listed: server.listed,
                     role: server
                         .status
                         .get()
