The store comes back from a copy: eras on the line protocol's side

Cause: everything was ordered by revisions, which go back and are given out again.

A later era begins with the whole content, also for those who hear from another proxy. Nobody claims the duty until a lease that the store lost has run out on its holder's clock. A record from the copy is joined with what is remembered: the later promotion stays, all that counted count, and the holder writes it again; until then the store's word proves no commit. A server that was leaving goes on leaving until it has written again.

Left: a record executed late by the store whose conditions hold by chance in the new era; what all proxies forget when they start again together; PostgreSQL's side.

--- a/crates/engine/src/duty.rs
+++ b/crates/engine/src/duty.rs
@@ -1,7 +1,7 @@
 //! Who holds the failover duty: one process at a time, by a lease in the store.
 //!
-//! The fencing token is the store's revision at which the holder's key was written: it grows with
-//! every change of the store, so a later holder always has a higher one.
+//! The fencing token is the stamp ([`crate::era`]) of the holder's key: it grows with every change of the
+//! store, and when the store comes back from a copy, so a later holder always has a higher one.
 
 use std::time::Duration;
 
@@ -59,6 +59,8 @@
     token: Option<u64>,
     /// Until when this process's lease certainly lasts.
     lease_until: Option<Moment>,
+    /// Until when another process may rely on a lease that the store has lost.
+    others_until: Option<Moment>,
 }
 
 impl Duty {
@@ -83,6 +85,22 @@
         self.token = None;
     }
 
+    /// Notes that the store came back from a copy, without any lease.
+    ///
+    /// Failure: the holder has not heard of it and promotes under the lease that it had, while another
+    /// process finds the duty free and promotes as well. Guard: nobody claims it before such a lease
+    /// has run out on the holder's own clock.
+    pub fn store_restored(&mut self, now: Moment) {
+        self.lapsed();
+        self.others_until = Some(now + LEASE_TTL);
+    }
+
+    /// Whether this process may try to take the duty.
+    pub fn may_claim(&self, now: Moment) -> bool {
+        let awaited = self.others_until.is_some_and(|until| now < until);
+        self.is_vacant() && !awaited
+    }
+
     /// Notes that this process has written the holder's key at `token`.
     pub fn won(&mut self, name: &str, token: u64) {
         self.holder = Some(name.to_owned());
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod commit;
 pub mod delta;
 pub mod duty;
+pub mod era;
 pub mod feed;
 pub mod fence;
 pub mod freshness;
--- a/crates/engine/src/mirror.rs
+++ b/crates/engine/src/mirror.rs
@@ -8,6 +8,8 @@
 
 use dandelionpitch_core::hash::Map;
 
+use crate::era;
+
 /// How many removals are remembered; whoever has missed more is told everything anew.
 const MOST_REMOVED: usize = 2_000;
 
@@ -93,10 +95,19 @@
     ///
     /// Failure: a proxy turns from one source to another that is behind the first, and a
     /// configuration is replaced by an earlier one. Guard: older updates are left out.
+    ///
+    /// Failure: the store came back from a copy, and what changed since is taken for all there is, beside
+    /// keys that are gone. Guard: a later era begins with everything, and so does whoever is told of it.
     pub fn take(&mut self, update: &Update<V>) -> bool {
         if update.revision < self.revision {
             return false;
         }
+        if self.revision != 0 && era::of(update.revision) > era::of(self.revision) {
+            if !update.whole {
+                return false;
+            }
+            *self = Self::default();
+        }
         if update.whole {
             self.drop_missing(update);
         }
--- a/crates/engine/src/registry.rs
+++ b/crates/engine/src/registry.rs
@@ -175,6 +175,20 @@
         }
     }
 
+    /// Takes the complete list of a store that came back from a copy, in which servers write their entries
+    /// anew within moments.
+    ///
+    /// Failure: a server said that it leaves, the copy is from before, and it is given work until it has
+    /// said so again. Guard: until then it still leaves.
+    pub fn restore(&mut self, mut servers: Vec<Server>, now: Moment) {
+        for server in &mut servers {
+            let known = self.entries.get(server.id());
+            let same = known.filter(|known| known.server.incarnation == server.incarnation);
+            server.leaving |= same.is_some_and(|known| known.server.leaving);
+        }
+        self.replace(servers, now);
+    }
+
     /// Drops servers that have been missing too long; returns their ids. Only to be called while
     /// the store answers, so that time during which nothing could be read does not count.
     pub fn expire(&mut self, now: Moment) -> Vec<String> {
--- a/crates/engine/tests/control.rs
+++ b/crates/engine/tests/control.rs
@@ -232,3 +232,36 @@
     assert_eq!(entry.server.incarnation.born, 2_000);
     assert!(entry.takes_work(at(20_000)));
 }
+
+/// The store came back from a copy, without the holder's key. Guards against a second holder who promotes
+/// while the first, who has not heard of it, still relies on its lease.
+#[test]
+fn duty_is_left_alone_until_a_lost_lease_has_run_out() {
+    let mut duty = Duty::default();
+    duty.renewed(at(0));
+    duty.won("a", 7);
+
+    duty.store_restored(at(1_000));
+    duty.seen(None);
+
+    assert_eq!(duty.token(at(1_000)), None);
+    assert!(!duty.may_claim(at(1_000) + LEASE_TTL - Duration::from_millis(1)));
+    assert!(duty.may_claim(at(1_000) + LEASE_TTL));
+}
+
+/// A server said that it leaves, and the store came back from a copy of before. Guards against new work for
+/// it until it has said so again; what it then writes counts.
+#[test]
+fn server_that_leaves_goes_on_leaving_after_a_restore() {
+    let mut registry = registry(&["a"]);
+    let mut leaving = server("a");
+    leaving.leaving = true;
+    registry.put(leaving, at(100));
+
+    registry.restore(vec![server("a")], at(200));
+    let restored = registry.of("ledger")[0].server.leaving;
+    registry.put(server("a"), at(300));
+
+    assert!(restored);
+    assert!(!registry.of("ledger")[0].server.leaving);
+}
--- a/crates/engine/tests/mirror.rs
+++ b/crates/engine/tests/mirror.rs
@@ -1,6 +1,9 @@
 //! What a proxy tells others of the store's content.
 
-use dandelionpitch_engine::mirror::{Change, Item, Mirror, Update};
+use dandelionpitch_engine::{
+    era,
+    mirror::{Change, Item, Mirror, Update},
+};
 
 fn written(key: &str, revision: u64, value: &'static str) -> Change<&'static str> {
     Change::Written(Item {
@@ -103,3 +106,47 @@
     assert!(!mirror.after(9_900).whole);
     assert!(mirror.after(9_900).changes.len() < 100);
 }
+
+/// The store came back from a copy and counts from there. Guards against a follower that keeps what is gone,
+/// or takes what has changed since for all there is.
+#[test]
+fn later_era_begins_with_everything() {
+    let mut mirror = mirror();
+    let again = |revision| era::stamp(1, revision);
+
+    let changes = mirror.take(&update(
+        again(9),
+        false,
+        &[written("config", again(9), "v3")],
+    ));
+    let whole = mirror.take(&update(
+        again(8),
+        true,
+        &[written("config", again(4), "v1")],
+    ));
+    mirror.take(&update(
+        again(9),
+        false,
+        &[written("server", again(9), "up")],
+    ));
+    let told = mirror.after(13);
+
+    assert!(!changes && whole);
+    let all = [
+        written("config", again(4), "v1"),
+        written("server", again(9), "up"),
+    ];
+    assert_eq!(told, update(again(9), true, &all));
+}
+
+/// Guards against a source that has not heard of the restore yet and puts what is gone back.
+#[test]
+fn earlier_era_changes_nothing() {
+    let mut mirror = mirror();
+    mirror.take(&update(era::stamp(1, 2), true, &[]));
+
+    let taken = mirror.take(&update(4_000, true, &[written("config", 12, "v2")]));
+
+    assert!(!taken);
+    assert_eq!(mirror.after(0).changes, []);
+}
--- a/crates/proxy/src/line/control/duty.rs
+++ b/crates/proxy/src/line/control/duty.rs
@@ -88,7 +88,9 @@
             }
             Ok(())
         }
-        None if control.duty.borrow().is_vacant() && !control.stopping.is_cancelled() => {
+        None if control.duty.borrow().may_claim(clock::now())
+            && !control.stopping.is_cancelled() =>
+        {
             let share = backoff::share(&(&control.name, clock::now().millis()));
             let age = clock::now().since(control.started);
             let feeds = control.place.borrow().feeds;
@@ -118,7 +120,7 @@
 /// Failure: the store applies the claim and its answer is lost. Guard: the key is read back, and
 /// only one that names this very process is its own.
 async fn claim(control: &Control) -> Result<Option<u64>, Error> {
-    if !control.duty.borrow().is_vacant() {
+    if !control.duty.borrow().may_claim(clock::now()) {
         return Ok(None);
     }
     let store = control.store();
--- a/crates/proxy/src/line/control/failover.rs
+++ b/crates/proxy/src/line/control/failover.rs
@@ -234,9 +234,9 @@
     fn keep_roster(self: &Rc<Self>, control: &Rc<Control>, service: &str, watched: &mut Watched) {
         let members = watched.roster.ids();
         let known = watched.recorded.clone();
-        let same = known
-            .as_ref()
-            .is_some_and(|noted| noted.record.members == members);
+        let same = known.as_ref().is_some_and(|noted| {
+            noted.record.members == members && noted.record.is_of(noted.revision)
+        });
         let Some(token) = control.duty.borrow().token(clock::now()) else {
             return;
         };
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -6,6 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use dandelionpitch_engine::{
+    era,
     feed::{self, Failures, Source},
     mirror::{Change, Update},
     time::Moment,
@@ -156,12 +157,15 @@
     /// Takes an update that is complete up to `known`; whether anything has changed.
     fn take(&self, source: &Source, update: &Update<Value>, known: Moment) -> bool {
         let control = &self.control;
+        let before = control.mirror.revision();
         if !control.mirror.take(source, update, known) {
             return false;
         }
-        match update.whole {
-            true => control.replace(&update.changes),
-            false => control.apply(&update.changes),
+        let restored = before != 0 && era::of(before) < era::of(update.revision);
+        match (restored, update.whole) {
+            (true, _) => control.restore(update),
+            (false, true) => control.replace(&update.changes),
+            (false, false) => control.apply(&update.changes),
         }
         !update.changes.is_empty()
     }
--- a/crates/proxy/src/line/control/record.rs
+++ b/crates/proxy/src/line/control/record.rs
@@ -1,7 +1,7 @@
 //! The record of a group in the store: who promoted last, and which servers count.
 
 use dandelionpitch_core::hash::Map;
-use dandelionpitch_engine::{registry::Incarnation, time::Moment};
+use dandelionpitch_engine::{era, registry::Incarnation, time::Moment};
 use dandelionpitch_platform::store::Item;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -57,6 +57,26 @@
             .ok()
     }
 
+    /// This record, read from a store that came back from a copy, with what `known` of before has beyond it.
+    ///
+    /// Failure: the copy is from before a promotion, or from before a server confirmed its first commit; by
+    /// what it says, the replaced primary leads and that server does not count. Guard: the record of the
+    /// later promotion stays, and whoever counted by either counts.
+    fn after(mut self, known: &Self) -> Self {
+        let counted = known.members.iter();
+        let missing = counted.filter(|id| !self.members.contains(id));
+        let members = self.members.iter().chain(missing).cloned().collect();
+        if known.promotions > self.promotions {
+            self = known.clone();
+        }
+        Self { members, ..self }
+    }
+
+    /// Whether it was written in the era of its `revision`, by a holder who knew of the copy.
+    pub fn is_of(&self, revision: u64) -> bool {
+        era::of(self.token) == era::of(revision)
+    }
+
     /// The server that was promoted last, or is about to be.
     pub fn promoted(&self) -> Option<&str> {
         Some(self.server.as_str()).filter(|server| !server.is_empty())
@@ -95,6 +115,11 @@
         if old.is_some_and(|old| old.revision >= revision) {
             return;
         }
+        let restored = old.filter(|old| era::of(old.revision) < era::of(revision));
+        let record = match restored {
+            Some(old) => record.after(&old.record),
+            None => record,
+        };
         let same = old.filter(|old| old.record.promotions == record.promotions);
         let promoted = same.map_or(now, |old| old.promoted);
         let noted = Self {
@@ -104,4 +129,12 @@
         };
         known.insert(service.to_owned(), noted);
     }
+
+    /// Notes that the store came back from a copy. What it does not hold any more is written as if nothing
+    /// had been there.
+    pub fn restore(&mut self, present: u64) {
+        if era::of(self.revision) < era::of(present) {
+            self.revision = 0;
+        }
+    }
 }
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -12,15 +12,17 @@
 use dandelionpitch_engine::{
     catalog::{Catalog, Service},
     duty::Duty,
+    era,
     feed::Place,
     members::Members,
+    mirror::Update,
     ownership::{self, Asker, Change, Holding, Peer, Room},
     registry::{Entry, Registry, Server},
     time::Moment,
 };
 use dandelionpitch_platform::{
     registration,
-    store::{self, Event, Item, Store, Subject},
+    store::{self, Event, Item, Store, Subject, Value},
 };
 use serde_json::json;
 use tokio::sync::watch;
@@ -118,8 +120,23 @@
         peer.map(|peer| peer.address)
     }
 
+    /// Takes everything that is in a store which came back from a copy.
+    pub fn restore(&self, update: &Update<Value>) {
+        let now = clock::now();
+        journal::write("store restored", json!({ "era": era::of(update.revision) }));
+        self.duty.borrow_mut().store_restored(now);
+        self.take_all(&update.changes, Registry::restore);
+        for noted in self.records.borrow_mut().values_mut() {
+            noted.restore(update.revision);
+        }
+    }
+
     /// Takes everything that is in the store.
     pub fn replace(&self, events: &[Event]) {
+        self.take_all(events, Registry::replace);
+    }
+
+    fn take_all(&self, events: &[Event], register: fn(&mut Registry, Vec<Server>, Moment)) {
         let now = clock::now();
         let mut servers = Vec::new();
         let mut members = Vec::new();
@@ -144,7 +161,7 @@
                 Subject::Other => {}
             }
         }
-        self.registry.borrow_mut().replace(servers, now);
+        register(&mut self.registry.borrow_mut(), servers, now);
         self.members.borrow_mut().replace(members.into_iter(), now);
         let holder = holder
             .as_ref()
--- a/crates/proxy/src/line/control/testify.rs
+++ b/crates/proxy/src/line/control/testify.rs
@@ -40,6 +40,10 @@
         }
     };
     let record = Record::read(&item)?;
+    // The store came back from a copy, which may be from before a promotion.
+    if !record.is_of(item.revision) {
+        return None;
+    }
     Some(Testimony {
         asked,
         promoted: record.promoted().map(str::to_owned),
--- a/crates/standin/src/line.rs
+++ b/crates/standin/src/line.rs
@@ -47,6 +47,10 @@
 pub struct World {
     pub store: Store,
     pub database: Database,
+    /// The configuration that was put last.
+    pub config: Vec<u8>,
+    /// The fencing tokens of the calls for promotions, in their order.
+    pub tokens: Vec<u64>,
 }
 
 /// The world, shared by all connections, and the signal that it has changed.
@@ -63,7 +67,9 @@
         let result = {
             let mut world = self.world.lock().expect("no change panics");
             let result = change(&mut world);
-            let World { store, database } = &mut *world;
+            let World {
+                store, database, ..
+            } = &mut *world;
             database.register(store);
             result
         };
@@ -85,6 +91,8 @@
         world: Arc::new(Mutex::new(World {
             store: Store::default(),
             database: Database::new(&addresses, settings),
+            config: Vec::new(),
+            tokens: Vec::new(),
         })),
         changed: Arc::default(),
         settings,
--- a/crates/standin/src/line/experiment.rs
+++ b/crates/standin/src/line/experiment.rs
@@ -18,9 +18,12 @@
     Shared,
 };
 
+/// How long after the store came back from a copy the operators write what it lacks.
+const OPERATORS_RETURN: Duration = Duration::from_millis(300);
+
 /// All of the experiment's calls.
 pub fn routes() -> Vec<Route> {
-    routes![config, fault, restart, entry, store, group, cut_from, promotions, heir]
+    routes![config, fault, restart, entry, store, group, cut_from, promotions, heir, restore]
 }
 
 /// Prints what was done to a server, with the time as the proxies' log lines give it.
@@ -35,7 +38,23 @@
 /// Puts a configuration, as the operators do.
 #[put("/config", data = "<body>")]
 fn config(shared: &State<Shared>, body: String) {
-    shared.change(|world| world.store.put("op/config", body.into_bytes()));
+    shared.change(|world| {
+        world.config = body.into_bytes();
+        world.store.put("op/config", world.config.clone());
+    });
+}
+
+/// Brings the store back from a copy of this age in milliseconds. The operators put their configuration
+/// again some time later.
+#[put("/restore/<age_ms>")]
+async fn restore(shared: &State<Shared>, age_ms: u64) {
+    journal("store restored", 0, &age_ms.to_string());
+    shared.change(|world| world.store.restore(Duration::from_millis(age_ms)));
+    let shared = shared.inner().clone();
+    rocket::tokio::spawn(async move {
+        rocket::tokio::time::sleep(OPERATORS_RETURN).await;
+        shared.change(|world| world.store.put("op/config", world.config.clone()));
+    });
 }
 
 /// Starts a server again under its id, with nothing of its earlier life.
@@ -144,7 +163,7 @@
     });
     Json(
         json!({ "leader": leader.map(|(index, _)| index), "log": log,
-        "promotions": world.database.promotions.len(), "watches": world.store.watches,
+        "promotions": world.database.promotions.len(), "tokens": world.tokens, "era": world.store.era, "watches": world.store.watches,
         "addresses": servers.iter().map(|server| server.address).collect::<Vec<_>>(),
         "turned_away": servers.iter().map(|server| server.turned_away).sum::<usize>() }),
     )
--- a/crates/standin/src/line/http.rs
+++ b/crates/standin/src/line/http.rs
@@ -6,13 +6,15 @@
 use rocket::{
     delete, get,
     http::Status,
-    post, routes,
+    post,
+    request::{FromRequest, Outcome},
+    routes,
     serde::json::{
         serde_json::{json, Value},
         Json,
     },
     tokio::{self, time::timeout},
-    State,
+    Request, State,
 };
 
 use super::{
@@ -95,8 +97,10 @@
         Ok(answer) => answer,
         Err(_) => {
             let rev = shared.world.lock().expect("no change panics").store.rev;
-            let as_of = rev.max(after);
-            (Status::Ok, Json(json!({ "events": [], "as_of": as_of })))
+            match rev < after {
+                true => status(410),
+                false => (Status::Ok, Json(json!({ "events": [], "as_of": rev }))),
+            }
         }
     }
 }
@@ -157,8 +161,29 @@
         status(200)
     })
 }
+/// The token of a call of the failover duty.
+struct Token(u64);
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Token {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let token = request.headers().get_one("Dandelionpitch-Fence-Token");
+        Outcome::Success(Self(token.and_then(|t| t.parse().ok()).unwrap_or_default()))
+    }
+}
+
 #[post("/promote", data = "<body>")]
-async fn promote(shared: &State<Shared>, body: Json<Value>) -> Status {
+async fn promote(shared: &State<Shared>, token: Token, body: Json<Value>) -> Status {
+    if token.0 > 0 {
+        shared
+            .world
+            .lock()
+            .expect("no change panics")
+            .tokens
+            .push(token.0);
+    }
     let found = {
         let world = shared.world.lock().expect("no change panics");
         let wanted = |id: &str| body["id"] == json!(id) && body["service"] == json!(SERVICE);
@@ -236,6 +261,7 @@
             tokio::time::sleep(SWEEP_EVERY).await;
             sweeping.change(|world| {
                 world.store.sweep();
+                world.store.copy();
                 // An outranked primary has to notice the end of its time also when nobody writes.
                 if !sweeping.settings.outranked.is_zero() {
                     world.database.replicate();
@@ -250,6 +276,17 @@
             routes![key, range, watch, txn, lease, keep, end, promote],
         )
         .mount("/test", experiment::routes())
+        .attach(rocket::fairing::AdHoc::on_response(
+            "era",
+            |request, response| {
+                Box::pin(async move {
+                    if let Some(shared) = request.rocket().state::<Shared>() {
+                        let era = shared.world.lock().expect("no change panics").store.era;
+                        response.set_raw_header("Store-Era", era.to_string());
+                    }
+                })
+            },
+        ))
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", |rocket| {
             let config = rocket.config();
             crate::announce(&format!("{}:{}", config.address, config.port));
--- a/crates/standin/src/line/store.rs
+++ b/crates/standin/src/line/store.rs
@@ -1,7 +1,7 @@
 //! The store: keys with revisions, a history for watches, and leases.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -38,9 +38,24 @@
     }
 }
 
+/// How often a copy is made, and how many are kept.
+const COPY_EVERY: Duration = Duration::from_millis(100);
+const COPIES: usize = 100;
+
+/// What the store held at some moment.
+#[derive(Debug)]
+struct Copy {
+    made: Instant,
+    rev: u64,
+    items: BTreeMap<String, Item>,
+}
+
 /// The store's state.
 #[derive(Debug, Default)]
 pub struct Store {
+    /// How often it has come back from a copy.
+    pub era: u64,
+    copies: VecDeque<Copy>,
     pub rev: u64,
     items: BTreeMap<String, Item>,
     history: Vec<Event>,
@@ -77,7 +92,7 @@
 
     /// The changes after `after` under `prefix`; `None` if they are forgotten.
     pub fn changes(&self, prefix: &str, after: u64) -> Option<Vec<Event>> {
-        if after < self.compacted {
+        if after < self.compacted || after > self.rev {
             return None;
         }
         let events = self.history.iter();
@@ -150,6 +165,42 @@
         }
     }
 
+    /// Makes a copy if it is time to.
+    pub fn copy(&mut self) {
+        let made = Instant::now();
+        if self
+            .copies
+            .back()
+            .is_some_and(|last| last.made + COPY_EVERY > made)
+        {
+            return;
+        }
+        self.copies.push_back(Copy {
+            made,
+            rev: self.rev,
+            items: self.items.clone(),
+        });
+        if self.copies.len() > COPIES {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Comes back from the newest copy of at least this `age`, without leases and what lay under them.
+    pub fn restore(&mut self, age: Duration) {
+        while self.copies.len() > 1 && self.copies.back().is_some_and(|c| c.made.elapsed() < age) {
+            self.copies.pop_back();
+        }
+        let Some(copy) = self.copies.back() else {
+            return;
+        };
+        self.rev = copy.rev;
+        self.items = copy.items.clone();
+        self.items.retain(|_, item| item.lease == 0);
+        self.leases.clear();
+        self.compact();
+        self.era += 1;
+    }
+
     /// Forgets the history.
     pub fn compact(&mut self) {
         self.compacted = self.rev;
