--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -3,7 +3,8 @@
 //!
 //! `DP_SOAK_SEEDS=7,100-149 cargo test -p dandelionpitch-e2e --test soak` plays other seeds than those
 //! below; a seed that fails prints its faults, and is kept in `SEEDS` with a line on its cause.
-//! `DP_SOAK_SERIES` does the same for the seeds of the other plan, in which server faults overlap. With a
+//! `DP_SOAK_SERIES` does the same for the seeds of the other plan, in which server faults overlap, and
+//! `DP_SOAK_RESTORES` and `DP_SOAK_SERIES_RESTORES` for both with restores of the store. With a
 //! folder in `DP_SOAK_LOGS` the whole log of a seed that fails is kept there.
 
 #[path = "soak/caller.rs"]
@@ -38,16 +39,29 @@
 /// `line_failovers.rs`.
 const SERIES_SEEDS: &str = "8,10,24";
 
+/// The seeds that CI plays with restores of the store.
+const RESTORED_SEEDS: &str = "1-2";
+
 /// How many connections each server takes: so few that one proxy holds them all.
 const CONNECTIONS: usize = 10;
 
 /// How long after the last fault has ended every proxy must serve writes again: the platform allows 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Whether the store comes back from copies beside the faults of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Store {
+    Lasting,
+    Restored,
+}
+
 /// Plays one seed; returns what was broken and how many statements were sent.
-async fn play(plan: Plan, seed: u64) -> (Vec<String>, u64) {
-    let steps = plan.draw(seed);
-    let name = format!("soak-{plan:?}-{seed}");
+async fn play(plan: Plan, store: Store, seed: u64) -> (Vec<String>, u64) {
+    let mut steps = plan.draw(seed);
+    if store == Store::Restored {
+        plan::restores(seed, &mut steps);
+    }
+    let name = format!("soak-{plan:?}-{store:?}-{seed}");
     let site = Site::start_limited(&name, PROXIES, CONNECTIONS, plan.arguments()).await;
     site.owners(1).await;
     let listen = site.proxies.iter().map(|proxy| proxy.listen.clone());
@@ -118,12 +132,12 @@
 }
 
 /// Plays the seeds that `variable` names, or else `usual`.
-async fn play_all(plan: Plan, variable: &str, usual: &str) {
+async fn play_all(plan: Plan, store: Store, variable: &str, usual: &str) {
     let chosen = std::env::var(variable).unwrap_or_else(|_| usual.to_owned());
     for seed in seeds(&chosen) {
-        let (broken, statements) = play(plan, seed).await;
+        let (broken, statements) = play(plan, store, seed).await;
         println!(
-            "{plan:?} seed {seed}: {statements} statements, {} broken",
+            "{plan:?} {store:?} seed {seed}: {statements} statements, {} broken",
             broken.len()
         );
         assert!(broken.is_empty(), "{broken:#?}");
@@ -153,7 +167,7 @@
 /// transactions are there together, reads see what they must, and service is back in time.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
-    play_all(Plan::Single, "DP_SOAK_SEEDS", SEEDS).await;
+    play_all(Plan::Single, Store::Lasting, "DP_SOAK_SEEDS", SEEDS).await;
 }
 
 /// Failovers come in a row, and meet servers that crash and come back, are cut off from one other, busy or
@@ -161,5 +175,25 @@
 /// every server that is promoted and of the one that leads in the end, and the other promises hold.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_when_server_faults_overlap() {
-    play_all(Plan::Series, "DP_SOAK_SERIES", SERIES_SEEDS).await;
+    play_all(Plan::Series, Store::Lasting, "DP_SOAK_SERIES", SERIES_SEEDS).await;
+}
+
+/// The faults of the first plan, and the store comes back from copies some seconds old.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_when_the_store_is_restored() {
+    let seeds = RESTORED_SEEDS;
+    play_all(Plan::Single, Store::Restored, "DP_SOAK_RESTORES", seeds).await;
+}
+
+/// The faults of the second plan, and the store comes back from copies some seconds old.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_when_restores_meet_failovers() {
+    let seeds = RESTORED_SEEDS;
+    play_all(
+        Plan::Series,
+        Store::Restored,
+        "DP_SOAK_SERIES_RESTORES",
+        seeds,
+    )
+    .await;
 }
--- a/crates/e2e/tests/soak/plan.rs
+++ b/crates/e2e/tests/soak/plan.rs
@@ -33,6 +33,8 @@
     HeirCrowded,
     StoreDown,
     StoreForgets,
+    /// The store is away, and comes back from a copy of this age. Drawn by [`restores`] only.
+    StoreRestored(Duration),
     Configured,
 }
 
@@ -159,3 +161,33 @@
         && (!same_proxy || apart(CATCH_UP * 4))
         && (!store || apart(CATCH_UP))
 }
+
+/// How many restores a seed draws at most.
+const MOST_RESTORES: usize = 2;
+
+/// How old a copy is, in milliseconds, and how long the store is away before it comes back from it.
+const COPY_AGE: std::ops::Range<u64> = 300..5_000;
+const AWAY: std::ops::Range<u64> = 50..900;
+
+/// Restores of the store for a seed whose faults are `steps`, with those put in their order. They are drawn
+/// apart from the faults, so that a seed draws the same faults with and without them.
+pub fn restores(seed: u64, steps: &mut Vec<Step>) {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let last = steps.iter().map(|step| step.begins).max();
+    let whole = 500..last.unwrap_or(BEGIN_WITHIN).as_millis() as u64 + 1;
+    let down = |step: &&Step| matches!(step.fault, Fault::StoreDown | Fault::StoreRestored(_));
+    for _ in 0..random.random_range(1..=MOST_RESTORES) {
+        let age = Duration::from_millis(random.random_range(COPY_AGE));
+        let begins = Duration::from_millis(random.random_range(whole.clone()));
+        let ends = begins + Duration::from_millis(random.random_range(AWAY));
+        let apart = |step: &Step| begins > step.ends || step.begins > ends;
+        if steps.iter().filter(down).all(apart) {
+            steps.push(Step {
+                fault: Fault::StoreRestored(age),
+                begins,
+                ends,
+            });
+        }
+    }
+    steps.sort_by_key(|step| step.begins);
+}
--- a/crates/e2e/tests/soak/stage.rs
+++ b/crates/e2e/tests/soak/stage.rs
@@ -84,6 +84,11 @@
             (Fault::ServerDeaf(server), _) => site.fault(server, "deaf", begins).await,
             (Fault::ServerReborn(server), true) => site.restart(server).await,
             (Fault::StoreDown, _) => site.store("down", begins).await,
+            (Fault::StoreRestored(_), true) => site.store("down", true).await,
+            (Fault::StoreRestored(age), false) => {
+                site.restore(age).await;
+                site.store("down", false).await;
+            }
             (Fault::StoreForgets, true) => site.store("forget", true).await,
             (Fault::Configured, true) => {
                 self.version += 1;
