Operators see the store's era

GET /status and the counter store_era tell how often the store has come back from a copy; the revision stands beside it, as the store counts it. line_restores.rs looks for it on all five proxies.

--- a/crates/e2e/tests/line_restores.rs
+++ b/crates/e2e/tests/line_restores.rs
@@ -65,9 +65,12 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     site.configure(LOST_VERSIONS + 1, &[LATEST, SESSION]).await;
     site.in_force(LOST_VERSIONS + 1).await;
-    let era = site.group().await["era"].clone();
+    let mut eras = Vec::new();
+    for proxy in 0..5 {
+        eras.push(site.status(proxy).await["changes"]["era"].clone());
+    }
 
-    assert_eq!(era, 1);
+    assert_eq!(eras, [1; 5]);
 }
 
 /// Guards against a proxy that puts the older configuration of the copy in force until the operators have
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -10,6 +10,7 @@
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     delta::Delta,
+    era,
     feed::{Source, FRESH_ENOUGH},
     mirror::{Mirror, Update},
     time::Moment,
@@ -63,7 +64,8 @@
 pub struct Report {
     /// The proxy that tells of changes, or `store`; nothing if nobody does.
     pub from: Option<String>,
-    /// The store's revision that was reached.
+    /// How often the store has come back from a copy, and its revision since that was reached.
+    pub era: u64,
     pub revision: u64,
     /// How long ago, at most, a change may have been missed.
     pub age_ms: u64,
@@ -120,9 +122,11 @@
             Source::Store => "store".to_owned(),
             Source::Peer(id) => id.clone(),
         });
+        let reached = content.mirror.revision();
         Report {
             from,
-            revision: content.mirror.revision(),
+            era: era::of(reached),
+            revision: era::revision(reached),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
     }
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -101,7 +101,9 @@
 
 #[get("/metrics")]
 fn metrics(context: &State<Context>) -> String {
-    context.metrics.changes_age(context.mirror.report().age_ms);
+    let changes = context.mirror.report();
+    context.metrics.changes_age(changes.age_ms);
+    context.metrics.store_era(changes.era);
     context.metrics.log_lines_dropped(journal::dropped());
     context.metrics.text()
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -41,6 +41,7 @@
     log_lines_dropped: Gauge<u64>,
     version: Gauge<u64>,
     changes_age: Gauge<u64>,
+    store_era: Gauge<u64>,
     reader: Arc<ManualReader>,
     _provider: SdkMeterProvider,
 }
@@ -116,6 +117,7 @@
             handed_over: meter.u64_counter("statements_handed_over").build(),
             log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
             changes_age: meter.u64_gauge("store_changes_age_ms").build(),
+            store_era: meter.u64_gauge("store_era").build(),
             version: meter.u64_gauge("configuration_version").build(),
             reader,
             _provider: provider,
@@ -204,6 +206,11 @@
         self.changes_age.record(millis, &[]);
     }
 
+    /// How often the store has come back from a copy, as far as this process has heard.
+    pub fn store_era(&self, era: u64) {
+        self.store_era.record(era, &[]);
+    }
+
     /// Notes the version of the configuration in force.
     pub fn version(&self, version: u64) {
         self.version.record(version, &[]);
