A group whose record cannot be read is served

Nobody can be promoted over such a record, so no commit is at risk: the group is served, as before, without failovers. lists.rs::unreadable_record_is_no_reason_to_promote asks for the writes as well.

--- a/crates/e2e/tests/lists.rs
+++ b/crates/e2e/tests/lists.rs
@@ -248,7 +248,7 @@
 }
 
 /// The record of the group cannot be read when the list shrinks and all proxies start again. Guards against
-/// proxies that promote as if there were no record.
+/// proxies that promote as if there were no record, or refuse all writes as if the group were new.
 #[tokio::test]
 async fn unreadable_record_is_no_reason_to_promote() {
     let mut site = Site::build(&Layout::new("out-unreadable", TWO_IN_ONE_DC)).await;
@@ -268,6 +268,8 @@
     tokio::time::sleep(FAILOVER).await;
     let led = site.server(1).await;
     let led = scalar(&led, "SHOW dandelionpitch.status").await;
+    site.fault(2, "start", 0, "").await;
+    write(&site, "order-2").await;
 
     assert!(matches!(swap, Ok(Swap::Done { .. })));
     let left = kv.get(&key).await.expect("the KV").expect("a record");
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -54,6 +54,8 @@
     Bundle(Bundle),
     /// A group's primary record from the KV.
     Record { group: String, held: Held },
+    /// A group's primary record in the KV cannot be read.
+    Unreadable { group: String },
     /// All live proxies.
     Members(Vec<Member>),
     /// A proxy that has come or gone.
@@ -127,6 +129,7 @@
         bundle: None,
         groups: Map::default(),
         records: Map::default(),
+        unreadable: Set::default(),
         probes: Map::default(),
         leaving: Vec::new(),
         members: Roster::default(),
@@ -178,6 +181,8 @@
     groups: Map<String, Group>,
     /// The primary records by group; kept apart from the groups, which come with the bundle.
     records: Map<String, Held>,
+    /// The groups whose records could not be read.
+    unreadable: Set<String>,
     probes: Map<SocketAddr, Probe>,
     /// The live proxies, as far as the KV has told.
     members: Roster,
@@ -195,6 +200,7 @@
         match message {
             Message::Bundle(bundle) => self.apply(bundle),
             Message::Record { group, held } => self.hold(group, held),
+            Message::Unreadable { group } => self.pass_over(group),
             Message::Members(members) => {
                 self.members.replace(members, Instant::now());
                 self.assign()
--- a/crates/proxy/src/control/follow.rs
+++ b/crates/proxy/src/control/follow.rs
@@ -97,22 +97,28 @@
     }
 }
 
-/// What a key says; a value that cannot be read is left out, and said so in the log.
+/// What a key says; a value that cannot be read is said so in the log.
 fn message(kv: &KeyValue) -> Option<Message> {
-    let read = match kv.key.strip_prefix(keys::PRIMARY_PREFIX) {
-        Some(group) => Record::parse(&kv.value).map(|record| Message::Record {
-            group: group.to_owned(),
-            held: Held {
-                record,
-                revision: kv.mod_revision,
-                seen_at: Instant::now(),
+    let ignored =
+        |error: &Error| log::error!(target: "control", "Ignored {} in the KV: {error}.", kv.key);
+    if let Some(group) = kv.key.strip_prefix(keys::PRIMARY_PREFIX) {
+        let group = group.to_owned();
+        let read = Record::parse(&kv.value).inspect_err(ignored);
+        return Some(match read {
+            Ok(record) => Message::Record {
+                group,
+                held: Held {
+                    record,
+                    revision: kv.mod_revision,
+                    seen_at: Instant::now(),
+                },
             },
-        }),
-        None if kv.key == keys::BUNDLE => {
-            Bundle::parse(&String::from_utf8_lossy(&kv.value)).map(Message::Bundle)
-        }
-        None => return None,
-    };
-    let ignored = |error| log::error!(target: "control", "Ignored {} in the KV: {error}.", kv.key);
-    read.map_err(ignored).ok()
+            Err(_) => Message::Unreadable { group },
+        });
+    }
+    if kv.key != keys::BUNDLE {
+        return None;
+    }
+    let bundle = Bundle::parse(&String::from_utf8_lossy(&kv.value));
+    bundle.inspect_err(ignored).ok().map(Message::Bundle)
 }
--- a/crates/proxy/src/control/groups.rs
+++ b/crates/proxy/src/control/groups.rs
@@ -98,6 +98,7 @@
             fresh_for: view::fresh_for(self.config.backend.status_every),
             claim_limit: self.config.failover.claim_limit,
             held,
+            unreadable: self.unreadable.contains(&group.name),
             watched: kept.is_some_and(|kept| kept.watched),
             found: kept.map(|kept| kept.found.clone()).unwrap_or_default(),
         }
@@ -157,6 +158,15 @@
         Change::Routing
     }
 
+    /// Notes that the KV has a record of the group that cannot be read.
+    pub(super) fn pass_over(&mut self, group: String) -> Change {
+        if let Some(known) = self.groups.get_mut(&group) {
+            known.unreadable = true;
+        }
+        self.unreadable.insert(group);
+        Change::Routing
+    }
+
     /// Marks the servers that are leaving, in every group.
     pub(super) fn leave(&mut self, leaving: Vec<SocketAddr>) -> Change {
         for server in self.groups.values_mut().flat_map(|g| &mut g.servers) {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -185,6 +185,8 @@
     pub claim_limit: Duration,
     /// `None` while the KV has no record of this group.
     pub held: Option<Held>,
+    /// The KV has a record that cannot be read: nobody can be promoted over it.
+    pub unreadable: bool,
     /// Whether this proxy reads the servers' status. Otherwise it knows the primary from the
     /// record, and asks a replica for its status along with each read.
     pub watched: bool,
@@ -196,8 +198,8 @@
     /// The primary that callers may use. Before the group has a record there is none: a proxy that
     /// starts could not know of a server that was taken out and alone has a commit.
     pub fn primary(&self, now: Instant) -> Option<usize> {
-        self.held.as_ref()?;
-        self.leader(now)
+        let recorded = self.held.is_some() || self.unreadable;
+        self.leader(now).filter(|_| recorded)
     }
 
     /// The server that leads at the highest term among those with a fresh status, unless a
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -55,6 +55,7 @@
         fresh_for: Duration::from_secs(1),
         claim_limit: Duration::from_secs(2),
         held,
+        unreadable: false,
         watched: true,
         found: Default::default(),
     }
