The KV comes back from a copy: PostgreSQL's side

Change: the KV client gives revisions and leases out as stamps (core::era, moved there from the engine), as the line protocol's side does; a proxy that lists the KV in a later era says so first, and records that it remembers and that the KV lacks, or has of an earlier term, are written again at once over what is there. First try: the era from the items listed; an empty KV has none, so the header decides.

--- a/crates/core/src/kv.rs
+++ b/crates/core/src/kv.rs
@@ -3,14 +3,23 @@
 //! The platform KV gives compare-and-swap, leases and watches; it is slow at times, has
 //! outages and may lose an answer after the action took effect. Every call here therefore has
 //! a timeout and returns a value the caller decides on; nothing retries behind its back.
+//!
+//! Revisions and leases are given out and taken as stamps ([`era`]). One of an earlier era is never sent to
+//! the KV, where the same number may mean something else by now.
 
 pub mod wire;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
 
 use futures::StreamExt;
 
-use crate::Error;
+use crate::{era, Error};
 
 pub use wire::{Event, EventType, KeyValue};
 
@@ -21,11 +30,16 @@
 /// silent for good without a reset; the reader would then miss every later change.
 pub const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The header that says how often the KV has come back from a copy.
+pub const ERA: &str = "Store-Era";
+
 /// A handle on the platform KV at one endpoint (`http://host:port`).
 #[derive(Clone, Debug)]
 pub struct Client {
     endpoint: String,
     http: reqwest::Client,
+    /// The latest era that an answer was of, for all clones.
+    era: Arc<AtomicU64>,
 }
 
 /// The outcome of a compare-and-swap put.
@@ -46,10 +60,34 @@
         Self {
             endpoint: endpoint.trim_end_matches('/').to_owned(),
             http: reqwest::Client::new(),
+            era: Arc::default(),
+        }
+    }
+
+    /// The latest era that an answer was of.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
+    /// Whether a stamp is of the era that the KV was last seen in; zero names nothing of any era.
+    fn is_current(&self, stamp: u64) -> bool {
+        stamp == 0 || era::of(stamp) == self.era()
+    }
+
+    /// The era of an answer; one of an earlier era than an answer before it has come late.
+    fn era_of(&self, answer: &reqwest::Response) -> Result<u64, Error> {
+        let said = answer.headers().get(ERA);
+        let said = said.and_then(|era| era.to_str().ok()?.trim().parse().ok());
+        // A KV that never came back from a copy may leave the header out.
+        let era = said.unwrap_or_default();
+        match self.era.fetch_max(era, Ordering::Relaxed) > era {
+            true => Err(Error::KvAnswer("an answer of an earlier era".to_owned())),
+            false => Ok(era),
         }
     }
 
-    async fn call<Q, A>(&self, path: &str, request: &Q) -> Result<A, Error>
+    /// Calls the KV; the era of the answer and the answer.
+    async fn call<Q, A>(&self, path: &str, request: &Q) -> Result<(u64, A), Error>
     where
         Q: serde::Serialize + ?Sized,
         A: serde::de::DeserializeOwned,
@@ -62,40 +100,51 @@
             .json(request)
             .send()
             .await?;
+        let era = self.era_of(&answer)?;
         let answer = answer.error_for_status()?;
-        Ok(answer.json().await?)
+        Ok((era, answer.json().await?))
     }
 
     /// Reads one key; `None` when it does not exist.
     pub async fn get(&self, key: &str) -> Result<Option<KeyValue>, Error> {
         let request = wire::RangeRequest::key(key);
-        let answer: wire::RangeResponse = self.call("/v3/kv/range", &request).await?;
-        let mut kvs = answer.into_values()?;
+        let (era, answer): (u64, wire::RangeResponse) = self.call("/v3/kv/range", &request).await?;
+        let mut kvs = answer.into_values(era)?;
         Ok(kvs.pop())
     }
 
     /// Reads every key that starts with `prefix`.
     pub async fn list(&self, prefix: &str) -> Result<Vec<KeyValue>, Error> {
         let request = wire::RangeRequest::prefix(prefix);
-        let answer: wire::RangeResponse = self.call("/v3/kv/range", &request).await?;
-        answer.into_values()
+        let (era, answer): (u64, wire::RangeResponse) = self.call("/v3/kv/range", &request).await?;
+        answer.into_values(era)
     }
 
     /// Writes `value` under `key`, tied to `lease` when one is given.
     pub async fn put(&self, key: &str, value: &[u8], lease: Option<i64>) -> Result<u64, Error> {
-        let request = wire::PutRequest::new(key, value, lease);
-        let answer: wire::PutResponse = self.call("/v3/kv/put", &request).await?;
-        Ok(answer.header.revision)
+        let lease = lease.unwrap_or_default() as u64;
+        if !self.is_current(lease) {
+            return Err(Error::KvAnswer("the lease is of an earlier era".to_owned()));
+        }
+        let request = wire::PutRequest::new(key, value, Some(era::revision(lease) as i64));
+        let (era, answer): (u64, wire::PutResponse) = self.call("/v3/kv/put", &request).await?;
+        Ok(era::stamp(era, answer.header.revision))
     }
 
     /// Writes `value` under `key` only if the key's last write was at `mod_revision`; zero
     /// means the key must not exist yet.
     pub async fn swap(&self, key: &str, value: &[u8], mod_revision: u64) -> Result<Swap, Error> {
-        let request = wire::TxnRequest::put_if(key, value, mod_revision);
-        let answer: wire::TxnResponse = self.call("/v3/kv/txn", &request).await?;
-        Ok(match answer.succeeded {
+        if !self.is_current(mod_revision) {
+            return Ok(Swap::Moved);
+        }
+        let before = self.era();
+        let request = wire::TxnRequest::put_if(key, value, era::revision(mod_revision));
+        let (era, answer): (u64, wire::TxnResponse) = self.call("/v3/kv/txn", &request).await?;
+        // In another era the condition held by chance.
+        let rests_on_era = mod_revision != 0 && era != before;
+        Ok(match answer.succeeded && !rests_on_era {
             true => Swap::Done {
-                revision: answer.header.revision,
+                revision: era::stamp(era, answer.header.revision),
             },
             false => Swap::Moved,
         })
@@ -104,30 +153,48 @@
     /// Grants a lease of `ttl` seconds and returns its id.
     pub async fn grant(&self, ttl: u64) -> Result<i64, Error> {
         let request = wire::LeaseGrantRequest { ttl, id: 0 };
-        let answer: wire::LeaseGrantResponse = self.call("/v3/lease/grant", &request).await?;
-        Ok(answer.id)
+        let (era, answer): (u64, wire::LeaseGrantResponse) =
+            self.call("/v3/lease/grant", &request).await?;
+        Ok(era::stamp(era, answer.id as u64) as i64)
     }
 
     /// Renews a lease; returns the seconds left, zero when the lease had already expired.
     pub async fn keepalive(&self, lease: i64) -> Result<u64, Error> {
-        let request = wire::LeaseKeepAliveRequest { id: lease };
-        let answer: wire::LeaseKeepAliveResponse =
+        if !self.is_current(lease as u64) {
+            return Ok(0);
+        }
+        let id = era::revision(lease as u64) as i64;
+        let request = wire::LeaseKeepAliveRequest { id };
+        let (era, answer): (u64, wire::LeaseKeepAliveResponse) =
             self.call("/v3/lease/keepalive", &request).await?;
-        Ok(answer.result.ttl)
+        // Another may have that number in a later era.
+        Ok(match era == era::of(lease as u64) {
+            true => answer.result.ttl,
+            false => 0,
+        })
     }
 
     /// Watches the keys that start with `prefix` for changes from `start_revision` on; the
     /// stream ends when the KV closes it.
     pub async fn watch_prefix(&self, prefix: &str, start_revision: u64) -> Result<Watch, Error> {
+        let gone = || Error::KvAnswer("that history is of an earlier era".to_owned());
+        if !self.is_current(start_revision) {
+            return Err(gone());
+        }
         let range = wire::RangeRequest::prefix(prefix);
-        let request = wire::WatchRequest::new(range, start_revision);
+        let request = wire::WatchRequest::new(range, era::revision(start_revision));
         let url = format!("{}/v3/watch", self.endpoint);
         let open = self.http.post(url).json(&request).send();
         let answer = tokio::time::timeout(CALL_TIMEOUT, open)
             .await
             .map_err(|_| Error::KvAnswer("no answer to a watch".to_owned()))??;
+        let era = self.era_of(&answer)?;
+        if start_revision != 0 && era != era::of(start_revision) {
+            return Err(gone());
+        }
         let answer = answer.error_for_status()?;
         Ok(Watch {
+            era,
             body: Box::pin(answer.bytes_stream()),
             buffer: Vec::new(),
         })
@@ -140,6 +207,7 @@
 
 /// An open watch: newline-separated JSON answers, as the etcd gateway streams them.
 pub struct Watch {
+    era: u64,
     body: Body,
     buffer: Vec<u8>,
 }
@@ -156,7 +224,7 @@
                 }
                 let answer: wire::WatchResponse = serde_json::from_slice(&line)
                     .map_err(|error| Error::KvAnswer(error.to_string()))?;
-                return answer.result.into_events().map(Some);
+                return answer.result.into_events(self.era).map(Some);
             }
             match tokio::time::timeout(WATCH_TIMEOUT, self.body.next()).await {
                 Ok(Some(chunk)) => self.buffer.extend_from_slice(&chunk?),
--- a/crates/core/src/kv/wire.rs
+++ b/crates/core/src/kv/wire.rs
@@ -7,7 +7,7 @@
 use base64::{engine::general_purpose::STANDARD, Engine};
 use serde::{Deserialize, Serialize};
 
-use crate::Error;
+use crate::{era, Error};
 
 /// Serde helpers for 64-bit numbers written as strings.
 pub mod number {
@@ -113,6 +113,17 @@
     }
 }
 
+impl KeyValue {
+    /// With its revisions as stamps.
+    fn stamped(self, era: u64) -> Self {
+        Self {
+            create_revision: era::stamp(era, self.create_revision),
+            mod_revision: era::stamp(era, self.mod_revision),
+            ..self
+        }
+    }
+}
+
 impl From<&KeyValue> for WireKeyValue {
     fn from(kv: &KeyValue) -> Self {
         Self {
@@ -171,9 +182,10 @@
 }
 
 impl RangeResponse {
-    /// The decoded key-values.
-    pub fn into_values(self) -> Result<Vec<KeyValue>, Error> {
-        self.kvs.into_iter().map(KeyValue::try_from).collect()
+    /// The decoded key-values, as of an era of the KV.
+    pub fn into_values(self, era: u64) -> Result<Vec<KeyValue>, Error> {
+        let read = |wire| KeyValue::try_from(wire).map(|kv| kv.stamped(era));
+        self.kvs.into_iter().map(read).collect()
     }
 }
 
@@ -380,12 +392,12 @@
 }
 
 impl WatchResult {
-    /// The decoded events.
-    pub fn into_events(self) -> Result<Vec<Event>, Error> {
+    /// The decoded events, as of an era of the KV.
+    pub fn into_events(self, era: u64) -> Result<Vec<Event>, Error> {
         let decode = |wire: WireEvent| {
             Ok(Event {
                 kind: wire.kind,
-                kv: KeyValue::try_from(wire.kv)?,
+                kv: KeyValue::try_from(wire.kv)?.stamped(era),
             })
         };
         self.events.into_iter().map(decode).collect()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! types live here once. See `docs/DESIGN.md` for how the pieces fit.
 
 pub mod bundle;
+pub mod era;
 pub mod error;
 pub mod hash;
 pub mod keys;
--- a/crates/engine/tests/era.rs
+++ b/crates/core/tests/era.rs
@@ -1,6 +1,6 @@
 //! The order of what the store says before and after it came back from a copy.
 
-use dandelionpitch_engine::era;
+use dandelionpitch_core::era;
 
 /// Guards against a revision that is given out again and passes for the earlier one, or for an older one.
 #[test]
--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -76,12 +76,16 @@
     stage.play(&steps).await;
     let recovered = recovers(&stage.site).await;
     shared.stop();
-    let heard: Vec<_> = callers
-        .into_iter()
-        .map(|caller| caller.join().expect("the caller does not panic"))
-        .collect();
     let mut broken = shared.broken();
     broken.extend(recovered.err());
+    let mut heard = Vec::new();
+    for (index, caller) in callers.into_iter().enumerate() {
+        // What it said as it panicked stands on standard error; the log tells why.
+        heard.push(caller.join().unwrap_or_else(|_| {
+            broken.push(format!("caller {index} did not end as it should"));
+            Default::default()
+        }));
+    }
     broken.extend(check::compare(&stage.site, &heard).await);
     if !broken.is_empty() {
         broken.extend(explain(&stage, &name, &steps, &shared));
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod commit;
 pub mod delta;
 pub mod duty;
-pub mod era;
 pub mod feed;
 pub mod fence;
 pub mod freshness;
@@ -26,3 +25,5 @@
 pub mod statement;
 pub mod takeover;
 pub mod time;
+
+pub use dandelionpitch_core::era;
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -54,6 +54,8 @@
     Bundle(Bundle),
     /// A group's primary record from the KV.
     Record { group: String, held: Held },
+    /// The KV came back from a copy.
+    Restored { era: u64 },
     /// A group's primary record in the KV cannot be read.
     Unreadable { group: String },
     /// All live proxies.
@@ -200,6 +202,7 @@
         match message {
             Message::Bundle(bundle) => self.apply(bundle),
             Message::Record { group, held } => self.hold(group, held),
+            Message::Restored { era } => self.restore(era),
             Message::Unreadable { group } => self.pass_over(group),
             Message::Members(members) => {
                 self.members.replace(members, Instant::now());
--- a/crates/proxy/src/control/counted.rs
+++ b/crates/proxy/src/control/counted.rs
@@ -125,7 +125,9 @@
     /// Whether the record lacks a server that counts. Until it is written, a proxy that starts after
     /// this server was taken out does not know of it.
     pub fn is_missing_in(&self, group: &view::Group) -> bool {
-        let Some(held) = &group.held else { return true };
+        let Some(held) = group.held.as_ref().filter(|held| !held.forgotten) else {
+            return true;
+        };
         let recorded = |address: &SocketAddr| held.record.members.contains(address);
         !self.addresses().iter().all(recorded)
     }
--- a/crates/proxy/src/control/follow.rs
+++ b/crates/proxy/src/control/follow.rs
@@ -19,14 +19,16 @@
 /// once would keep a recovering KV down.
 const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(4));
 
-/// Sends every bundle and record that is in the KV or comes into it, until nobody listens.
+/// Sends every bundle and record that is in the KV or comes into it, until nobody listens; says before it
+/// when the KV has come back from a copy.
 ///
 /// `salt` tells this proxy's retries apart from others'.
 pub async fn run(kv: kv::Client, salt: u64, out: mpsc::Sender<Message>) {
     let mut backoff = Backoff::new(RETRY.0, RETRY.1, salt);
     let mut next = None;
+    let mut era = None;
     while !out.is_closed() {
-        match follow(&kv, &mut next, &out).await {
+        match follow(&kv, &mut next, &mut era, &out).await {
             Ok(()) => backoff.reset(),
             Err(error) => {
                 // What was missed meanwhile may be gone from the KV's history: read it all.
@@ -48,12 +50,17 @@
 async fn follow(
     kv: &kv::Client,
     next: &mut Option<u64>,
+    era: &mut Option<u64>,
     out: &mpsc::Sender<Message>,
 ) -> Result<(), Error> {
     let start = match *next {
         Some(revision) => revision,
         None => {
             let current = kv.list(keys::SITE_PREFIX).await?;
+            let now = kv.era();
+            if era.replace(now).is_some_and(|before| before < now) {
+                let _ = out.send(Message::Restored { era: now }).await;
+            }
             // Before the bundle, so that a proxy that starts watches only what is its to watch.
             let members = current.iter().filter_map(|kv| member(&kv.key)).collect();
             let _ = out.send(Message::Members(members)).await;
@@ -111,6 +118,7 @@
                     record,
                     revision: kv.mod_revision,
                     seen_at: Instant::now(),
+                    forgotten: false,
                 },
             },
             Err(_) => Message::Unreadable { group },
--- a/crates/proxy/src/control/groups.rs
+++ b/crates/proxy/src/control/groups.rs
@@ -134,10 +134,14 @@
     /// Takes a primary record from the KV unless it is older than the one held, and looks at
     /// the group's servers at once.
     pub(super) fn hold(&mut self, group: String, held: Held) -> Change {
-        let newest = self.records.get(&group).map_or(0, |held| held.revision);
-        if held.revision <= newest {
+        let known = self.records.get(&group);
+        if known.is_some_and(|known| held.revision <= known.revision) {
             return Change::Nothing;
         }
+        let held = match known {
+            Some(known) => known.or_later(held),
+            None => held,
+        };
         let mut others = false;
         if let Some(group) = self.groups.get_mut(&group) {
             let recorded = &held.record.members;
@@ -158,6 +162,20 @@
         Change::Routing
     }
 
+    /// Notes that the KV came back from a copy: what it does not hold any more is written as if nothing had
+    /// been there.
+    pub(super) fn restore(&mut self, era: u64) -> Change {
+        log::warn!(target: "control", "The KV came back from a copy; era {era}.");
+        for (group, held) in &mut self.records {
+            held.forgotten = true;
+            held.revision = 0;
+            if let Some(known) = self.groups.get_mut(group) {
+                known.held = Some(held.clone());
+            }
+        }
+        Change::Routing
+    }
+
     /// Notes that the KV has a record of the group that cannot be read.
     pub(super) fn pass_over(&mut self, group: String) -> Change {
         if let Some(known) = self.groups.get_mut(&group) {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -171,6 +171,26 @@
     /// The KV revision that wrote it.
     pub revision: u64,
     pub seen_at: Instant,
+    /// The KV came back from a copy of before this record, which is to be written again.
+    pub forgotten: bool,
+}
+
+impl Held {
+    /// What holds once the KV, in which this record is forgotten, has shown `found`.
+    ///
+    /// Failure: the copy is from before a promotion; by its record the replaced primary leads, and its term
+    /// is given out a second time. Guard: the record of the later term stays and is written again over what
+    /// was found.
+    pub fn or_later(&self, found: Self) -> Self {
+        let order = |record: &Record| (record.term, record.server.is_some());
+        match self.forgotten && order(&self.record) > order(&found.record) {
+            true => Self {
+                revision: found.revision,
+                ..self.clone()
+            },
+            false => found,
+        }
+    }
 }
 
 /// One database group's servers.
--- a/crates/proxy/tests/counted.rs
+++ b/crates/proxy/tests/counted.rs
@@ -61,6 +61,7 @@
             record,
             revision: 7,
             seen_at: now,
+            forgotten: false,
         }),
         ..Group::default()
     }
--- a/crates/proxy/tests/verdict.rs
+++ b/crates/proxy/tests/verdict.rs
@@ -71,6 +71,7 @@
         },
         revision: 7,
         seen_at: Instant::now() - seen,
+        forgotten: false,
     })
 }
 
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use dandelionpitch_core::kv::ERA;
 use rocket::tokio::{self, sync::oneshot};
 use serde::{Deserialize, Serialize};
 
@@ -101,6 +102,17 @@
     let door = rocket::custom(figment)
         .manage(state)
         .mount("/", routes::all())
+        .attach(rocket::fairing::AdHoc::on_response(
+            "era",
+            |request, response| {
+                Box::pin(async move {
+                    if let Some(state) = request.rocket().state::<State>() {
+                        let era = state.store.lock().unwrap().era();
+                        response.set_raw_header(ERA, era.to_string());
+                    }
+                })
+            },
+        ))
         .attach(rocket::fairing::AdHoc::on_liftoff("bound", move |rocket| {
             let config = rocket.config();
             if let Some(bound) = bound.lock().unwrap().take() {
@@ -114,6 +126,8 @@
 async fn sweep(store: Arc<Mutex<Store>>) {
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
-        store.lock().unwrap().expire(Instant::now());
+        let mut store = store.lock().unwrap();
+        store.expire(Instant::now());
+        store.copy(Instant::now());
     }
 }
--- a/crates/standin/src/kv/routes.rs
+++ b/crates/standin/src/kv/routes.rs
@@ -23,7 +23,7 @@
 
 /// Every route of the stand-in.
 pub fn all() -> Vec<Route> {
-    routes![range, put, txn, grant, keepalive, watch, fault, expire]
+    routes![range, put, txn, grant, keepalive, watch, fault, expire, restore]
 }
 
 /// Applies the delay and the outage switch; returns the faults in force.
@@ -224,6 +224,13 @@
     state.store.lock().unwrap().end_lease(&key);
 }
 
+/// Brings the KV back from a copy of this age in milliseconds.
+#[post("/restore", data = "<age_ms>")]
+async fn restore(state: &Shared, age_ms: Json<u64>) {
+    let age = Duration::from_millis(*age_ms);
+    state.store.lock().unwrap().restore(age);
+}
+
 #[post("/fault", data = "<request>")]
 async fn fault(state: &Shared, request: Json<Fault>) -> Json<Fault> {
     *state.fault.lock().unwrap() = *request;
--- a/crates/standin/src/kv/store.rs
+++ b/crates/standin/src/kv/store.rs
@@ -2,7 +2,7 @@
 //! that watches read.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -22,9 +22,24 @@
     deadline: Instant,
 }
 
+/// How often a copy is made, and how many are kept.
+const COPY_EVERY: Duration = Duration::from_millis(100);
+const COPIES: usize = 200;
+
+/// What the store held at some moment.
+#[derive(Debug)]
+struct Copy {
+    made: Instant,
+    revision: u64,
+    keys: BTreeMap<String, KeyValue>,
+}
+
 /// Keys, leases and the change feed, behind one lock in [`crate::kv::State`].
 #[derive(Debug)]
 pub struct Store {
+    /// How often it has come back from a copy.
+    era: u64,
+    copies: VecDeque<Copy>,
     revision: u64,
     keys: BTreeMap<String, KeyValue>,
     leases: Map<i64, Lease>,
@@ -36,6 +51,8 @@
     /// An empty store at revision 1, as etcd starts.
     pub fn new() -> Self {
         Self {
+            era: 0,
+            copies: VecDeque::new(),
             revision: 1,
             keys: BTreeMap::new(),
             leases: Map::default(),
@@ -49,6 +66,48 @@
         self.revision
     }
 
+    /// How often it has come back from a copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Makes a copy if it is time to.
+    pub fn copy(&mut self, now: Instant) {
+        if self
+            .copies
+            .back()
+            .is_some_and(|last| last.made + COPY_EVERY > now)
+        {
+            return;
+        }
+        self.copies.push_back(Copy {
+            made: now,
+            revision: self.revision,
+            keys: self.keys.clone(),
+        });
+        if self.copies.len() > COPIES {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Comes back from the newest copy of at least this `age`, without leases and what lay under them. Ends
+    /// all watches.
+    pub fn restore(&mut self, age: Duration) {
+        while self.copies.len() > 1 && self.copies.back().is_some_and(|c| c.made.elapsed() < age) {
+            self.copies.pop_back();
+        }
+        let Some(copy) = self.copies.back() else {
+            return;
+        };
+        self.revision = copy.revision;
+        self.keys = copy.keys.clone();
+        self.keys.retain(|_, kv| kv.lease == 0);
+        self.leases.clear();
+        self.next_lease = 1;
+        self.feed = broadcast::channel(FEED_DEPTH).0;
+        self.era += 1;
+    }
+
     /// A new subscription to the change feed.
     pub fn subscribe(&self) -> broadcast::Receiver<Event> {
         self.feed.subscribe()
