Leases carry their era beside their number

A lease was stamped like a revision, but its number is any 48 bits there: it looked like one of another era.

Change: a lease is its era and its number, in both clients. The stand-ins give out numbers above any revision (2^50, 2^60), so the tests would now see it. A stamp keeps 48 bits for the revision.

--- a/crates/core/src/era.rs
+++ b/crates/core/src/era.rs
@@ -6,9 +6,9 @@
 //! tokens and records go by stamps alone. A store that says nothing of eras is always in era zero, where
 //! a stamp is the revision itself.
 
-/// How many bits of a stamp hold the revision. Those above it hold eras up to 8,191 in a number that JSON
+/// How many bits of a stamp hold the revision. Those above it hold eras up to 31 in a number that JSON
 /// readers take as a whole one.
-const REVISION_BITS: u32 = 40;
+const REVISION_BITS: u32 = 48;
 
 /// The stamp of a revision.
 pub fn stamp(era: u64, revision: u64) -> u64 {
--- a/crates/core/src/kv.rs
+++ b/crates/core/src/kv.rs
@@ -4,8 +4,8 @@
 //! outages and may lose an answer after the action took effect. Every call here therefore has
 //! a timeout and returns a value the caller decides on; nothing retries behind its back.
 //!
-//! Revisions and leases are given out and taken as stamps ([`era`]). One of an earlier era is never sent to
-//! the KV, where the same number may mean something else by now.
+//! Revisions are given out and taken as stamps ([`era`]), leases with their era. One of an earlier era is never
+//! sent to the KV, where the same number may mean something else by now.
 
 pub mod wire;
 
@@ -42,6 +42,13 @@
     era: Arc<AtomicU64>,
 }
 
+/// A lease. Its number is any that the KV likes, and may be given out again in a later era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    era: u64,
+    id: i64,
+}
+
 /// The outcome of a compare-and-swap put.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Swap {
@@ -121,12 +128,11 @@
     }
 
     /// Writes `value` under `key`, tied to `lease` when one is given.
-    pub async fn put(&self, key: &str, value: &[u8], lease: Option<i64>) -> Result<u64, Error> {
-        let lease = lease.unwrap_or_default() as u64;
-        if !self.is_current(lease) {
+    pub async fn put(&self, key: &str, value: &[u8], lease: Option<Lease>) -> Result<u64, Error> {
+        if lease.is_some_and(|lease| lease.era != self.era()) {
             return Err(Error::KvAnswer("the lease is of an earlier era".to_owned()));
         }
-        let request = wire::PutRequest::new(key, value, Some(era::revision(lease) as i64));
+        let request = wire::PutRequest::new(key, value, lease.map(|lease| lease.id));
         let (era, answer): (u64, wire::PutResponse) = self.call("/v3/kv/put", &request).await?;
         Ok(era::stamp(era, answer.header.revision))
     }
@@ -150,25 +156,24 @@
         })
     }
 
-    /// Grants a lease of `ttl` seconds and returns its id.
-    pub async fn grant(&self, ttl: u64) -> Result<i64, Error> {
+    /// Grants a lease of `ttl` seconds.
+    pub async fn grant(&self, ttl: u64) -> Result<Lease, Error> {
         let request = wire::LeaseGrantRequest { ttl, id: 0 };
         let (era, answer): (u64, wire::LeaseGrantResponse) =
             self.call("/v3/lease/grant", &request).await?;
-        Ok(era::stamp(era, answer.id as u64) as i64)
+        Ok(Lease { era, id: answer.id })
     }
 
     /// Renews a lease; returns the seconds left, zero when the lease had already expired.
-    pub async fn keepalive(&self, lease: i64) -> Result<u64, Error> {
-        if !self.is_current(lease as u64) {
+    pub async fn keepalive(&self, lease: Lease) -> Result<u64, Error> {
+        if lease.era != self.era() {
             return Ok(0);
         }
-        let id = era::revision(lease as u64) as i64;
-        let request = wire::LeaseKeepAliveRequest { id };
+        let request = wire::LeaseKeepAliveRequest { id: lease.id };
         let (era, answer): (u64, wire::LeaseKeepAliveResponse) =
             self.call("/v3/lease/keepalive", &request).await?;
         // Another may have that number in a later era.
-        Ok(match era == era::of(lease as u64) {
+        Ok(match era == lease.era {
             true => answer.result.ttl,
             false => 0,
         })
--- a/crates/proxy/src/control/heartbeat.rs
+++ b/crates/proxy/src/control/heartbeat.rs
@@ -44,7 +44,11 @@
 }
 
 /// Renews the lease, or takes a new one and writes the record under it.
-async fn renew(kv: &kv::Client, record: &Record, lease: &mut Option<i64>) -> Result<(), Error> {
+async fn renew(
+    kv: &kv::Client,
+    record: &Record,
+    lease: &mut Option<kv::Lease>,
+) -> Result<(), Error> {
     if let Some(held) = *lease {
         if kv.keepalive(held).await? > 0 {
             return Ok(());
--- a/crates/proxy/src/line/control/duty.rs
+++ b/crates/proxy/src/line/control/duty.rs
@@ -7,7 +7,7 @@
 
 use dandelionpitch_engine::duty::{claim_after, LEASE_TTL, RENEW_EVERY};
 use dandelionpitch_platform::{
-    store::{Change, Write},
+    store::{Change, Lease, Write},
     Error,
 };
 use serde_json::json;
@@ -78,11 +78,11 @@
     }
 }
 
-async fn step(control: &Control, lease: &mut Option<u64>) -> Result<(), Error> {
+async fn step(control: &Control, lease: &mut Option<Lease>) -> Result<(), Error> {
     match *lease {
         Some(held) => {
             if !renew(control, held).await? {
-                journal::write("duty", json!({ "taken": false, "lease": held }));
+                journal::write("duty", json!({ "taken": false, "lease": held.id() }));
                 control.duty.borrow_mut().lapsed();
                 *lease = None;
             }
@@ -103,7 +103,7 @@
 }
 
 /// Renews the lease; `false` when it has ended or its key is another's.
-async fn renew(control: &Control, lease: u64) -> Result<bool, Error> {
+async fn renew(control: &Control, lease: Lease) -> Result<bool, Error> {
     if !control.duty.borrow().is_own() {
         return Ok(false);
     }
@@ -119,7 +119,7 @@
 ///
 /// Failure: the store applies the claim and its answer is lost. Guard: the key is read back, and
 /// only one that names this very process is its own.
-async fn claim(control: &Control) -> Result<Option<u64>, Error> {
+async fn claim(control: &Control) -> Result<Option<Lease>, Error> {
     if !control.duty.borrow().may_claim(clock::now()) {
         return Ok(None);
     }
@@ -133,7 +133,7 @@
     let write = Write {
         key: DUTY,
         value: control.name.as_bytes(),
-        lease,
+        lease: Some(lease),
     };
     let token = match store.change(&[(DUTY, 0)], &[write], &[]).await {
         Ok(Change::Done { revision }) => Some(revision),
--- a/crates/proxy/src/line/control/member.rs
+++ b/crates/proxy/src/line/control/member.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use dandelionpitch_platform::{
-    store::{Write, CALL_TIMEOUT},
+    store::{Lease, Write, CALL_TIMEOUT},
     Error,
 };
 use serde_json::json;
@@ -61,31 +61,31 @@
 /// statements to this proxy for seconds, and those under way when it ends have an unknown outcome.
 /// Guard: it says that it takes none any more, and leaves that until the lease lapses: others are told
 /// how a key now is, not what became of it in between.
-async fn withdraw(control: &Control, lease: u64) -> Result<(), Error> {
+async fn withdraw(control: &Control, lease: Lease) -> Result<(), Error> {
     write(control, lease, None).await
 }
 
 /// Writes the entry, with the address at which statements are taken.
-async fn write(control: &Control, lease: u64, peer: Option<SocketAddr>) -> Result<(), Error> {
+async fn write(control: &Control, lease: Lease, peer: Option<SocketAddr>) -> Result<(), Error> {
     let key = entry::key(&control.id);
     let value = entry::encode(&control.name, &control.dc, peer, control.peer.capacity)
         .map_err(|error| Error::Protocol(error.to_string()))?;
     let write = Write {
         key: &key,
         value: &value,
-        lease,
+        lease: Some(lease),
     };
     control.store().change(&[], &[write], &[]).await?;
     Ok(())
 }
 
-async fn renew(control: &Control, lease: &mut Option<u64>) -> Result<(), Error> {
+async fn renew(control: &Control, lease: &mut Option<Lease>) -> Result<(), Error> {
     let store = control.store();
     if let Some(held) = *lease {
         if store.renew(held, CALL_TIMEOUT).await? {
             return Ok(());
         }
-        journal::write("lease", json!({ "lapsed": held }));
+        journal::write("lease", json!({ "lapsed": held.id() }));
         *lease = None;
     }
     let granted = store.grant(TTL).await?;
--- a/crates/proxy/src/line/control/recorder.rs
+++ b/crates/proxy/src/line/control/recorder.rs
@@ -30,7 +30,7 @@
     let write = Write {
         key: &key,
         value: &value,
-        lease: 0,
+        lease: None,
     };
     let conditions = [
         (DUTY, record.token),
--- a/crates/standin/src/kv/store.rs
+++ b/crates/standin/src/kv/store.rs
@@ -26,6 +26,9 @@
 const COPY_EVERY: Duration = Duration::from_millis(100);
 const COPIES: usize = 200;
 
+/// Leases have numbers that say nothing of revisions, and are far larger.
+const FIRST_LEASE: i64 = 1 << 60;
+
 /// What the store held at some moment.
 #[derive(Debug)]
 struct Copy {
@@ -56,7 +59,7 @@
             revision: 1,
             keys: BTreeMap::new(),
             leases: Map::default(),
-            next_lease: 1,
+            next_lease: FIRST_LEASE,
             feed: broadcast::channel(FEED_DEPTH).0,
         }
     }
@@ -103,7 +106,7 @@
         self.keys = copy.keys.clone();
         self.keys.retain(|_, kv| kv.lease == 0);
         self.leases.clear();
-        self.next_lease = 1;
+        self.next_lease = FIRST_LEASE;
         self.feed = broadcast::channel(FEED_DEPTH).0;
         self.era += 1;
     }
--- a/crates/standin/src/line/store.rs
+++ b/crates/standin/src/line/store.rs
@@ -42,6 +42,9 @@
 const COPY_EVERY: Duration = Duration::from_millis(100);
 const COPIES: usize = 100;
 
+/// Leases have numbers that say nothing of revisions, and are far larger.
+const FIRST_LEASE: u64 = 1 << 50;
+
 /// What the store held at some moment.
 #[derive(Debug)]
 struct Copy {
@@ -210,8 +213,9 @@
     /// Takes a lease.
     pub fn grant(&mut self, ttl: Duration) -> u64 {
         self.rev += 1;
-        self.leases.insert(self.rev, (Instant::now() + ttl, ttl));
-        self.rev
+        let lease = FIRST_LEASE + self.rev;
+        self.leases.insert(lease, (Instant::now() + ttl, ttl));
+        lease
     }
 
     /// Renews a lease; `false` if it has ended.
