A record from a copy covers no server

Found in the last read of the change: a record that no longer names a server tells the other proxies that it is covered, and after a restore of the KV an older record looks like such a one; a server that was taken out and alone has a commit would be forgotten. Only a record of the same era says so. Test red before: proxy/tests/counted.rs::record_of_a_copy_covers_nothing (quorum 2 in place of 3).

--- a/crates/proxy/src/control/counted.rs
+++ b/crates/proxy/src/control/counted.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use dandelionpitch_core::{hash::Map, position::Position};
+use dandelionpitch_core::{era, hash::Map, position::Position};
 use dandelionpitch_engine::{
     registry::{Incarnation, Role},
     roster::Roster,
@@ -86,7 +86,8 @@
     }
 
     /// Takes in a newer record. A server that the one before names and this one does not is covered:
-    /// whoever writes a record has taken in the one that it replaces.
+    /// whoever writes a record has taken in the one that it replaces. A KV that came back from a copy may
+    /// show an older one.
     fn take(&mut self, held: &view::Held, at: Moment) {
         if held.revision <= self.revision {
             return;
@@ -95,8 +96,11 @@
         let recorded: Vec<_> = members.map(|&address| self.id(address)).collect();
         let mut covered = std::mem::replace(&mut self.recorded, recorded);
         covered.retain(|id| !self.recorded.contains(id));
+        let replaces = era::of(held.revision) == era::of(self.revision);
         self.revision = held.revision;
-        self.roster.forget(&covered);
+        if replaces {
+            self.roster.forget(&covered);
+        }
         self.roster.merge(&self.recorded, at);
     }
 
--- a/crates/proxy/tests/counted.rs
+++ b/crates/proxy/tests/counted.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use dandelionpitch_core::{position::Position, primary::Record};
+use dandelionpitch_core::{era, position::Position, primary::Record};
 use dandelionpitch_engine::roster::LIST_HOLDS;
 use dandelionpitch_proxy::{
     config::Config,
@@ -186,3 +186,22 @@
     );
     assert_eq!((new.primary(now), new.leader(now)), (None, Some(0)));
 }
+
+/// The KV came back from a copy whose record is from before replica 3 was added; by now it has been taken
+/// out again. Guards against taking the older record for word that the others have its commits.
+#[test]
+fn record_of_a_copy_covers_nothing() {
+    let now = Instant::now();
+    let shrunk = group(&[(0, 12), (1, 10), (2, 10)], &[0, 1, 2, 3], now);
+    let mut restored = group(&[(0, 12), (1, 10), (2, 10)], &[0, 1, 2], now);
+    if let Some(held) = &mut restored.held {
+        held.revision = era::stamp(1, 5);
+    }
+    let mut counted = Counted::new(now);
+
+    counted.update(&shrunk, now);
+    counted.update(&restored, now);
+
+    assert_eq!(counted.quorum(SYNC_REPLICAS), Some(3));
+    assert!(counted.is_missing_in(&restored));
+}
