Who led is noted also before a group has a record

Found in the last read: offers callers no primary before there is a record, and the note of who led went by that too. If the record comes while the statuses are not fresh, the known leader stays unset, and a failover suspects nobody, so the isolated primary may be held and promoted itself.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -262,7 +262,7 @@
     fn supersede(&mut self) {
         let now = Instant::now();
         for (name, group) in &mut self.groups {
-            let Some(index) = group.primary(now) else {
+            let Some(index) = group.leader(now) else {
                 continue;
             };
             let leader = group.servers[index].address;
