Log what a failover decision rests on

Each change of a group's decision is now one line with its inputs (last primary and since when, record and its age, and each server's role, term, position, silence and the age of its status), and each server that accepts a term is named with the end of its log.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -7,8 +7,10 @@
 //! thread, which send their results as [`Message`]s.
 
 pub mod assignment;
+mod attempt;
 pub mod backoff;
 pub mod decision;
+mod evidence;
 pub mod failover;
 mod groups;
 mod heartbeat;
@@ -33,6 +35,7 @@
 
 use self::{
     assignment::{Member, Roster},
+    attempt::{Attempt, Outcome},
     failover::Coordinator,
     probe::Probe,
 };
@@ -71,7 +74,7 @@
     /// A failover attempt on a group finished.
     AttemptFinished {
         group: String,
-        result: Result<failover::Outcome, failover::Error>,
+        result: Result<Outcome, attempt::Error>,
     },
 }
 
@@ -315,11 +318,7 @@
         }
     }
 
-    fn finish_attempt(
-        &mut self,
-        group: &str,
-        result: Result<failover::Outcome, failover::Error>,
-    ) -> Change {
+    fn finish_attempt(&mut self, group: &str, result: Result<Outcome, attempt::Error>) -> Change {
         self.attempts.remove(group);
         self.coordinator
             .note_attempt(group, result.is_ok(), Instant::now());
@@ -327,7 +326,7 @@
         match result {
             Ok(outcome) if outcome.promoted => {
                 self.metrics.promotion();
-                let failover::Outcome { term, server, .. } = outcome;
+                let Outcome { term, server, .. } = outcome;
                 log::info!(target: "failover", "Promoted {server} to primary of group {group} at term {term}.");
             }
             Ok(outcome) => {
@@ -353,7 +352,7 @@
     }
 }
 
-async fn report(attempt: failover::Attempt, tx: mpsc::Sender<Message>) {
+async fn report(attempt: Attempt, tx: mpsc::Sender<Message>) {
     let group = attempt.group().to_owned();
     let result = attempt.run().await;
     let _ = tx.send(Message::AttemptFinished { group, result }).await;
