Soak: keep the log of each seed, not only of one that fails

A seed can pass while callers are refused for seconds; its log was dropped. With DP_SOAK_LOGS the log of every seed is written, so that green runs can be read as well. No check changes.

--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -6,7 +6,7 @@
 //! those below. A seed that fails prints its faults; add it to `SEEDS` with a line on the failure
 //! it found. `DP_SOAK_SERIES` selects the seeds of the plan in which server faults overlap.
 //! `DP_SOAK_RESTORES` and `DP_SOAK_SERIES_RESTORES` select those of the two plans with restores of
-//! the store. If `DP_SOAK_LOGS` names a folder, the complete log of a failed seed is written there.
+//! the store. If `DP_SOAK_LOGS` names a folder, the complete log of each seed is written there.
 
 #[path = "soak/caller.rs"]
 mod caller;
@@ -89,6 +89,9 @@
         }));
     }
     violations.extend(check::find_violations(&injector.site, &replies).await);
+    if let Ok(folder) = std::env::var("DP_SOAK_LOGS") {
+        injector.write_log(Path::new(&folder), &name);
+    }
     if !violations.is_empty() {
         violations.extend(describe_failure(&injector, &name, &steps, &shared));
     }
@@ -96,16 +99,13 @@
 }
 
 /// Describes a failed seed: its faults, the writes of unknown outcome, and the log lines about
-/// failovers. Writes the complete log if `DP_SOAK_LOGS` is set.
+/// failovers.
 fn describe_failure(
     injector: &Injector,
     name: &str,
     steps: &[Step],
     shared: &Shared,
 ) -> Vec<String> {
-    if let Ok(folder) = std::env::var("DP_SOAK_LOGS") {
-        injector.write_log(Path::new(&folder), name);
-    }
     let mut lines = vec![
         format!("{name}: {steps:#?}"),
         format!("unknown outcomes, by caller: {:?}", shared.unknown()),
