Keep a vanished server until every quorum has its commits

What callers would see: an acknowledged commit is lost. With 2 and members P, R2, R3 a quorum is one server, which may be R3 without the commit.

The rest has a vanished server's commits only if the primary and sync_replicas others have them, as with any acknowledged commit; that is asked for now, beside the old condition. The primary that is compared with must not be one that the group's record shows as superseded: its log lacks its successor's commits.

Red before (the new tests on the old conditions): each_quorum_has_the_commits_of_a_dropped_server::one_replica_behind left: 3, right: 4 superseded_primary_covers_no_vanished_server left: 2, right: 3

Both sides use the roster; PostgreSQL's passes sync_replicas of the bundle and the server of the record.

--- a/crates/engine/src/roster.rs
+++ b/crates/engine/src/roster.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     registry::{Incarnation, Role},
-    takeover::{Member, Sight},
+    takeover::{Member, Sight, Status},
     time::Moment,
 };
 
@@ -26,6 +26,15 @@
 /// if the others have what the primary had after every proxy's list with that server had expired.
 pub const LIST_VALIDITY: Duration = Duration::from_millis(6_000);
 
+/// What decides, besides the members' statuses, whether a vanished server still counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Basis<'a> {
+    /// How many replicas must receive a commit before it is acknowledged.
+    pub sync_replicas: u32,
+    /// The server that the group's record names as promoted last, if any.
+    pub promoted: Option<&'a str>,
+}
+
 /// The servers of one group that count for promotions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roster {
@@ -46,7 +55,10 @@
     }
 
     /// Applies the current members, and drops vanished servers whose commits enough others have.
-    pub fn update(&mut self, members: &[Member], now: Moment) {
+    ///
+    /// The others have them once `sync_replicas` replicas besides the primary do, like any commit
+    /// that is acknowledged now.
+    pub fn update(&mut self, members: &[Member], basis: Basis<'_>, now: Moment) {
         let is_member = |id: &Incarnation| members.iter().any(|member| member.id == *id);
         for id in std::mem::take(&mut self.present) {
             if !is_member(&id) {
@@ -56,17 +68,20 @@
         self.vanished.retain(|id, _| !is_member(id));
         self.present = members.iter().map(|member| member.id.clone()).collect();
         self.present.sort_unstable();
-        if let Some((asked, position)) = primary(members) {
-            let holders = members
-                .iter()
-                .filter(|member| has(member, position))
-                .count();
-            // All members but at most one have it, so every quorum of them includes one that does.
-            if holders + 1 >= members.len() && holders >= 2 {
-                self.vanished
-                    .retain(|_, since| asked <= *since + LIST_VALIDITY);
-            }
+        let Some((asked, position)) = primary(members, basis.promoted) else {
+            return;
+        };
+        let holders = members
+            .iter()
+            .filter(|member| has(member, position))
+            .count();
+        let required = 2.max(basis.sync_replicas as usize + 1);
+        // All members but at most one have it, so every quorum of them includes one that does.
+        if holders + 1 < members.len() || holders < required {
+            return;
         }
+        self.vanished
+            .retain(|_, since| asked <= *since + LIST_VALIDITY);
     }
 
     /// Adds the servers of a list that another process has recorded, registered or not.
@@ -110,13 +125,18 @@
 }
 
 /// When the status of the primary with the highest term was requested, and the end of its log.
-fn primary(members: &[Member]) -> Option<(Moment, Position)> {
-    let led = members.iter().filter_map(|member| match member.sight {
-        Sight::Answered(status) if status.role == Role::Primary => Some((member.asked, status)),
-        _ => None,
-    });
-    led.max_by_key(|(_, status)| status.term)
-        .map(|(asked, status)| (asked, status.received))
+///
+/// A primary other than the server promoted last may have been superseded by one that is not in
+/// reach, and then lacks commits that a vanished server has.
+fn primary(members: &[Member], promoted: Option<&str>) -> Option<(Moment, Position)> {
+    let leads = |status: &Status| status.role == Role::Primary;
+    let primaries = members
+        .iter()
+        .filter_map(|member| Some((member, member.status().filter(leads)?)));
+    let (member, status) = primaries.max_by_key(|(_, status)| status.term)?;
+    promoted
+        .is_none_or(|promoted| promoted == member.id.id)
+        .then_some((member.asked, status.received))
 }
 
 /// Whether a member's log reaches `position`.
--- a/crates/engine/tests/interleavings/coordinator.rs
+++ b/crates/engine/tests/interleavings/coordinator.rs
@@ -210,7 +210,7 @@
             .get_or_insert_with(|| Group::new(recorded, is_attempting, now));
         let members = group.members(&entries, now);
         group.merge_record(&self.view, now);
-        group.roster.update(&members, moment(now));
+        group.update_roster(&members, now);
         group.write_roster(cluster, self.view.node, self.number, token);
         let is_stable =
             takeover::leader(&members).is_some() && !group.monitor.is_suspect(moment(now));
--- a/crates/engine/tests/interleavings/coordinator/group.rs
+++ b/crates/engine/tests/interleavings/coordinator/group.rs
@@ -5,7 +5,7 @@
 
 use dandelionpitch_engine::{
     registry::{Entry, Incarnation, Role},
-    roster::Roster,
+    roster::{self, Roster},
     takeover::{self, Member, Monitor, Sight, Status, PROMOTION_COOLDOWN, STATUS_INTERVAL},
 };
 
@@ -132,6 +132,15 @@
         }
     }
 
+    pub fn update_roster(&mut self, members: &[Member], now: u64) {
+        let recorded = self.recorded.as_ref();
+        let basis = roster::Basis {
+            sync_replicas: 1,
+            promoted: recorded.and_then(|stored| stored.record.promoted.as_deref()),
+        };
+        self.roster.update(members, basis, moment(now));
+    }
+
     /// Writes the servers that count for promotions to the store, if they have changed.
     pub fn write_roster(
         &mut self,
--- a/crates/engine/tests/roster.rs
+++ b/crates/engine/tests/roster.rs
@@ -6,10 +6,16 @@
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     registry::{Incarnation, Role},
-    roster::{Roster, LIST_VALIDITY},
+    roster::{Basis, Roster, LIST_VALIDITY},
     takeover::{Member, Sight, Status},
     time::Moment,
 };
+use yare::parameterized;
+
+const BASIS: Basis<'static> = Basis {
+    sync_replicas: 1,
+    promoted: None,
+};
 
 fn at(millis: u64) -> Moment {
     Moment::from_boot(Duration::from_millis(100_000 + millis))
@@ -50,10 +56,11 @@
         replica("c", 19, 0),
         replica("d", 20, 0),
     ];
-    roster.update(&all, at(0));
+    roster.update(&all, BASIS, at(0));
 
     roster.update(
         &[replica("b", 19, 5_000), replica("c", 19, 5_000)],
+        BASIS,
         at(5_000),
     );
 
@@ -72,12 +79,17 @@
         replica("c", 19, 0),
     ];
     let validity_ms = LIST_VALIDITY.as_millis() as u64;
-    roster.update(&all, at(0));
-    roster.update(&[primary("a", 30, 900), replica("b", 29, 900)], at(1_000));
+    roster.update(&all, BASIS, at(0));
+    roster.update(
+        &[primary("a", 30, 900), replica("b", 29, 900)],
+        BASIS,
+        at(1_000),
+    );
     let vanished = roster.len();
     let early = 1_000 + validity_ms;
     roster.update(
         &[primary("a", 31, early), replica("b", 31, early)],
+        BASIS,
         at(early + 100),
     );
     let counted = roster.len();
@@ -85,12 +97,60 @@
     let late = early + 200;
     roster.update(
         &[primary("a", 32, late), replica("b", 32, late)],
+        BASIS,
         at(late + 100),
     );
 
     assert_eq!((vanished, counted, roster.len()), (3, 3, 2));
 }
 
+/// With two synchronous replicas, a quorum may be a single server. Guards against dropping a vanished
+/// server while one of the others lacks a commit that the vanished server has.
+#[parameterized(
+    one_replica_behind = { 29, 4 },
+    all_have_it = { 30, 3 },
+)]
+fn each_quorum_has_the_commits_of_a_dropped_server(third: u64, expected: usize) {
+    let basis = Basis {
+        sync_replicas: 2,
+        ..BASIS
+    };
+    let late = LIST_VALIDITY.as_millis() as u64 + 200;
+    let mut roster = Roster::new(&["v"].map(Incarnation::from), at(0));
+
+    roster.update(
+        &[
+            primary("a", 30, late),
+            replica("b", 30, late),
+            replica("c", third, late),
+        ],
+        basis,
+        at(late + 100),
+    );
+
+    assert_eq!(roster.len(), expected);
+}
+
+/// A primary that has been superseded by a server out of reach lacks the successor's commits. Guards
+/// against dropping a vanished server that has them.
+#[test]
+fn superseded_primary_covers_no_vanished_server() {
+    let basis = Basis {
+        promoted: Some("p"),
+        ..BASIS
+    };
+    let late = LIST_VALIDITY.as_millis() as u64 + 200;
+    let mut roster = Roster::new(&["v"].map(Incarnation::from), at(0));
+
+    roster.update(
+        &[primary("a", 30, late), replica("b", 30, late)],
+        basis,
+        at(late + 100),
+    );
+
+    assert_eq!(roster.len(), 3);
+}
+
 /// A new failover leader is elected after entries have expired. It must start from the members recorded
 /// in the store, not from those still registered.
 #[test]
@@ -98,7 +158,7 @@
     let recorded = ["a", "b", "c"].map(Incarnation::from);
     let mut roster = Roster::new(&recorded, at(0));
 
-    roster.update(&[replica("b", 19, 100)], at(100));
+    roster.update(&[replica("b", 19, 100)], BASIS, at(100));
 
     assert_eq!(roster.ids(), recorded);
 }
@@ -108,7 +168,7 @@
 #[test]
 fn list_of_another_process_is_merged() {
     let mut roster = Roster::new(&[], at(0));
-    roster.update(&[primary("a", 20, 0), replica("b", 20, 0)], at(0));
+    roster.update(&[primary("a", 20, 0), replica("b", 20, 0)], BASIS, at(0));
 
     roster.merge(&["b", "c"].map(Incarnation::from), at(100));
 
@@ -128,14 +188,19 @@
             replica("b", 20, 0),
             replica("c", 20, 0),
         ],
+        BASIS,
         at(0),
     );
-    roster.update(&remaining(100), at(100));
+    roster.update(&remaining(100), BASIS, at(100));
 
     roster.note_in_use(&"c".into(), at(validity_ms));
-    roster.update(&remaining(validity_ms + 200), at(validity_ms + 200));
+    roster.update(&remaining(validity_ms + 200), BASIS, at(validity_ms + 200));
     let while_in_use = roster.len();
-    roster.update(&remaining(2 * validity_ms + 200), at(2 * validity_ms + 200));
+    roster.update(
+        &remaining(2 * validity_ms + 200),
+        BASIS,
+        at(2 * validity_ms + 200),
+    );
 
     assert_eq!((while_in_use, roster.len()), (3, 2));
 }
@@ -145,7 +210,7 @@
 #[test]
 fn covered_server_is_dropped() {
     let mut roster = Roster::new(&["c"].map(Incarnation::from), at(0));
-    roster.update(&[primary("a", 20, 0), replica("b", 10, 0)], at(0));
+    roster.update(&[primary("a", 20, 0), replica("b", 10, 0)], BASIS, at(0));
 
     roster.remove_covered(&["b", "c"].map(Incarnation::from));
 
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -6,12 +6,17 @@
 use dandelionpitch_engine::{
     fence::{self, Fenced},
     registry::Role,
-    roster::Roster,
+    roster::{Basis, Roster},
     takeover::{self, Cause, Decision, Member, Monitor, Sight, Status},
     time::Moment,
 };
 use yare::parameterized;
 
+const BASIS: Basis<'static> = Basis {
+    sync_replicas: 1,
+    promoted: None,
+};
+
 fn at(millis: u64) -> Moment {
     Moment::from_boot(Duration::from_millis(100_000 + millis))
 }
@@ -291,14 +296,14 @@
         replica("c@1", 5, 0),
     ];
     let mut roster = Roster::default();
-    roster.update(&before, at(0));
+    roster.update(&before, BASIS, at(0));
 
     let after = [
         lost("a@1", 100),
         replica("b@2", 0, 100),
         replica("c@1", 5, 100),
     ];
-    roster.update(&after, at(100));
+    roster.update(&after, BASIS, at(100));
     let held = [fenced("b@2", 0), fenced("c@1", 5)];
 
     let quorum = fence::quorum(roster.len(), 1);
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -58,7 +58,7 @@
         now: Instant,
     ) -> Option<Attempt> {
         let monitor = self.monitor_mut(&group.name, now);
-        monitor.voters.update(view, now);
+        monitor.voters.update(view, group.sync_replicas, now);
         let quorum = monitor.voters.quorum(group.sync_replicas)?;
         let outdated = monitor.voters.outdated_record(view);
         let unrecorded_voter = monitor.voters.record_lacks_voter(view);
--- a/crates/proxy/src/control/voters.rs
+++ b/crates/proxy/src/control/voters.rs
@@ -10,7 +10,7 @@
 use dandelionpitch_core::{era, hash::Map, position::Position};
 use dandelionpitch_engine::{
     registry::{Incarnation, Role},
-    roster::Roster,
+    roster::{self, Roster},
     takeover::{self, Member, Sight, Status},
     time::Moment,
 };
@@ -63,7 +63,7 @@
     }
 
     /// Updates the set from the listed servers' statuses and the group's record.
-    pub fn update(&mut self, group: &view::Group, now: Instant) {
+    pub fn update(&mut self, group: &view::Group, sync_replicas: usize, now: Instant) {
         let at = self.moment(now);
         for server in &group.servers {
             if let Some(status) = server.status.get() {
@@ -83,7 +83,16 @@
         }
         let member = |server: &view::Server| self.member(server, group, now);
         let members: Vec<Member> = listed.into_iter().map(member).collect();
-        self.roster.update(&members, at);
+        let promoted = group
+            .stored
+            .as_ref()
+            .and_then(|stored| stored.record.server);
+        let promoted = promoted.map(|server| server.to_string());
+        let basis = roster::Basis {
+            sync_replicas: u32::try_from(sync_replicas).unwrap_or(u32::MAX),
+            promoted: promoted.as_deref(),
+        };
+        self.roster.update(&members, basis, at);
         if let Some(stored) = &group.stored {
             self.apply_record(stored, at);
         }
--- a/crates/proxy/src/line/control/failover.rs
+++ b/crates/proxy/src/line/control/failover.rs
@@ -6,7 +6,7 @@
 use dandelionpitch_core::hash::{Map, Set};
 use dandelionpitch_engine::{
     registry::{Entry, Incarnation, Role},
-    roster::Roster,
+    roster::{self, Roster},
     takeover::{self, Decision, Member, Monitor, Sight, Status, PROMOTION_COOLDOWN},
     time::Moment,
 };
@@ -129,7 +129,7 @@
             ..Group::new(control, service, now)
         });
         group.merge_record(control, service, now);
-        group.roster.update(&members, now);
+        group.update_roster(&members, control.sync_replicas(service), now);
         self.save_roster(control, service, group);
         let is_healthy = takeover::leader(&members).is_some() && !group.monitor.is_suspect(now);
         probes
@@ -223,6 +223,15 @@
         }
     }
 
+    fn update_roster(&mut self, members: &[Member], sync_replicas: u32, now: Moment) {
+        let recorded = self.recorded.as_ref();
+        let basis = roster::Basis {
+            sync_replicas,
+            promoted: recorded.and_then(|stored| stored.record.promoted()),
+        };
+        self.roster.update(members, basis, now);
+    }
+
     fn finish_attempt(&mut self, completion: &Completion, now: Moment) {
         self.is_attempting = false;
         match completion {
--- a/crates/proxy/tests/voters.rs
+++ b/crates/proxy/tests/voters.rs
@@ -76,15 +76,28 @@
     let mut voters = Voters::new(start);
     voters.update(
         &group(&[(0, 10), (1, 5), (2, 10)], &[0, 1, 2], start),
+        SYNC_REPLICAS,
         start,
     );
 
     let removed = start + Duration::from_millis(25);
-    voters.update(&group(&[(0, 10), (1, 5)], &[0, 1, 2], removed), removed);
+    voters.update(
+        &group(&[(0, 10), (1, 5)], &[0, 1, 2], removed),
+        SYNC_REPLICAS,
+        removed,
+    );
     let while_behind = voters.quorum(SYNC_REPLICAS);
-    voters.update(&group(&[(0, 10), (1, 5)], &[0, 1, 2], later), later);
+    voters.update(
+        &group(&[(0, 10), (1, 5)], &[0, 1, 2], later),
+        SYNC_REPLICAS,
+        later,
+    );
     let still_behind = voters.quorum(SYNC_REPLICAS);
-    voters.update(&group(&[(0, 10), (1, 10)], &[0, 1, 2], later), later);
+    voters.update(
+        &group(&[(0, 10), (1, 10)], &[0, 1, 2], later),
+        SYNC_REPLICAS,
+        later,
+    );
     let caught_up = voters.quorum(SYNC_REPLICAS);
 
     assert_eq!(while_behind, Some(2));
@@ -99,7 +112,11 @@
     let now = Instant::now();
     let mut voters = Voters::new(now);
 
-    voters.update(&group(&[(0, 10), (1, 5)], &[0, 1, 2], now), now);
+    voters.update(
+        &group(&[(0, 10), (1, 5)], &[0, 1, 2], now),
+        SYNC_REPLICAS,
+        now,
+    );
 
     assert_eq!(voters.quorum(SYNC_REPLICAS), Some(2));
 }
@@ -115,11 +132,11 @@
     let covered = group(&[(0, 10), (1, 10)], &[0, 1, 2], later);
     let mut voters = Voters::new(now);
 
-    voters.update(&grown, now);
+    voters.update(&grown, SYNC_REPLICAS, now);
     let when_grown = voters.outdated_record(&grown);
-    voters.update(&shrunk, now);
+    voters.update(&shrunk, SYNC_REPLICAS, now);
     let when_shrunk = voters.outdated_record(&shrunk);
-    voters.update(&covered, later);
+    voters.update(&covered, SYNC_REPLICAS, later);
     let when_covered = voters.outdated_record(&covered);
 
     assert_eq!(when_grown, Some((1, address(0))));
@@ -138,8 +155,8 @@
     let written = group(&[(0, 12), (1, 10), (2, 10)], &[0, 1, 2, 3], now);
     let mut voters = Voters::new(now);
 
-    voters.update(&grown, now);
-    voters.update(&shrunk, now);
+    voters.update(&grown, SYNC_REPLICAS, now);
+    voters.update(&shrunk, SYNC_REPLICAS, now);
     let outdated = voters.outdated_record(&shrunk);
 
     assert_eq!(outdated, Some((1, address(0))));
@@ -159,9 +176,9 @@
     };
     let mut voters = Voters::new(start);
 
-    voters.update(&removed(start), start);
-    voters.update(&removed(later), later);
-    voters.update(&removed(later), later);
+    voters.update(&removed(start), SYNC_REPLICAS, start);
+    voters.update(&removed(later), SYNC_REPLICAS, later);
+    voters.update(&removed(later), SYNC_REPLICAS, later);
 
     assert_eq!(voters.quorum(SYNC_REPLICAS), Some(2));
 }
@@ -199,8 +216,8 @@
     }
     let mut voters = Voters::new(now);
 
-    voters.update(&shrunk, now);
-    voters.update(&restored, now);
+    voters.update(&shrunk, SYNC_REPLICAS, now);
+    voters.update(&restored, SYNC_REPLICAS, now);
 
     assert_eq!(voters.quorum(SYNC_REPLICAS), Some(3));
     assert!(voters.record_lacks_voter(&restored));
