Give a group a primary again after two servers came back empty

A server that restarts under its id has lost its log; its earlier incarnation counted for six more seconds, as one that may still confirm commits, and a record restored from a backup counted it anew. With two such incarnations the roster had five members and four had to be held, of which three exist ("3 of 4 required members are fenced", every 0.75 s).

- An earlier incarnation is dropped as soon as the others have what the primary had after the restart was seen: the process is gone and confirms nothing.
- roster::union: a restored record does not count it again if the record known before no longer does.
- The quorum is at most the number of logs that exist. docs/DESIGN.md has the proof that this loses nothing that still exists.

PostgreSQL's side uses the same roster and quorum; there a server says which log it has.

--- a/crates/engine/src/roster.rs
+++ b/crates/engine/src/roster.rs
@@ -12,6 +12,7 @@
 use dandelionpitch_core::{hash::Map, position::Position};
 
 use crate::{
+    fence,
     registry::{Incarnation, Role},
     takeover::{Member, Sight, Status},
     time::Moment,
@@ -57,7 +58,8 @@
     /// Applies the current members, and drops vanished servers whose commits enough others have.
     ///
     /// The others have them once `sync_replicas` replicas besides the primary do, like any commit
-    /// that is acknowledged now.
+    /// that is acknowledged now. A server may confirm further commits for [`LIST_VALIDITY`] after
+    /// it was found missing, but not after it restarted under its id.
     pub fn update(&mut self, members: &[Member], basis: Basis<'_>, now: Moment) {
         let is_member = |id: &Incarnation| members.iter().any(|member| member.id == *id);
         for id in std::mem::take(&mut self.present) {
@@ -80,8 +82,14 @@
         if holders + 1 < members.len() || holders < required {
             return;
         }
-        self.vanished
-            .retain(|_, since| asked <= *since + LIST_VALIDITY);
+        let present = &self.present;
+        self.vanished.retain(|id, since| {
+            let confirms_for = match has_restarted(id, present) {
+                true => Duration::ZERO,
+                false => LIST_VALIDITY,
+            };
+            asked <= *since + confirms_for
+        });
     }
 
     /// Adds the servers of a list that another process has recorded, registered or not.
@@ -115,6 +123,18 @@
         self.len() == 0
     }
 
+    /// How many members must be held before one of them may be promoted: [`fence::quorum`] of all
+    /// that count, but no more than there are logs.
+    ///
+    /// A vanished server that has restarted has no log that could hold a commit. If every other
+    /// server that counts is held, no server has a commit that none of the held has, and none can
+    /// acknowledge another (`docs/DESIGN.md`, "Failover on the line protocol").
+    pub fn quorum(&self, sync_replicas: u32) -> usize {
+        let restarted = |id: &&Incarnation| has_restarted(id, &self.present);
+        let logs = self.len() - self.vanished.keys().filter(restarted).count();
+        fence::quorum(self.len(), sync_replicas).min(logs)
+    }
+
     /// All servers that count, sorted.
     pub fn ids(&self) -> Vec<Incarnation> {
         let mut ids: Vec<Incarnation> = self.present.clone();
@@ -124,6 +144,28 @@
     }
 }
 
+/// The servers that count by either of two records of a group, either of which may be the earlier one,
+/// as after a restore of the store from a backup.
+///
+/// A record that names a restarted server without its earlier incarnation was written after enough
+/// others had the commits of the earlier one, which therefore does not count again.
+pub fn union(one: &[Incarnation], other: &[Incarnation]) -> Vec<Incarnation> {
+    let counts = |id: &&Incarnation, by: &[Incarnation]| by.contains(id) || !has_restarted(id, by);
+    let mut members: Vec<Incarnation> = Vec::with_capacity(one.len());
+    members.extend(one.iter().filter(|id| counts(id, other)).cloned());
+    members.extend(other.iter().filter(|id| counts(id, one)).cloned());
+    members.sort_unstable();
+    members.dedup();
+    members
+}
+
+/// Whether a server has restarted under its id since the incarnation `id`.
+fn has_restarted(id: &Incarnation, present: &[Incarnation]) -> bool {
+    present
+        .iter()
+        .any(|other| other.id == id.id && other.born > id.born)
+}
+
 /// When the status of the primary with the highest term was requested, and the end of its log.
 ///
 /// A primary other than the server promoted last may have been superseded by one that is not in
--- a/crates/proxy/src/control/voters.rs
+++ b/crates/proxy/src/control/voters.rs
@@ -128,7 +128,8 @@
     pub fn quorum(&self, sync_replicas: usize) -> Option<usize> {
         match sync_replicas {
             0 => None,
-            sync => self.roster.len().checked_sub(sync).filter(|q| *q > 0),
+            sync if self.roster.len() <= sync => None,
+            sync => Some(self.roster.quorum(u32::try_from(sync).ok()?)),
         }
     }
 
--- a/crates/proxy/src/line/control/attempt.rs
+++ b/crates/proxy/src/line/control/attempt.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use dandelionpitch_engine::{
-    fence::{self, Fence, Fenced, Objection, Recheck, Response},
+    fence::{Fence, Fenced, Objection, Recheck, Response},
     freshness::PROMOTION_WAIT,
     refusal::Code,
     registry::{Entry, Incarnation},
@@ -107,7 +107,7 @@
 
     fn new_fence(&self) -> Fence {
         let sync_replicas = self.control.sync_replicas(&self.service);
-        let quorum = fence::quorum(self.roster.len(), sync_replicas);
+        let quorum = self.roster.quorum(sync_replicas);
         let last = self
             .recorded
             .as_ref()
--- a/crates/proxy/src/line/control/record.rs
+++ b/crates/proxy/src/line/control/record.rs
@@ -1,7 +1,7 @@
 //! The record of a group in the store: the last promotion, and the servers that count for promotions.
 
 use dandelionpitch_core::hash::Map;
-use dandelionpitch_engine::{era, registry::Incarnation, time::Moment};
+use dandelionpitch_engine::{era, registry::Incarnation, roster, time::Moment};
 use dandelionpitch_platform::store::Item;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -68,9 +68,7 @@
     /// The backup may predate a promotion, or the addition of a server that has confirmed commits
     /// since. So the record with the later promotion is used, with the members of both.
     fn merge_known(mut self, known: &Self) -> Self {
-        let known_members = known.members.iter();
-        let missing = known_members.filter(|id| !self.members.contains(id));
-        let members = self.members.iter().chain(missing).cloned().collect();
+        let members = roster::union(&self.members, &known.members);
         if known.promotions > self.promotions {
             self = known.clone();
         }
