Keep a new primary when only one replica beside a partitioned server is late

A quorum of silent replicas, two of three, proves a failure; the partitioned server is silent for ever, so the other replica had to be late only once.

- A replica that has not followed this primary confirms nothing by itself: if the quorum needs it, all must be silent for twice failover.after, counted from when the primary was recorded.
- Only a status requested after the grace period counts.
Its age was not looked at, and a slow read may leave one from before the promotion for half a second.
- Of equally long logs the one that heard from a primary last is promoted; the address decided, so a server partitioned all the time could lead.

--- a/crates/e2e/tests/failover.rs
+++ b/crates/e2e/tests/failover.rs
@@ -294,6 +294,29 @@
     assert!(followed, "the other proxy follows");
 }
 
+/// The old primary stays partitioned after its replacement, and the only other replica is late once.
+/// The new primary must be kept: another failover cannot help, and writes would wait for it.
+#[tokio::test]
+async fn late_replica_causes_no_second_failover() {
+    let mut layout = Layout::new("late", TWO_IN_ONE_DC);
+    layout.settings = "failover = { after = \"1s\" }\n";
+    let site = Site::build(&layout).await;
+    site.fault(0, "isolate", 0, "").await;
+    let record = site.wait_for_new_primary(1).await;
+    wait_for_writes(&site, 0, "order-1").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    let replica = 3 - site.primary_index(&record);
+    site.fault(0, "isolate", replica, "").await;
+    tokio::time::sleep(Duration::from_millis(1400)).await;
+    site.fault(0, "join", replica, "").await;
+    wait_for_writes(&site, 0, "order-2").await;
+    tokio::time::sleep(OBSERVATION_PERIOD).await;
+
+    assert_eq!(record.term, 2);
+    assert_eq!(site.primary_record().await, Some(record));
+}
+
 /// A claimant has fenced one replica with term 5 and died. The replica accepts nothing from the
 /// primary any more. The proxies must notice that its term is higher and complete the failover, so
 /// that all servers are in one term again.
--- a/crates/proxy/src/control/attempt.rs
+++ b/crates/proxy/src/control/attempt.rs
@@ -5,7 +5,10 @@
 //! primary. No lease is needed: a claimant that was paused is refused by servers that have
 //! accepted a later term (`docs/DESIGN.md`, "Failover").
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use dandelionpitch_core::{
     hash::Map,
@@ -18,7 +21,10 @@
 use futures::{stream::FuturesUnordered, StreamExt};
 use tokio_postgres::Client;
 
-use super::voters::History;
+use super::{
+    decision::{self, Candidate},
+    voters::History,
+};
 use crate::{backend, config::Config};
 
 /// Why a failover attempt failed.
@@ -71,6 +77,8 @@
     pub(super) servers: Vec<SocketAddr>,
     /// The servers that are about to stop or were removed from the bundle.
     pub(super) leaving: Vec<SocketAddr>,
+    /// When each server had last heard from a primary, or reported that it leads.
+    pub(super) last_contacts: Map<SocketAddr, Instant>,
     /// The last seen log of each server.
     pub(super) histories: Map<SocketAddr, History>,
     /// The servers that count for the quorum, listed in the bundle or not; they are written to the
@@ -198,17 +206,17 @@
         history.is_some_and(|history| !history.is_continued_by(fenced.log_id, fenced.received))
     }
 
-    /// Promotes the most advanced of the fenced servers, among equals one that is not leaving. A
-    /// server removed from the bundle may be the only one with a commit; it is then primary until
-    /// others have caught up.
+    /// Promotes the best of the fenced servers, see [`decision::choose`].
     async fn promote(&self, term: u64, fenced: Vec<Fenced>) -> Result<SocketAddr, Error> {
-        let best = fenced
-            .into_iter()
-            .max_by_key(|fenced| {
-                let stays = !self.leaving.contains(&fenced.server);
-                (fenced.received, stays, fenced.server)
-            })
-            .expect("a quorum has at least one server");
+        let candidate = |fenced: &Fenced| Candidate {
+            server: fenced.server,
+            received: fenced.received,
+            leaving: self.leaving.contains(&fenced.server),
+            last_contact: self.last_contacts.get(&fenced.server).copied(),
+        };
+        let candidates: Vec<Candidate> = fenced.iter().map(candidate).collect();
+        let best = decision::choose(&candidates).expect("a quorum has at least one server");
+        let best = &fenced[best];
         let limit = self.config.failover.step_timeout;
         match backend::promote(&best.client, term, limit).await {
             Ok(_) => Ok(best.server),
--- a/crates/proxy/src/control/decision.rs
+++ b/crates/proxy/src/control/decision.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
-use crate::view::{Group, Role};
+use dandelionpitch_core::position::Position;
+
+use crate::view::{Group, Role, Status};
 
 /// The result of evaluating a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,7 +37,7 @@
     /// How long a quorum of replicas must not have heard from the primary before it counts as
     /// failed.
     pub max_silence: Duration,
-    /// How long after a promotion the replicas' silence is ignored.
+    /// How long after a promotion a status is requested for its silence to count.
     pub grace: Duration,
 }
 
@@ -45,8 +47,9 @@
 /// `max_silence`, so a proxy that is itself partitioned does not replace a healthy primary. Whether
 /// this proxy reaches the primary does not matter: without those replicas, it cannot commit.
 ///
-/// Statuses read before a promotion still report the silence of the old primary, so they are
-/// ignored for `grace` after the new one was recorded or first seen.
+/// Statuses requested before a promotion, or shortly after it, still report the silence of the old
+/// primary, so those requested within `grace` after the new one was recorded or first seen are
+/// ignored.
 pub fn evaluate(
     group: &Group,
     leader_since: Option<Instant>,
@@ -58,30 +61,50 @@
     }
     let recorded_at = group.stored.as_ref().map(|stored| stored.seen_at);
     let leading_since = recorded_at.max(leader_since);
-    let past_grace = leading_since.is_none_or(|since| now.duration_since(since) >= limits.grace);
-    let silent_replicas = group
-        .fresh_statuses(now)
-        .filter(|(_, status)| status.role == Role::Replica && status.silence >= limits.max_silence)
-        .count();
-    if silent_replicas >= limits.quorum && past_grace {
+    if has_failed(group, leading_since, limits, now) {
         return Decision::Failed;
     }
-    match group
+    let led = group
         .leader(now)
-        .and_then(|index| Some((index, group.servers[index].status.get()?)))
-    {
-        None => Decision::Undecided,
-        Some((index, led)) => match group.fresh_statuses(now).any(|(_, s)| s.term > led.term) {
-            true => Decision::StaleTerm,
-            false
-                if group.servers[index].leaving
-                    && staying_replicas(group, now) >= limits.quorum =>
-            {
-                Decision::Leaving
-            }
-            false => compare_record(group, led.term, group.servers[index].address),
-        },
+        .and_then(|index| Some((index, group.servers[index].status.get()?.term)));
+    let Some((index, term)) = led else {
+        return Decision::Undecided;
+    };
+    if group.fresh_statuses(now).any(|(_, s)| s.term > term) {
+        return Decision::StaleTerm;
+    }
+    let leader = &group.servers[index];
+    if leader.leaving && staying_replicas(group, now) >= limits.quorum {
+        return Decision::Leaving;
     }
+    compare_record(group, term, leader.address)
+}
+
+/// How many times longer a failure must last if a replica that confirms it has not followed the
+/// primary at all. Such a replica may itself be partitioned, and the primary would be replaced
+/// whenever one other replica is late.
+const UNCONFIRMED_FACTOR: u32 = 2;
+
+/// Whether a quorum of replicas has not heard from the primary, which leads since `leading_since`,
+/// for long enough.
+fn has_failed(group: &Group, leading_since: Option<Instant>, limits: Limits, now: Instant) -> bool {
+    let led_for = |status: &Status| {
+        leading_since.map_or(Duration::MAX, |since| status.read_at.duration_since(since))
+    };
+    let replicas: Vec<Status> = group
+        .fresh_statuses(now)
+        .map(|(_, status)| status)
+        .filter(|status| status.role == Role::Replica && led_for(status) >= limits.grace)
+        .collect();
+    let followers = replicas
+        .iter()
+        .filter(|status| status.silence < led_for(status));
+    let silent_followers = followers.filter(|status| status.silence >= limits.max_silence);
+    let prolonged = limits.max_silence * UNCONFIRMED_FACTOR;
+    let silent = replicas
+        .iter()
+        .filter(|status| status.silence.min(led_for(status)) >= prolonged);
+    silent_followers.count() >= limits.quorum || silent.count() >= limits.quorum
 }
 
 /// The number of replicas with a fresh status that are not leaving.
@@ -104,3 +127,29 @@
         _ => Decision::Unrecorded { term, server },
     }
 }
+
+/// A server that has accepted a new term.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    pub server: SocketAddr,
+    /// The last log position that it has received.
+    pub received: Position,
+    pub leaving: bool,
+    /// When it had last heard from a primary, or reported that it leads.
+    pub last_contact: Option<Instant>,
+}
+
+/// The index of the server to promote: the most advanced one, among equals one that is not leaving,
+/// and of those the one that has heard from a primary last, as one that has not for longer may be
+/// partitioned from the others.
+///
+/// A server removed from the bundle may be the only one with a commit; it is then primary until
+/// others have caught up.
+pub fn choose(candidates: &[Candidate]) -> Option<usize> {
+    let preference = |c: &Candidate| (c.received, !c.leaving, c.last_contact, c.server);
+    let best = candidates
+        .iter()
+        .enumerate()
+        .max_by_key(|(_, candidate)| preference(candidate));
+    best.map(|(index, _)| index)
+}
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -154,11 +154,16 @@
         let on_servers = view.fresh_statuses(now).map(|(_, s)| s.term).max();
         let in_record = view.stored.as_ref().map(|stored| stored.record.term);
         let leaving = view.servers.iter().filter(|server| server.leaving);
+        let last_contacts = view.servers.iter().filter_map(|server| {
+            let status = server.status.get()?;
+            Some((server.address, status.read_at.checked_sub(status.silence)?))
+        });
         Attempt {
             task,
             group: group.name.clone(),
             servers: view.servers.iter().map(|server| server.address).collect(),
             leaving: leaving.map(|server| server.address).collect(),
+            last_contacts: last_contacts.collect(),
             histories: voters.histories().clone(),
             members: voters.addresses(),
             quorum,
--- a/crates/proxy/tests/decision.rs
+++ b/crates/proxy/tests/decision.rs
@@ -5,7 +5,7 @@
 use dandelionpitch_core::{position::Position, primary::Record};
 use dandelionpitch_proxy::{
     config::Config,
-    control::decision::{evaluate, Decision, Limits},
+    control::decision::{choose, evaluate, Candidate, Decision, Limits},
     pool,
     view::{Group, Role, Server, Status, StatusCell, StoredRecord},
 };
@@ -129,6 +129,38 @@
     assert!(!failed(statuses, stored(2, Some(1), recorded), led));
 }
 
+/// Server 0 has been partitioned since before server 1 was promoted. Guards against replacing the new
+/// primary because the only other replica is late once.
+#[parameterized(
+    late = { 400, false },
+    partitioned_as_well = { 700, true },
+)]
+fn partitioned_server_does_not_confirm_a_failure(silent_ms: u64, expected: bool) {
+    let led = Duration::from_secs(5);
+    let statuses = [
+        status(Role::Replica, 2, 60_000),
+        status(Role::Primary, 2, 0),
+        status(Role::Replica, 2, silent_ms),
+    ];
+
+    assert_eq!(failed(statuses, stored(2, Some(1), led), led), expected);
+}
+
+/// Guards against replacing a new primary because of a status requested before its promotion, while
+/// later requests are slow to be answered.
+#[test]
+fn status_from_before_the_promotion_does_not_count() {
+    let led = Duration::from_millis(700);
+    let earlier = |silent_ms| {
+        let status = status(Role::Replica, 1, silent_ms)?;
+        let read_at = status.read_at.checked_sub(led)?;
+        Some(Status { read_at, ..status })
+    };
+    let statuses = [earlier(350), status(Role::Primary, 2, 0), earlier(350)];
+
+    assert!(!failed(statuses, stored(2, Some(1), led), led));
+}
+
 /// Guards against interfering with the failover of another proxy before its claim has expired.
 #[parameterized(
     fresh_claim = { Duration::from_millis(500), false },
@@ -163,3 +195,26 @@
 
     assert_eq!(decision, expected);
 }
+
+/// The primary failed before any replica had received an entry of its term. Guards against promoting a
+/// server that has been partitioned since an earlier failover, and against losing an entry that only
+/// such a server has received.
+#[parameterized(
+    equal_logs = { 10, 1 },
+    longer_log = { 11, 0 },
+)]
+fn partitioned_server_is_promoted_only_for_its_log(partitioned_lsn: u64, expected: usize) {
+    let now = Instant::now();
+    let candidate = |index: u16, lsn, silence| Candidate {
+        server: ([127, 0, 0, 1], 5000 - index).into(),
+        received: Position { term: 1, lsn },
+        leaving: false,
+        last_contact: now.checked_sub(silence),
+    };
+    let candidates = [
+        candidate(0, partitioned_lsn, LONG_AGO),
+        candidate(1, 10, Duration::from_millis(400)),
+    ];
+
+    assert_eq!(choose(&candidates), Some(expected));
+}
