--- a/crates/engine/src/fence.rs
+++ b/crates/engine/src/fence.rs
@@ -18,6 +18,8 @@
     pub id: Incarnation,
     /// Whether it has announced that it will stop.
     pub leaving: bool,
+    /// The term of the primary that it followed or was.
+    pub term: u64,
     /// The end of its log, which no longer grows.
     pub received: Position,
 }
@@ -124,6 +126,7 @@
         let fenced = Fenced {
             id: member.id.clone(),
             leaving: member.leaving,
+            term: after.term,
             received: after.received,
         };
         if self.leader.as_ref() == Some(&member.id) {
@@ -228,7 +231,9 @@
 /// The server to promote, or `None` if no safe choice exists.
 ///
 /// The longest log of a held [`quorum`] has every acknowledged commit. So has the log of an old
-/// primary that stepped down, and thus any held log that is at least as long.
+/// primary that stepped down, and thus any held log that is at least as long. Of equal logs, one
+/// that followed the last primary is preferred: another server may have been partitioned since
+/// before that primary was promoted.
 pub fn choose<'a>(
     quorum: usize,
     held: &'a [Fenced],
@@ -236,7 +241,7 @@
 ) -> Option<&'a Fenced> {
     let best = held
         .iter()
-        .max_by_key(|fenced| (fenced.received, !fenced.leaving, &fenced.id));
+        .max_by_key(|fenced| (fenced.received, !fenced.leaving, fenced.term, &fenced.id));
     if held.len() >= quorum && best.is_some() {
         return best;
     }
--- a/crates/engine/tests/takeover.rs
+++ b/crates/engine/tests/takeover.rs
@@ -55,6 +55,7 @@
     Fenced {
         id: id.into(),
         leaving: false,
+        term: 2,
         received: Position { term: 1, lsn },
     }
 }
@@ -275,6 +276,21 @@
     assert_eq!(chosen.map(|chosen| chosen.id.id.as_str()), Some("b"));
 }
 
+/// Guards against promoting a server that has been partitioned since before the last primary was
+/// promoted.
+#[test]
+fn server_that_did_not_follow_the_last_primary_is_not_preferred() {
+    let partitioned = Fenced {
+        term: 1,
+        ..fenced("z", 9)
+    };
+    let held = [fenced("b", 9), partitioned];
+
+    let chosen = fence::choose(2, &held, None);
+
+    assert_eq!(chosen.map(|chosen| chosen.id.id.as_str()), Some("b"));
+}
+
 #[parameterized(
     three_one_synchronous = { 3, 1, 2 },
     four_while_one_is_replaced = { 4, 1, 3 },
