Use a promoted server as soon as its record is seen

A proxy that watches a group took the primary from statuses alone, so a status read that was in progress delayed all writes until its timeout (250 ms) although the record named the new primary. Proxies that do not watch the group already go by the record.

The server that a record names leads until a status read requested after the record was seen has completed; its result, or its failure, then decides. A record can be wrong only for as long: a server that does not lead refuses writes (25006) and confirms no read.

Red before: promoted_server_leads_once_it_is_recorded::asked_before (None).

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -66,9 +66,10 @@
     Member { member: Member, present: bool },
     /// The complete list of leaving servers, which are about to be stopped.
     Leaving(Vec<SocketAddr>),
-    /// A server's status, or `None` if the server did not report it in time.
+    /// A server's status requested at `asked_at`, or `None` if the server did not report it in time.
     Status {
         address: SocketAddr,
+        asked_at: Instant,
         status: Option<Status>,
     },
     /// A failover attempt on a group finished.
@@ -219,7 +220,11 @@
                 self.assign()
             }
             Message::Leaving(servers) => self.mark_leaving(servers),
-            Message::Status { address, status } => self.update_status(address, status),
+            Message::Status {
+                address,
+                asked_at,
+                status,
+            } => self.update_status(address, asked_at, status),
             Message::AttemptFinished { group, result } => self.finish_attempt(&group, result),
         }
     }
@@ -235,14 +240,22 @@
     }
 
     /// Stores a server's status in every watched group that contains the server.
-    fn update_status(&mut self, address: SocketAddr, status: Option<Status>) -> Change {
+    fn update_status(
+        &mut self,
+        address: SocketAddr,
+        asked_at: Instant,
+        status: Option<Status>,
+    ) -> Change {
         let mut change = Change::Unchanged;
         for group in self.groups.values_mut() {
             if !group.watched {
                 continue;
             }
             for server in group.servers.iter_mut().filter(|s| s.address == address) {
-                let old = server.status.set(status);
+                let old = match status {
+                    Some(_) => server.status.set(status),
+                    None => server.status.set_failed(asked_at),
+                };
                 let leadership = |status: Option<Status>| status.map(|s| (s.role, s.term));
                 if leadership(old) != leadership(status) {
                     change = Change::Routing;
--- a/crates/proxy/src/control/decision.rs
+++ b/crates/proxy/src/control/decision.rs
@@ -64,10 +64,7 @@
     if has_failed(group, leading_since, limits, now) {
         return Decision::Failed;
     }
-    let led = group
-        .leader(now)
-        .and_then(|index| Some((index, group.servers[index].status.get()?.term)));
-    let Some((index, term)) = led else {
+    let Some((index, term)) = group.leader_and_term(now) else {
         return Decision::Undecided;
     };
     if group.fresh_statuses(now).any(|(_, s)| s.term > term) {
--- a/crates/proxy/src/control/probe.rs
+++ b/crates/proxy/src/control/probe.rs
@@ -3,7 +3,11 @@
 //! Each server has its own task, so that a frozen or partitioned server does not delay the status
 //! of the others.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use tokio::{
     sync::{mpsc, Notify},
@@ -87,8 +91,14 @@
 ) {
     let period: Duration = reader.settings.status_every;
     loop {
+        let asked_at = Instant::now();
         let status = reader.read().await;
-        if tx.send(Message::Status { address, status }).await.is_err() {
+        let message = Message::Status {
+            address,
+            asked_at,
+            status,
+        };
+        if tx.send(message).await.is_err() {
             return;
         }
         tokio::select! {
--- a/crates/proxy/src/view.rs
+++ b/crates/proxy/src/view.rs
@@ -58,22 +58,51 @@
     }
 }
 
-/// The last status of a server; `None` before the first successful read and after a failed one.
+/// What the last read of a server's status showed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Observation {
+    /// `None` before the first successful read and after a failed one.
+    status: Option<Status>,
+    /// When the last completed read was requested.
+    asked_at: Option<Instant>,
+}
+
+/// The last status of a server.
 ///
 /// Shared by the control thread, which writes it, and the sessions, so that a status read does not
 /// require publishing a new [`View`], which would be expensive with thousands of groups.
 #[derive(Clone, Debug, Default)]
-pub struct StatusCell(Arc<Mutex<Option<Status>>>);
+pub struct StatusCell(Arc<Mutex<Observation>>);
 
 impl StatusCell {
-    /// The last status.
+    /// The last status; `None` before the first successful read and after a failed one.
     pub fn get(&self) -> Option<Status> {
-        *self.0.lock().unwrap()
+        self.0.lock().unwrap().status
     }
 
-    /// Replaces the status and returns the previous one.
+    /// Replaces the status, or clears it if nothing is known any more; returns the previous one.
     pub fn set(&self, status: Option<Status>) -> Option<Status> {
-        std::mem::replace(&mut *self.0.lock().unwrap(), status)
+        let asked_at = status.map(|status| status.read_at);
+        self.replace(Observation { status, asked_at })
+    }
+
+    /// Clears the status after a failed read that was requested at `asked_at`; returns the previous
+    /// one.
+    pub fn set_failed(&self, asked_at: Instant) -> Option<Status> {
+        self.replace(Observation {
+            status: None,
+            asked_at: Some(asked_at),
+        })
+    }
+
+    fn replace(&self, observation: Observation) -> Option<Status> {
+        std::mem::replace(&mut *self.0.lock().unwrap(), observation).status
+    }
+
+    /// Whether a read that was requested after `moment` has completed.
+    fn is_newer_than(&self, moment: Instant) -> bool {
+        let asked_at = self.0.lock().unwrap().asked_at;
+        asked_at.is_some_and(|asked_at| asked_at > moment)
     }
 }
 
@@ -225,18 +254,37 @@
         self.leader(now).filter(|_| recorded)
     }
 
-    /// The index of the primary with the highest term among the servers with a fresh status, unless
-    /// a later term is recorded or claimed.
+    /// The index of the primary with the highest term, unless a later term is recorded or claimed.
     pub fn leader(&self, now: Instant) -> Option<usize> {
-        if !self.watched {
-            return self.recorded_leader();
+        match self.watched {
+            true => self.leader_and_term(now).map(|(index, _)| index),
+            false => self.recorded_leader(),
         }
+    }
+
+    /// In a watched group, the index and term of the primary among the servers with a fresh status
+    /// and the server whose promotion was recorded since it was last asked.
+    pub fn leader_and_term(&self, now: Instant) -> Option<(usize, u64)> {
         let min_term = self.min_leader_term(now);
-        self.fresh_statuses(now)
+        let reported = self
+            .fresh_statuses(now)
             .filter(|(_, status)| status.role == Role::Primary && status.term >= min_term)
             .filter(|&(index, status)| self.is_acceptable_leader(index, status.term))
-            .max_by_key(|(_, status)| status.term)
-            .map(|(index, _)| index)
+            .map(|(index, status)| (index, status.term));
+        reported
+            .chain(self.newly_recorded_leader())
+            .max_by_key(|&(_, term)| term)
+    }
+
+    /// The server that the record names, if no status read requested since the record was seen has
+    /// completed. Waiting for one would prolong each failover, by the timeout of a read if one is
+    /// in progress.
+    fn newly_recorded_leader(&self) -> Option<(usize, u64)> {
+        let stored = self.stored.as_ref()?;
+        let server = stored.record.server?;
+        let index = self.servers.iter().position(|s| s.address == server)?;
+        let is_newer = self.servers[index].status.is_newer_than(stored.seen_at);
+        (!is_newer).then_some((index, stored.record.term))
     }
 
     /// Whether a server that reports itself as primary at `term` is accepted as such. The address
--- a/crates/proxy/tests/decision.rs
+++ b/crates/proxy/tests/decision.rs
@@ -161,6 +161,26 @@
     assert!(!failed(statuses, stored(2, Some(1), led), led));
 }
 
+/// Guards against waiting for the status of a server whose promotion is already recorded: a request
+/// that was in progress may take until its timeout.
+#[parameterized(
+    asked_before = { Duration::from_millis(200), Some(1) },
+    asked_since = { Duration::ZERO, None },
+)]
+fn promoted_server_leads_once_it_is_recorded(asked_ago: Duration, expected: Option<usize>) {
+    let recorded_ago = Duration::from_millis(100);
+    let replica = || status(Role::Replica, 2, 500);
+    let group = group(
+        [None, replica(), replica()],
+        stored(2, Some(1), recorded_ago),
+    );
+    let now = Instant::now();
+    let asked_at = now.checked_sub(asked_ago).expect("a moment ago");
+    group.servers[1].status.set_failed(asked_at);
+
+    assert_eq!(group.primary(now), expected);
+}
+
 /// Guards against interfering with the failover of another proxy before its claim has expired.
 #[parameterized(
     fresh_claim = { Duration::from_millis(500), false },
