Apply a position token that is set inside a transaction

What callers saw: a session that sets dandelionpitch.position after BEGIN kept its old floor, as the statement went to the server; after the transaction a read could miss the session's own writes. The proxy now answers it in a transaction too; an invalid token fails the transaction, like any error in one.

--- a/crates/e2e/tests/faults.rs
+++ b/crates/e2e/tests/faults.rs
@@ -345,3 +345,19 @@
     assert_eq!(words[..4], ["all", "20", "1", "5.0"], "{text}");
     assert!(!allowed, "an objective of 100 % is refused");
 }
+
+/// Guards against ignoring the token of a session that sets it inside a transaction: a read after the
+/// transaction might not see the session's own writes.
+#[tokio::test]
+async fn position_set_in_a_transaction_applies() {
+    let site = Site::build(&Layout::new("token-tx", &["dc-1"])).await;
+    let member = connect(&site.proxies[0], "member", "").await;
+
+    for query in ["BEGIN", "SET dandelionpitch.position = '1/1000'", "COMMIT"] {
+        let answer = member.simple_query(query).await;
+        answer.expect("the statement succeeds");
+    }
+    let token = fixture::scalar(&member, "SHOW dandelionpitch.position").await;
+
+    assert_eq!(token.as_deref(), Some("1/1000"));
+}
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -47,8 +47,7 @@
     Discard,
     /// `SHOW dandelionpitch.position`, answered by the proxy outside a transaction.
     ShowPosition,
-    /// `SET dandelionpitch.position = '...'` with the new token, answered by the proxy outside a
-    /// transaction.
+    /// `SET dandelionpitch.position = '...'` with the new token, answered by the proxy.
     SetPosition(String),
 }
 
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -164,10 +164,21 @@
             variables: &variables,
             deadline: Instant::now() + caller.timeout,
         };
-        match std::mem::take(&mut state.transaction) {
-            Transaction::None => self.run_outside_transaction(&mut state, call).await,
-            Transaction::Open(pinned) => self.run_in_transaction(&mut state, pinned, call).await,
-            Transaction::Aborted => write::answer_aborted(&mut state, &analysis.kind),
+        match (std::mem::take(&mut state.transaction), &analysis.kind) {
+            (Transaction::None, _) => self.run_outside_transaction(&mut state, call).await,
+            (Transaction::Open(pinned), Kind::SetPosition(token)) => {
+                let answer = set_position(&mut state, token);
+                // As any error in a transaction, an invalid token rolls it back.
+                state.transaction = match answer {
+                    Ok(_) => Transaction::Open(pinned),
+                    Err(_) => Transaction::Aborted,
+                };
+                answer
+            }
+            (Transaction::Open(pinned), _) => {
+                self.run_in_transaction(&mut state, pinned, call).await
+            }
+            (Transaction::Aborted, kind) => write::answer_aborted(&mut state, kind),
         }
     }
 
