Wait before accepting callers again after a failure

PostgreSQL's side: without a free file descriptor the accept loop took a whole core for as long as that lasted, and logged nothing. It waits 10 ms now, as the line protocol's side does, and logs the first failure of a series.

--- a/crates/proxy/src/daemon.rs
+++ b/crates/proxy/src/daemon.rs
@@ -84,10 +84,22 @@
     });
     let open_sessions = Arc::new(AtomicUsize::new(0));
     let mut sigterm = unix::signal(unix::SignalKind::terminate()).map_err(Error::Listen)?;
+    let mut accepts = true;
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                let Ok((socket, _)) = accepted else { continue };
+                let socket = match accepted {
+                    Ok((socket, _)) => socket,
+                    Err(error) => {
+                        // No file descriptor left, or the caller disconnected before it was accepted.
+                        if std::mem::replace(&mut accepts, false) {
+                            log::warn!(target: "daemon", "Could not accept a caller: {error}.");
+                        }
+                        tokio::time::sleep(line::ACCEPT_RETRY_DELAY).await;
+                        continue;
+                    }
+                };
+                accepts = true;
                 let _ = socket.set_nodelay(true);
                 let session = Session::new(shared.clone());
                 let (open_sessions, stopping) = (open_sessions.clone(), stopping.clone());
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -166,4 +166,4 @@
 }
 
 /// The delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(10);
+pub const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(10);
