--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -27,7 +27,7 @@
     "failover",
     "promoted",
     "not promoted",
-    "order failed",
+    "ordered",
     "connect",
 ];
 
--- a/crates/e2e/tests/trace.rs
+++ b/crates/e2e/tests/trace.rs
@@ -134,3 +134,19 @@
     assert!(!found);
     assert!(text.contains("no line about request nobody"), "{text}");
 }
+
+/// Guards against leaving out what the servers answered in a failover, which shows why a commit was
+/// lost or its outcome unknown.
+#[test]
+fn answers_of_a_failover_are_context() {
+    let log = std::env::temp_dir().join(format!("dp-log-ordered-{}", std::process::id()));
+    let lines = [
+        r#"{"at_ms":1000,"kind":"ordered","server":"i-1@0","answer":"held"}"#,
+        r#"{"at_ms":1200,"kind":"refused","id":"q1","code":"Unknown"}"#,
+    ];
+    std::fs::write(&log, lines.join("\n")).expect("the log file is written");
+
+    let text = trace("q1", &log);
+
+    assert!(text.contains("i-1@0"), "{text}");
+}
