Report a rollback to a savepoint in a script as no transaction end

What callers saw (PostgreSQL's side): after a string of several statements with ROLLBACK TO SAVEPOINT, or a chained commit, the answer said that the transaction had ended, while it was open; statements that the caller takes for separate ones then join it. Whether a statement ends the transaction was decided for the whole string; each tag says so now.

Test: route.rs::tag_tells_transaction_end, a new interface; by the old rule all commits and rollbacks of a script of several statements were ends.

--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -58,12 +58,22 @@
     pub statement: String,
 }
 
+/// The command tag of a statement, and whether no transaction is open after it.
+///
+/// A rollback to a savepoint and a commit with `AND CHAIN` have the command tag of a transaction end
+/// but leave a transaction open, and the caller must not be told that it has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tag {
+    pub text: &'static str,
+    pub ends_transaction: bool,
+}
+
 /// The kind of a query string, the command tag of each of its statements, and the session variables
 /// that it sets.
 #[derive(Clone, Debug)]
 pub struct Analysis {
     pub kind: Kind,
-    pub tags: Vec<&'static str>,
+    pub tags: Vec<Tag>,
     pub variables: Vec<Variable>,
 }
 
@@ -76,7 +86,7 @@
             variables: Vec::new(),
         };
     };
-    let tags = statements.iter().map(command_tag).collect();
+    let tags = statements.iter().map(Tag::from).collect();
     let kind = match statements.as_slice() {
         [one] => classify_single(one),
         many if many.iter().all(is_read) => Kind::Read,
@@ -176,6 +186,23 @@
     }
 }
 
+impl From<&Statement> for Tag {
+    fn from(statement: &Statement) -> Self {
+        let ends_transaction = matches!(
+            statement,
+            Statement::Commit { chain: false, .. }
+                | Statement::Rollback {
+                    chain: false,
+                    savepoint: None
+                }
+        );
+        Self {
+            text: command_tag(statement),
+            ends_transaction,
+        }
+    }
+}
+
 /// The command tag that PostgreSQL sends for a statement. `tokio-postgres` only reports its row
 /// count.
 fn command_tag(statement: &Statement) -> &'static str {
--- a/crates/proxy/src/session/answer.rs
+++ b/crates/proxy/src/session/answer.rs
@@ -5,12 +5,18 @@
 use dandelionpitch_core::position::Position;
 use futures::stream;
 use pgwire::api::{
-    results::{DataRowEncoder, FieldFormat, FieldInfo, QueryResponse, Response, Tag},
+    results::{self, DataRowEncoder, FieldFormat, FieldInfo, QueryResponse, Response},
     Type,
 };
 use tokio_postgres::SimpleQueryMessage;
 
-use crate::route::{Analysis, Kind, POSITION_SETTING};
+use crate::route::{Analysis, Tag, POSITION_SETTING};
+
+/// The tag of a statement that could not be parsed.
+const UNKNOWN_TAG: Tag = Tag {
+    text: "OK",
+    ends_transaction: false,
+};
 
 /// The answer to `SHOW dandelionpitch.position`.
 pub fn position_rows(floor: Option<Position>) -> Response {
@@ -42,13 +48,6 @@
 /// Converts a backend server's messages, with the command tags of `analysis`, since
 /// `tokio-postgres` does not return the server's.
 pub fn responses(messages: Vec<SimpleQueryMessage>, analysis: &Analysis) -> Vec<Response> {
-    // A rollback to a savepoint and a commit with `AND CHAIN` have the command tag of a transaction
-    // end but leave a transaction open, and the caller must not be told that it has ended.
-    let is_end = match analysis.kind {
-        Kind::Commit | Kind::Rollback => true,
-        Kind::Script { .. } => analysis.tags.len() > 1,
-        _ => false,
-    };
     let mut responses = Vec::new();
     let mut names: Option<Vec<String>> = None;
     let mut rows = Vec::new();
@@ -66,9 +65,9 @@
                 rows.push((0..row.len()).map(text).collect());
             }
             SimpleQueryMessage::CommandComplete(count) => {
-                let tag = tags.next().copied().unwrap_or("OK");
+                let tag = tags.next().copied().unwrap_or(UNKNOWN_TAG);
                 let rows = std::mem::take(&mut rows);
-                responses.push(completed(tag, count, names.take(), rows, is_end));
+                responses.push(completed(tag, count, names.take(), rows));
             }
             _ => {}
         }
@@ -77,20 +76,27 @@
 }
 
 fn completed(
-    tag: &str,
+    tag: Tag,
     count: u64,
     names: Option<Vec<String>>,
     rows: Vec<Vec<Option<String>>>,
-    is_end: bool,
 ) -> Response {
-    match (tag, names) {
+    let Tag {
+        text,
+        ends_transaction,
+    } = tag;
+    match (text, names) {
         (_, Some(names)) => text_response(names, rows),
-        ("BEGIN", None) => Response::TransactionStart(Tag::new(tag)),
-        ("COMMIT" | "ROLLBACK", None) if is_end => Response::TransactionEnd(Tag::new(tag)),
-        ("INSERT", None) => {
-            Response::Execution(Tag::new(tag).with_oid(0).with_rows(count as usize))
+        ("BEGIN", None) => Response::TransactionStart(results::Tag::new(text)),
+        (_, None) if ends_transaction => Response::TransactionEnd(results::Tag::new(text)),
+        ("INSERT", None) => Response::Execution(
+            results::Tag::new(text)
+                .with_oid(0)
+                .with_rows(count as usize),
+        ),
+        ("UPDATE" | "DELETE", None) => {
+            Response::Execution(results::Tag::new(text).with_rows(count as usize))
         }
-        ("UPDATE" | "DELETE", None) => Response::Execution(Tag::new(tag).with_rows(count as usize)),
-        (tag, None) => Response::Execution(Tag::new(tag)),
+        (_, None) => Response::Execution(results::Tag::new(text)),
     }
 }
--- a/crates/proxy/tests/route.rs
+++ b/crates/proxy/tests/route.rs
@@ -30,6 +30,24 @@
     assert_eq!(analyze(query).kind, expected);
 }
 
+/// Guards against telling a caller that its transaction has ended while it is still open: its next
+/// statements would join that transaction.
+#[parameterized(
+    commit = { "BEGIN; COMMIT", &[false, true] },
+    rollback_to_savepoint = { "BEGIN; SAVEPOINT s; ROLLBACK TO SAVEPOINT s", &[false, false, false] },
+    chained = { "BEGIN; ROLLBACK AND CHAIN; COMMIT", &[false, false, true] },
+    lone_rollback_to_savepoint = { "ROLLBACK TO SAVEPOINT s", &[false] },
+)]
+fn tag_tells_transaction_end(query: &str, expected: &[bool]) {
+    let ends: Vec<bool> = analyze(query)
+        .tags
+        .iter()
+        .map(|tag| tag.ends_transaction)
+        .collect();
+
+    assert_eq!(ends, expected);
+}
+
 /// Guards against losing session settings on the session's other connections, and against applying
 /// transaction-local ones there.
 #[parameterized(
