Say that changed settings apply from the next start

The line protocol's reload line said in_force: true for changes of the grace period, peer, metrics, cores and others, but nothing that the settings hold is applied without a restart. It says false now, as the file is only checked.

Red before: changed_settings_are_not_reported_as_applied assertion failed: site.has_logged(0, "\"in_force\":false")

--- a/crates/e2e/tests/line.rs
+++ b/crates/e2e/tests/line.rs
@@ -239,3 +239,18 @@
     assert_eq!(status.code(), Some(2));
     assert!(message.contains("line.grace"), "{message}");
 }
+
+/// Guards against telling operators that changed settings are in force, although only a restart applies
+/// them.
+#[tokio::test]
+async fn changed_settings_are_not_reported_as_applied() {
+    let site = Site::start("settings", 1).await;
+
+    site.append_settings(0, "cores = 2.0\n");
+    let reported = fixture::eventually(fixture::START_TIMEOUT, || async {
+        site.has_logged(0, "\"kind\":\"reload\"")
+    });
+
+    assert!(reported.await);
+    assert!(site.has_logged(0, "\"in_force\":false"));
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -190,27 +190,6 @@
         Ok(config)
     }
 
-    /// Whether a process started with `old` can apply these settings without a restart. Addresses
-    /// and names are only read at start-up.
-    pub fn needs_no_restart(&self, old: &Self) -> bool {
-        let line = |config: &Self| config.line.as_ref().map(|line| line.promoter);
-        (
-            &self.id,
-            &self.dc,
-            self.listen,
-            self.operator_listen,
-            &self.kv,
-            line(self),
-        ) == (
-            &old.id,
-            &old.dc,
-            old.listen,
-            old.operator_listen,
-            &old.kv,
-            line(old),
-        )
-    }
-
     fn grace(&self) -> Duration {
         self.line.as_ref().map_or(Duration::MAX, |line| line.grace)
     }
--- a/crates/proxy/src/line/stop.rs
+++ b/crates/proxy/src/line/stop.rs
@@ -106,8 +106,8 @@
     }
 }
 
-/// Reads the settings file on SIGHUP and whenever it has changed, and logs whether the changes apply
-/// without a restart.
+/// Reads the settings file on SIGHUP and whenever it has changed, and logs mistakes in it. The changes
+/// apply from the next start.
 pub async fn watch_settings(config: Config) {
     let Ok(mut hangup) = unix::signal(unix::SignalKind::hangup()) else {
         journal::trouble("settings", "SIGHUP cannot be caught");
@@ -129,10 +129,9 @@
                 }
             }
             Ok(new) => {
-                let applied = new.needs_no_restart(&current);
                 journal::write(
                     "reload",
-                    serde_json::json!({ "changed": true, "in_force": applied }),
+                    serde_json::json!({ "changed": true, "in_force": false }),
                 );
                 current = new;
             }
