Keep a lost log in the quorum when the record is written again

What callers would see (PostgreSQL's side): an acknowledged write that only a replica had beside the primary is lost. The replica restarts empty, the record is rewritten, and its earlier incarnation no longer counts, as records name addresses and the address stands for the new incarnation by then; two servers without the write were then a quorum. Found while testing two servers that come back empty: after a claim the quorum fell from 3 to 2 by itself.

A record covers only servers whose address it does not name.

Red before: rewritten_record_does_not_cover_an_earlier_incarnation left: Some(2), right: Some(3)

--- a/crates/proxy/src/control/voters.rs
+++ b/crates/proxy/src/control/voters.rs
@@ -100,7 +100,8 @@
 
     /// Applies a newer record. A server that only the previous record names no longer needs to be
     /// counted: each record is written by a proxy that has applied the one it replaces. This is not
-    /// true across a restore of the KV from a backup, which can revert to an older record.
+    /// true across a restore of the KV from a backup, which can revert to an older record, nor of
+    /// an earlier incarnation of a server that both name, as records name addresses.
     fn apply_record(&mut self, stored: &view::StoredRecord, at: Moment) {
         if stored.revision <= self.revision {
             return;
@@ -110,7 +111,7 @@
             .map(|&address| self.incarnation_of(address))
             .collect();
         let mut covered = std::mem::replace(&mut self.recorded, recorded);
-        covered.retain(|id| !self.recorded.contains(id));
+        covered.retain(|id| self.recorded.iter().all(|recorded| recorded.id != id.id));
         let replaces = era::of(stored.revision) == era::of(self.revision);
         self.revision = stored.revision;
         if replaces {
--- a/crates/proxy/tests/voters.rs
+++ b/crates/proxy/tests/voters.rs
@@ -222,3 +222,36 @@
     assert_eq!(voters.quorum(SYNC_REPLICAS), Some(3));
     assert!(voters.record_lacks_voter(&restored));
 }
+
+/// Replica 2, the only one with a commit, restarts empty, and the record is written again for another
+/// reason. Guards against taking that record, which names addresses, as proof that the others have the
+/// commit.
+#[test]
+fn rewritten_record_does_not_cover_an_earlier_incarnation() {
+    let now = Instant::now();
+    let before = group(&[(0, 12), (1, 10), (2, 12)], &[0, 1, 2], now);
+    let restarted = with_new_log(group(&[(0, 12), (1, 10), (2, 1)], &[0, 1, 2], now));
+    let mut rewritten = with_new_log(group(&[(0, 12), (1, 10), (2, 1)], &[0, 1, 2], now));
+    if let Some(stored) = &mut rewritten.stored {
+        stored.revision += 1;
+    }
+    let mut voters = Voters::new(now);
+
+    voters.update(&before, SYNC_REPLICAS, now);
+    voters.update(&restarted, SYNC_REPLICAS, now);
+    let when_restarted = voters.quorum(SYNC_REPLICAS);
+    voters.update(&rewritten, SYNC_REPLICAS, now);
+
+    assert_eq!(when_restarted, Some(3));
+    assert_eq!(voters.quorum(SYNC_REPLICAS), Some(3));
+}
+
+/// The group with another log on server 2.
+fn with_new_log(group: Group) -> Group {
+    let cell = &group.servers[2].status;
+    cell.set(cell.get().map(|status| Status {
+        log_id: 1,
+        ..status
+    }));
+    group
+}
