Count a primary that restarted empty towards the quorum

PostgreSQL's side of the group that stays without a primary after two servers came back empty. A failed primary is fenced but not counted, as it may have the longest log and reach no replica. If it has restarted empty since it led, that reason is gone, and without it no quorum is left ("only 2 of 3 required servers accepted term 11", no primary within 20 s).

--- a/crates/e2e/tests/membership.rs
+++ b/crates/e2e/tests/membership.rs
@@ -343,3 +343,24 @@
     let without_the_log = row_after_failover(&site, "order-1").await;
     assert_eq!(without_the_log, None, "no server may be promoted");
 }
+
+/// The primary and a replica restart empty at once. Guards against a group without a primary for good,
+/// as its quorum counts logs that no longer exist; the remaining log has every write.
+#[tokio::test]
+async fn two_servers_restarted_empty_leave_a_primary() {
+    let site = Site::build(&Layout::new("two-empty", TWO_IN_ONE_DC)).await;
+    write(&site, "order-1").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    for server in [0, 1] {
+        site.fault(2, "kill", server, "").await;
+    }
+    for server in [0, 1] {
+        site.fault(2, "wipe", server, "").await;
+    }
+    let record = site.wait_for_new_primary(1).await;
+    write(&site, "order-2").await;
+
+    assert_eq!(site.primary_index(&record), 2);
+    assert!(has_row(&site, "order-1").await);
+}
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -91,9 +91,13 @@
         }
         let task = match decision {
             Decision::Healthy | Decision::Undecided => return None,
-            Decision::Failed | Decision::Leaving => Task::Replace {
-                suspect: last_leader.map(|l| l.server),
-            },
+            Decision::Failed | Decision::Leaving => {
+                let suspect = last_leader.map(|leader| leader.server);
+                let voters = &self.groups[&group.name].voters;
+                Task::Replace {
+                    suspect: suspect.filter(|&server| voters.has_led(server)),
+                }
+            }
             Decision::StaleTerm => Task::Replace { suspect: None },
             Decision::Unrecorded { term, server } => Task::Record { term, server },
         };
--- a/crates/proxy/tests/voters.rs
+++ b/crates/proxy/tests/voters.rs
@@ -255,3 +255,26 @@
     }));
     group
 }
+
+/// Guards against leaving a server out of the quorum as the failed primary although it has restarted
+/// empty since: if two servers do so, no quorum is left.
+#[test]
+fn restarted_primary_is_no_suspect() {
+    let now = Instant::now();
+    let led = group(&[(0, 12), (1, 12), (2, 12)], &[0, 1, 2], now);
+    let restarted = group(&[(0, 12), (1, 12), (2, 12)], &[0, 1, 2], now);
+    let cell = &restarted.servers[0].status;
+    cell.set(cell.get().map(|status| Status {
+        role: Role::Replica,
+        log_id: 1,
+        ..status
+    }));
+    let mut voters = Voters::new(now);
+
+    voters.update(&led, SYNC_REPLICAS, now);
+    let before = voters.has_led(address(0));
+    voters.update(&restarted, SYNC_REPLICAS, now);
+
+    assert!(before);
+    assert!(!voters.has_led(address(0)));
+}
