--- a/crates/e2e/tests/bad_input.rs
+++ b/crates/e2e/tests/bad_input.rs
@@ -3,23 +3,42 @@
 
 mod fixture;
 
-use std::{io::Write, time::Duration};
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
 
 use fixture::{connect, scalar, Site};
 
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A caller that sends garbage is disconnected. The proxy continues to serve others.
 #[tokio::test]
 async fn garbage_bytes_do_not_stop_the_proxy() {
     let site = Site::start("garbage", 1, 20).await;
-    let mut socket = std::net::TcpStream::connect(&site.proxies[0].listen).unwrap();
+    let mut socket = TcpStream::connect(&site.proxies[0].listen).unwrap();
 
     let _ = socket.write_all(b"\x00\x00\x00\x08garbage!garbage!garbage!");
-    std::thread::sleep(Duration::from_millis(100));
+    let disconnected = is_closed_within(&mut socket, DISCONNECT_TIMEOUT);
     let client = connect(&site.proxies[0], "member", "").await;
 
+    assert!(disconnected, "still connected after {DISCONNECT_TIMEOUT:?}");
     assert_eq!(scalar(&client, "SELECT 1").await.as_deref(), Some("1"));
 }
 
+/// Whether the proxy closes a caller's connection within `timeout`.
+fn is_closed_within(socket: &mut TcpStream, timeout: Duration) -> bool {
+    socket
+        .set_read_timeout(Some(timeout))
+        .expect("a timeout above zero");
+    let mut answer = Vec::new();
+    match socket.read_to_end(&mut answer) {
+        Ok(_) => true,
+        Err(error) => error.kind() == ErrorKind::ConnectionReset,
+    }
+}
+
 /// A user that is not in the bundle is refused at start-up with SQLSTATE 28000.
 #[tokio::test]
 async fn unknown_caller_is_refused() {
