Name what a restarted primary lacks; one test for the quorum of existing logs

Reading the diff as a newcomer: has_led said the opposite of what it is asked for, and two tests of the roster repeated their arrangement. No behaviour changes.

--- a/crates/engine/tests/roster.rs
+++ b/crates/engine/tests/roster.rs
@@ -187,30 +187,14 @@
 }
 
 /// The primary and a replica lose their logs one after the other. Guards against a quorum that can
-/// never be held, as it includes logs that no longer exist.
-#[test]
-fn quorum_does_not_exceed_the_existing_logs() {
-    let recorded = ["a@1", "b@1", "c@1"].map(Incarnation::from);
-    let mut roster = Roster::new(&recorded, at(0));
-
-    roster.update(
-        &[
-            replica("a@2", 0, 100),
-            replica("b@2", 9, 100),
-            replica("c@1", 9, 100),
-        ],
-        BASIS,
-        at(100),
-    );
-
-    assert_eq!((roster.len(), roster.quorum(1)), (5, 3));
-}
-
-/// As above, but a third server has vanished and may still have its log. Guards against a promotion
-/// without that log.
-#[test]
-fn quorum_includes_a_vanished_server_that_may_have_its_log() {
-    let recorded = ["a@1", "b@1", "c@1", "d@1"].map(Incarnation::from);
+/// never be held, as it includes logs that no longer exist, and against one without the log of a
+/// server that has only vanished.
+#[parameterized(
+    both_registered_again = { &["a@1", "b@1", "c@1"], 5, 3 },
+    another_has_vanished = { &["a@1", "b@1", "c@1", "d@1"], 6, 4 },
+)]
+fn quorum_counts_the_logs_that_may_exist(recorded: &[&str], members: usize, quorum: usize) {
+    let recorded: Vec<Incarnation> = recorded.iter().map(|id| Incarnation::from(*id)).collect();
     let mut roster = Roster::new(&recorded, at(0));
 
     roster.update(
@@ -223,7 +207,7 @@
         at(100),
     );
 
-    assert_eq!((roster.len(), roster.quorum(1)), (6, 4));
+    assert_eq!((roster.len(), roster.quorum(1)), (members, quorum));
 }
 
 /// A new failover leader is elected after entries have expired. It must start from the members recorded
--- a/crates/proxy/src/control/failover.rs
+++ b/crates/proxy/src/control/failover.rs
@@ -92,10 +92,11 @@
         let task = match decision {
             Decision::Healthy | Decision::Undecided => return None,
             Decision::Failed | Decision::Leaving => {
+                // A primary without the log with which it led counts like any other server.
                 let suspect = last_leader.map(|leader| leader.server);
                 let voters = &self.groups[&group.name].voters;
                 Task::Replace {
-                    suspect: suspect.filter(|&server| voters.has_led(server)),
+                    suspect: suspect.filter(|&server| !voters.has_restarted_empty(server)),
                 }
             }
             Decision::StaleTerm => Task::Replace { suspect: None },
--- a/crates/proxy/src/control/voters.rs
+++ b/crates/proxy/src/control/voters.rs
@@ -41,8 +41,8 @@
     incarnation: u64,
     log_id: u64,
     last: Status,
-    /// Whether the server has lost its log and has not led since.
-    is_reset: bool,
+    /// Whether the server has restarted with an empty log and has not led since.
+    restarted_empty: bool,
 }
 
 impl History {
@@ -170,10 +170,10 @@
         addresses
     }
 
-    /// Whether a server that was the primary may still have the log with which it led.
-    pub fn has_led(&self, server: SocketAddr) -> bool {
+    /// Whether a server has restarted with an empty log and has not led since.
+    pub fn has_restarted_empty(&self, server: SocketAddr) -> bool {
         let history = self.histories.get(&server);
-        !history.is_some_and(|history| history.is_reset)
+        history.is_some_and(|history| history.restarted_empty)
     }
 
     /// The last seen log of each server.
@@ -187,16 +187,16 @@
             incarnation: 0,
             log_id,
             last,
-            is_reset: false,
+            restarted_empty: false,
         };
         let history = self.histories.entry(address).or_insert(first);
         if log_id != history.log_id || takeover::has_restarted(&history.last, &last) {
             history.incarnation += 1;
-            history.is_reset = true;
+            history.restarted_empty = true;
             log::warn!(target: "control", "Server {address} has lost its log: it ends at {}, previously at {}.",
                 last.received, history.last.received);
         }
-        history.is_reset &= last.role == Role::Replica;
+        history.restarted_empty &= last.role == Role::Replica;
         (history.log_id, history.last) = (log_id, last);
     }
 
--- a/crates/proxy/tests/voters.rs
+++ b/crates/proxy/tests/voters.rs
@@ -272,9 +272,9 @@
     let mut voters = Voters::new(now);
 
     voters.update(&led, SYNC_REPLICAS, now);
-    let before = voters.has_led(address(0));
+    let before = voters.has_restarted_empty(address(0));
     voters.update(&restarted, SYNC_REPLICAS, now);
 
-    assert!(before);
-    assert!(!voters.has_led(address(0)));
+    assert!(!before);
+    assert!(voters.has_restarted_empty(address(0)));
 }
