Drop a vanished server although the record names an earlier primary

The store was restored from a backup older than the last promotion, and the proxy that took the leadership did not know of it; its record names the server promoted before. A server that had restarted empty then counted for good, as the primary in sight was not the recorded one; no lease could begin, and the record proved no commit.

The primary that vanished servers are compared with must lead the newest term that any member speaks of, in place of being the recorded one. Where the record names another, a restarted server's earlier incarnation is dropped after LIST_VALIDITY as before, not at once.

--- a/crates/e2e/tests/soak.rs
+++ b/crates/e2e/tests/soak.rs
@@ -43,7 +43,9 @@
 /// logs that no longer exist, and the group had no primary for good.
 const RESTORED_SEEDS: &str = "1-2,9204";
 
-const RESTORED_SERIES_SEEDS: &str = "1-2";
+/// Seed 329: the restored record names an earlier primary, and a server restarts empty. Its earlier
+/// incarnation must not count for good, or no commit can be confirmed.
+const RESTORED_SERIES_SEEDS: &str = "1-2,329";
 
 /// Connections that each server accepts, few enough that a single proxy owns them all.
 const MAX_CONNECTIONS: usize = 10;
--- a/crates/engine/src/roster.rs
+++ b/crates/engine/src/roster.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     fence,
-    registry::{Incarnation, Role},
-    takeover::{Member, Sight, Status},
+    registry::Incarnation,
+    takeover::{self, Member, Sight},
     time::Moment,
 };
 
@@ -59,7 +59,8 @@
     ///
     /// The others have them once `sync_replicas` replicas besides the primary do, like any commit
     /// that is acknowledged now. A server may confirm further commits for [`LIST_VALIDITY`] after
-    /// it was found missing, but not after it restarted under its id.
+    /// it was found missing, but not after it restarted under its id. If the record names another
+    /// primary, one out of reach may have superseded the one in sight, so nothing is dropped early.
     pub fn update(&mut self, members: &[Member], basis: Basis<'_>, now: Moment) {
         let is_member = |id: &Incarnation| members.iter().any(|member| member.id == *id);
         for id in std::mem::take(&mut self.present) {
@@ -70,25 +71,27 @@
         self.vanished.retain(|id, _| !is_member(id));
         self.present = members.iter().map(|member| member.id.clone()).collect();
         self.present.sort_unstable();
-        let Some((asked, position)) = primary(members, basis.promoted) else {
+        let Some((leader, status)) = takeover::leader(members) else {
             return;
         };
         let holders = members
             .iter()
-            .filter(|member| has(member, position))
+            .filter(|member| has(member, status.received))
             .count();
         let required = 2.max(basis.sync_replicas as usize + 1);
         // All members but at most one have it, so every quorum of them includes one that does.
         if holders + 1 < members.len() || holders < required {
             return;
         }
+        // A restored record may name an earlier primary for good, so this only delays the drop.
+        let is_recorded = basis.promoted.is_none_or(|id| id == leader.id.id);
         let present = &self.present;
         self.vanished.retain(|id, since| {
-            let confirms_for = match has_restarted(id, present) {
+            let confirms_for = match is_recorded && has_restarted(id, present) {
                 true => Duration::ZERO,
                 false => LIST_VALIDITY,
             };
-            asked <= *since + confirms_for
+            leader.asked <= *since + confirms_for
         });
     }
 
@@ -166,21 +169,6 @@
         .any(|other| other.id == id.id && other.born > id.born)
 }
 
-/// When the status of the primary with the highest term was requested, and the end of its log.
-///
-/// A primary other than the server promoted last may have been superseded by one that is not in
-/// reach, and then lacks commits that a vanished server has.
-fn primary(members: &[Member], promoted: Option<&str>) -> Option<(Moment, Position)> {
-    let leads = |status: &Status| status.role == Role::Primary;
-    let primaries = members
-        .iter()
-        .filter_map(|member| Some((member, member.status().filter(leads)?)));
-    let (member, status) = primaries.max_by_key(|(_, status)| status.term)?;
-    promoted
-        .is_none_or(|promoted| promoted == member.id.id)
-        .then_some((member.asked, status.received))
-}
-
 /// Whether a member's log reaches `position`.
 fn has(member: &Member, position: Position) -> bool {
     matches!(member.sight, Sight::Answered(status) if status.received >= position)
--- a/crates/engine/tests/roster.rs
+++ b/crates/engine/tests/roster.rs
@@ -131,26 +131,50 @@
     assert_eq!(roster.len(), expected);
 }
 
-/// A primary that has been superseded by a server out of reach lacks the successor's commits. Guards
-/// against dropping a vanished server that has them.
+/// A replica already follows a later term than the primary in sight, which then lacks the commits of
+/// its successor. Guards against dropping a vanished server that has them.
 #[test]
 fn superseded_primary_covers_no_vanished_server() {
-    let basis = Basis {
-        promoted: Some("p"),
-        ..BASIS
-    };
     let late = LIST_VALIDITY.as_millis() as u64 + 200;
     let mut roster = Roster::new(&["v"].map(Incarnation::from), at(0));
+    let mut follower = replica("b", 30, late);
+    if let Sight::Answered(status) = &mut follower.sight {
+        status.term = 2;
+    }
 
-    roster.update(
-        &[primary("a", 30, late), replica("b", 30, late)],
-        basis,
-        at(late + 100),
-    );
+    roster.update(&[primary("a", 30, late), follower], BASIS, at(late + 100));
 
     assert_eq!(roster.len(), 3);
 }
 
+/// The record names another server than the primary in sight. Guards against dropping a restarted
+/// server early, as the recorded one may lead out of reach, and against counting it for good, as a
+/// restored record may be outdated.
+#[parameterized(
+    early = { 1_050, 4 },
+    late = { 1_000 + LIST_VALIDITY.as_millis() as u64 + 50, 3 },
+)]
+fn primary_that_is_not_recorded_covers_a_restarted_server_later(asked: u64, expected: usize) {
+    let basis = Basis {
+        promoted: Some("c"),
+        ..BASIS
+    };
+    let members = |born: u64, asked| {
+        [
+            primary("a@1", 20, asked),
+            replica(&format!("b@{born}"), 20, asked),
+            replica("c@1", 20, asked),
+        ]
+    };
+    let mut roster = Roster::default();
+    roster.update(&members(1, 0), basis, at(0));
+    roster.update(&members(2, 1_000), basis, at(1_000));
+
+    roster.update(&members(2, asked), basis, at(asked + 50));
+
+    assert_eq!(roster.len(), expected);
+}
+
 /// A replica restarts empty under its id. Guards against counting its earlier incarnation for seconds
 /// after the others have its commits: it cannot confirm another one.
 #[test]
