--- a/crates/engine/src/catalog.rs
+++ b/crates/engine/src/catalog.rs
@@ -5,6 +5,11 @@
 
 use dandelionpitch_core::hash::Map;
 
+use crate::{
+    account::{Account, Directory},
+    refusal::{Code, Refusal},
+};
+
 /// Which commits the reads of a route must see.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Consistency {
@@ -30,6 +35,8 @@
     pub target: Duration,
     /// 0 is the highest priority.
     pub priority: u32,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 /// The configuration of a database group.
@@ -42,13 +49,15 @@
 }
 
 /// A version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     pub version: u64,
     /// Routes by the database name that callers use.
     pub routes: Map<String, Arc<Route>>,
     /// Database groups by name.
     pub services: Map<String, Service>,
+    /// The client accounts; `None` if callers need no key.
+    pub accounts: Option<Directory>,
     /// How long a transaction may be idle between statements before it is rolled back.
     pub transaction_idle_timeout: Duration,
 }
@@ -61,4 +70,23 @@
     pub fn replaces(&self, current: Option<&Self>) -> bool {
         current.is_none_or(|current| self.version > current.version)
     }
+
+    /// The account of a caller that uses `route` with `key`; `None` if the caller needs none.
+    ///
+    /// # Errors
+    ///
+    /// If the route requires a key and no account holds this one.
+    pub fn authorize(&self, route: &Route, key: &str) -> Result<Option<Arc<Account>>, Refusal> {
+        let Some(accounts) = &self.accounts else {
+            return Ok(None);
+        };
+        match accounts.holder(key) {
+            Some(account) => Ok(Some(account.clone())),
+            None if route.public => Ok(None),
+            None => {
+                let why = format!("no account holds the key in version {}", self.version);
+                Err(Refusal::new(Code::Unauthorized, why))
+            }
+        }
+    }
 }
--- a/crates/engine/src/forwarding.rs
+++ b/crates/engine/src/forwarding.rs
@@ -1,7 +1,7 @@
 //! Forwarding of statements to other proxies: what is sent with a statement, and when the next proxy is
 //! tried.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use dandelionpitch_core::position::Position;
 
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Requirements {
     pub service: String,
+    /// The name of the caller's client account, if it has one.
+    pub account: Option<Arc<str>>,
     /// 0 is the highest priority.
     pub priority: u32,
     /// The remaining part of the route's timeout.
@@ -28,10 +30,16 @@
 }
 
 impl Requirements {
-    /// The requirements of a statement that arrived `waited` ago on `route`.
-    pub fn new(route: &Route, waited: Duration, floor: Option<Position>) -> Self {
+    /// The requirements of a statement of `account` that arrived `waited` ago on `route`.
+    pub fn new(
+        route: &Route,
+        account: Option<Arc<str>>,
+        waited: Duration,
+        floor: Option<Position>,
+    ) -> Self {
         Self {
             service: route.service.clone(),
+            account,
             priority: route.priority,
             timeout: route.timeout.saturating_sub(waited),
             target: route.target.saturating_sub(waited),
@@ -60,6 +68,7 @@
             timeout: requirements.timeout,
             target: requirements.target,
             priority: requirements.priority,
+            public: false,
         }
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -2,6 +2,7 @@
 //! blocks. Callers pass in the time and carry out the returned decisions, so that tests can script
 //! every event (`docs/DESIGN.md`, "Engine").
 
+pub mod account;
 pub mod admission;
 pub mod catalog;
 pub mod commit;
@@ -16,6 +17,7 @@
 pub mod mirror;
 pub mod ownership;
 pub mod placement;
+pub mod quota;
 pub mod refusal;
 pub mod registry;
 pub mod restart;
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -12,6 +12,10 @@
 /// others claimed its share at once. Long enough for a partitioned VM to return or terminate.
 const COUNT_RETENTION: Duration = Duration::from_secs(20);
 
+/// How long a proxy whose entry expired still counts as one that issues quota permits: one that has lost
+/// the store goes on issuing them. Longer than outages of the store or the network usually last.
+const QUOTA_RETENTION: Duration = Duration::from_secs(600);
+
 /// How long statements are still forwarded to a proxy whose entry expired. Entries that expire during an
 /// outage of the store are restored within this time.
 const FORWARDING_RETENTION: Duration = MISSING_TIMEOUT;
@@ -61,8 +65,19 @@
     /// The number of proxies that share the connections; at least one.
     pub fn count(&mut self, now: Moment) -> usize {
         self.seen
-            .retain(|_, member| member.is_retained(COUNT_RETENTION, now));
-        self.seen.len().max(1)
+            .retain(|_, member| member.is_retained(QUOTA_RETENTION, now));
+        let counted = self
+            .seen
+            .values()
+            .filter(|m| m.is_retained(COUNT_RETENTION, now));
+        counted.count().max(1)
+    }
+
+    /// The number of proxies that may issue quota permits; at least one.
+    pub fn quota_count(&self, now: Moment) -> usize {
+        let members = self.seen.values();
+        let issuing = members.filter(|m| m.is_retained(QUOTA_RETENTION, now));
+        issuing.count().max(1)
     }
 
     /// The proxies to which statements can be forwarded, sorted by id.
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -59,6 +59,25 @@
     pub slots: u32,
 }
 
+/// The limit on one proxy's connections to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Statements and transactions run on at most this many at a time.
+    pub in_use: usize,
+    /// Includes idle connections, which are kept for other client accounts.
+    pub open: usize,
+}
+
+impl From<usize> for Share {
+    /// Every open connection may be in use.
+    fn from(limit: usize) -> Self {
+        Self {
+            in_use: limit,
+            open: limit,
+        }
+    }
+}
+
 /// Which proxies hold connections to a group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Allocation {
@@ -97,6 +116,29 @@
     }
 }
 
+impl Allocation {
+    /// The limits per server of a proxy that holds connections, if each connection can run the
+    /// statements of only one client account. Unused connections stay open then, as opening one
+    /// occupies the server for longer than many statements.
+    pub fn share(self, limits: Limits, has_accounts: bool) -> Share {
+        let in_use = self.connections(limits);
+        if !has_accounts {
+            return Share::from(in_use);
+        }
+        let holders = match self {
+            Self::All { members } => members,
+            Self::Owners { per_dc, dcs } => per_dc * dcs,
+        };
+        let kept = share::usable(limits.max_connections) * KEPT_PERCENT / 100;
+        let open = (kept / holders.max(1)).max(in_use);
+        Share { in_use, open }
+    }
+}
+
+/// The part of a server's connections that its owners keep open for different client accounts. The
+/// rest is left for the reasons given at [`BUDGET_DIVISOR`].
+const KEPT_PERCENT: usize = 75;
+
 /// The number of connections per server for all owners together.
 fn budget(limits: Limits) -> usize {
     let useful = limits.slots as usize * share::PER_SLOT;
@@ -239,7 +281,7 @@
 /// All proxies by descending score, which is their order of preference as owners. With weighted
 /// rendezvous hashing, an added or removed proxy moves only its own groups, and proxies own groups in
 /// proportion to their capacity.
-fn rank<'a>(peers: &'a [Peer], service: &str) -> Vec<&'a Peer> {
+pub(crate) fn rank<'a>(peers: &'a [Peer], service: &str) -> Vec<&'a Peer> {
     let scored = peers.iter().map(|peer| (score(peer, service), peer));
     let mut scored: Vec<(f64, &Peer)> = scored.collect();
     scored.sort_by(|a, b| match b.0.total_cmp(&a.0) {
--- /dev/null
+++ b/crates/engine/src/quota.rs
@@ -0,0 +1,487 @@
+//! Limits the operations of each client account over all proxies together (`docs/DESIGN.md`,
+//! "Quotas").
+//!
+//! Every operation uses one permit, which is valid for a short time after it was issued. Each of N proxies
+//! has the right to issue 1/N of an account's permits. It exercises this right itself, or lends it to
+//! another proxy for a limited time, but never both. Whatever proxies believe about each other, the
+//! operations of a window are therefore at most the permits issued in it and shortly before.
+//!
+//! An account's callers use the proxies unevenly, so all proxies lend their rights to a few of them, the
+//! *collectors*, and draw permits from these.
+
+mod permits;
+
+use std::time::Duration;
+
+use dandelionpitch_core::hash::{self, Map};
+
+use crate::{
+    account::{Account, Directory, Limit},
+    ownership::{self, Peer},
+    time::Moment,
+};
+
+pub use permits::{Batch, Permits};
+
+/// The number of collectors. More of them share the work, but each has to ask every proxy.
+const COLLECTORS: usize = 6;
+
+/// How long a proxy lends its right to issue permits, unless the collector asks again.
+pub const LOAN_TERM: Duration = Duration::from_millis(1_200);
+
+/// How long a collector that has stopped asking is preferred to the next one.
+const COLLECTOR_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The interval at which permits are stamped while they are issued.
+const ISSUE_STEP: Duration = Duration::from_millis(100);
+
+/// A proxy draws permits for as many operations as it expects within this time, at most half of
+/// the time for which they are valid.
+const DEMAND_HORIZON: Duration = Duration::from_millis(500);
+
+/// The time constant of the average over recent operations.
+const DEMAND_DECAY: Duration = Duration::from_secs(2);
+
+/// A collector grants at most 1/n of its permits at once, so that many proxies can draw.
+const GRANT_DIVISOR: f64 = 4.0;
+
+/// The bounds of the retry-after of an operation above the limit.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+
+/// Sums of fractions may fall short of a whole permit by a rounding error.
+const ROUNDING: f64 = 1e-4;
+
+/// The part of a limit for which no permits are issued. It covers proxies that know of fewer proxies than
+/// there are, and so issue more.
+const RESERVE: f64 = 0.025;
+
+/// How long a permit is valid at least; long enough to be drawn and used.
+const MIN_LIFETIME: Duration = Duration::from_millis(400);
+
+/// What is tolerated above an account's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// The span over which operations are counted.
+    pub window: Duration,
+    /// The tolerated part of the limit, for example 0.1.
+    pub excess: f64,
+    /// Operations tolerated in addition.
+    pub margin: f64,
+}
+
+impl Tolerance {
+    /// The operations allowed in any window.
+    pub fn allowed(&self, limit: &Limit) -> f64 {
+        self.regular(limit) * (1.0 + self.excess) + self.margin
+    }
+
+    /// The permits issued per second by all proxies together. What a burst adds to a window is issued
+    /// evenly, so that an account that always asks for more gets all that it is allowed.
+    fn rate(&self, limit: &Limit) -> f64 {
+        let longest = self.window + MIN_LIFETIME;
+        let regular = self.regular(limit) / self.window.as_secs_f64();
+        regular.min(self.issued(limit) / longest.as_secs_f64())
+    }
+
+    /// How long a permit is valid: those issued before a window and used in it count too.
+    fn lifetime(&self, limit: &Limit) -> Duration {
+        let rate = self.rate(limit);
+        if rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        let seconds = self.issued(limit) / rate - self.window.as_secs_f64();
+        Duration::from_secs_f64(seconds.clamp(0.0, self.window.as_secs_f64()))
+    }
+
+    /// The permits that may be issued for a window.
+    fn issued(&self, limit: &Limit) -> f64 {
+        self.allowed(limit) * (1.0 - RESERVE)
+    }
+
+    /// The operations of a window within the limit itself.
+    fn regular(&self, limit: &Limit) -> f64 {
+        limit.rate * self.window.as_secs_f64() + limit.burst
+    }
+}
+
+/// Whether an operation may run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// It uses a permit, of which the oldest part was issued at `issued`.
+    Admitted { issued: Moment },
+    /// This proxy has to draw `amount` permits first.
+    Draw { amount: f64 },
+    /// The limit is used up; the caller may retry after `retry_after`.
+    Refused { retry_after: Duration },
+}
+
+/// The right of another proxy to issue permits, lent to this one.
+#[derive(Clone, Copy, Debug)]
+struct Loan {
+    /// The number of proxies among which the lender divides the permits.
+    members: usize,
+    until: Moment,
+}
+
+/// The permits of one account on this proxy.
+#[derive(Debug)]
+struct Balance {
+    /// Permits issued per second by all proxies.
+    rate: f64,
+    lifetime: Duration,
+    permits: Permits,
+    /// The time up to which permits have been issued.
+    issued_until: Moment,
+    /// To which collector this proxy has lent its right, and until when.
+    lent: Option<(String, Moment)>,
+    /// What other proxies have lent to this one, by their ids.
+    loans: Map<String, Loan>,
+    /// The average number of operations per second, as of `counted_at`.
+    demand: f64,
+    counted_at: Moment,
+    /// No permits are drawn before this time.
+    denied_until: Moment,
+}
+
+impl Balance {
+    fn new(rate: f64, lifetime: Duration, now: Moment) -> Self {
+        Self {
+            rate,
+            lifetime,
+            permits: Permits::default(),
+            issued_until: now,
+            lent: None,
+            loans: Map::default(),
+            demand: 0.0,
+            counted_at: now,
+            denied_until: Moment::default(),
+        }
+    }
+
+    /// Issues the permits due until `now`, as one of `members` proxies, and drops expired ones.
+    fn update(&mut self, members: Option<usize>, now: Moment) {
+        let oldest = now - self.lifetime;
+        let mut start = self.issued_until.max(oldest);
+        while start < now {
+            let end = now.min(start + ISSUE_STEP);
+            let amount = self.rate * self.issuing_time(members, start, end);
+            self.permits.add(Batch {
+                issued: start,
+                amount,
+            });
+            start = end;
+        }
+        self.issued_until = self.issued_until.max(now);
+        self.loans.retain(|_, loan| loan.until > now);
+        self.permits.drop_issued_before(oldest);
+    }
+
+    /// The time in seconds from `start` to `end`, multiplied by the part of all permits that this proxy
+    /// has the right to issue.
+    fn issuing_time(&self, members: Option<usize>, start: Moment, end: Moment) -> f64 {
+        let part = |members: usize, from: Moment, until: Moment| {
+            until.since(from).as_secs_f64() / members.max(1) as f64
+        };
+        let lent_until = self.lent.as_ref().map(|(_, until)| *until);
+        let own_start = lent_until.map_or(start, |until| start.max(until));
+        let own = members.map_or(0.0, |members| part(members, own_start, end));
+        let lent = self.loans.values();
+        let lent = lent.map(|loan| part(loan.members, start, end.min(loan.until)));
+        own + lent.sum::<f64>()
+    }
+
+    /// Whether this proxy has lent its right to another collector than `id`.
+    fn is_lent_to_another(&self, id: &str, now: Moment) -> bool {
+        let lent = self.lent.as_ref();
+        lent.is_some_and(|(to, until)| to != id && *until > now)
+    }
+
+    fn count_operation(&mut self, now: Moment) {
+        self.demand = self.demand_at(now) + 1.0 / DEMAND_DECAY.as_secs_f64();
+        self.counted_at = now;
+    }
+
+    /// The expected operations per second.
+    fn demand_at(&self, now: Moment) -> f64 {
+        let passed = now.since(self.counted_at).as_secs_f64();
+        self.demand * (-passed / DEMAND_DECAY.as_secs_f64()).exp()
+    }
+
+    /// The permits that this proxy expects to need soon.
+    fn expected_need(&self, now: Moment) -> f64 {
+        let horizon = DEMAND_HORIZON.min(self.lifetime / 2);
+        self.demand_at(now) * horizon.as_secs_f64()
+    }
+
+    /// When an operation above the limit may be retried: about when the next permit is issued.
+    fn retry_after(&self) -> Duration {
+        let interval = Duration::from_secs_f64(1.0 / self.rate.max(1.0));
+        interval.clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+    }
+}
+
+/// The rights that a proxy lends to a collector.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loans {
+    /// The number of proxies among which the lender divides the permits.
+    pub members: usize,
+    /// The accounts for which it lends its right.
+    pub accounts: Vec<String>,
+}
+
+/// The permits of all accounts on this proxy.
+#[derive(Debug)]
+pub struct Ledger {
+    tolerance: Tolerance,
+    /// The id of this proxy.
+    own: String,
+    /// The number of proxies, if this one has been registered for long enough to issue permits.
+    members: Option<usize>,
+    /// The number of proxies that issue permits; `None` while this one issues none.
+    issuers: Option<usize>,
+    balances: Map<String, Balance>,
+    /// The ids of the collectors.
+    collectors: Vec<String>,
+    /// When each collector last asked this proxy for its rights.
+    collected_at: Map<String, Moment>,
+    /// When this process started.
+    started_at: Moment,
+}
+
+impl Ledger {
+    /// A ledger without accounts, of a process of the proxy `own` that starts at `now`.
+    pub fn new(own: &str, tolerance: Tolerance, now: Moment) -> Self {
+        Self {
+            own: own.to_owned(),
+            started_at: now,
+            issuers: None,
+            tolerance,
+            members: None,
+            balances: Map::default(),
+            collectors: Vec::new(),
+            collected_at: Map::default(),
+        }
+    }
+
+    /// Applies the accounts and limits of a configuration.
+    pub fn configure(&mut self, accounts: &Directory, now: Moment) {
+        self.balances.retain(|name, _| accounts.get(name).is_some());
+        for account in accounts.iter() {
+            let rate = self.tolerance.rate(&account.limit);
+            let lifetime = self.tolerance.lifetime(&account.limit);
+            let members = self.issuers;
+            let balance = self.balance(account, now);
+            if (balance.rate, balance.lifetime) != (rate, lifetime) {
+                balance.update(members, now);
+                if rate < balance.rate {
+                    balance.permits.scale(rate / balance.rate);
+                }
+                balance.rate = rate;
+                balance.lifetime = lifetime;
+            }
+        }
+    }
+
+    /// Sets how many proxies issue permits, `None` if this one must not, and which proxies there are.
+    pub fn set_members(&mut self, members: Option<usize>, peers: &[Peer], now: Moment) {
+        self.members = members;
+        self.collectors = collectors(peers);
+        self.collected_at
+            .retain(|id, _| self.collectors.contains(id));
+        self.update_issuers(now);
+    }
+
+    /// Whether this proxy is a collector.
+    pub fn is_collector(&self) -> bool {
+        self.collectors.contains(&self.own)
+    }
+
+    /// Whether there are any accounts.
+    pub fn is_empty(&self) -> bool {
+        self.balances.is_empty()
+    }
+
+    /// Decides on an operation that has not been counted yet.
+    pub fn admit(&mut self, account: &Account, now: Moment) -> Decision {
+        self.balance(account, now).count_operation(now);
+        self.retry(account, now)
+    }
+
+    /// Decides again, for example once permits were drawn.
+    pub fn retry(&mut self, account: &Account, now: Moment) -> Decision {
+        let members = self.issuers;
+        let balance = self.balance(account, now);
+        balance.update(members, now);
+        let total = balance.permits.total();
+        if total >= 1.0 - ROUNDING {
+            let issued = balance.permits.take(1.0).first().map_or(now, |b| b.issued);
+            return Decision::Admitted { issued };
+        }
+        if now < balance.denied_until {
+            let retry_after = balance.retry_after();
+            return Decision::Refused { retry_after };
+        }
+        let amount = balance.expected_need(now).max(1.0) - total;
+        Decision::Draw { amount }
+    }
+
+    /// Gives back the permit of an operation that did not run.
+    pub fn refund(&mut self, account: &str, issued: Moment) {
+        self.credit(
+            account,
+            &[Batch {
+                issued,
+                amount: 1.0,
+            }],
+        );
+    }
+
+    /// Adds permits that were issued by other proxies.
+    pub fn credit(&mut self, account: &str, batches: &[Batch]) {
+        if let Some(balance) = self.balances.get_mut(account) {
+            batches.iter().for_each(|batch| balance.permits.add(*batch));
+        }
+    }
+
+    /// Records that no collector grants permits of `account` for now.
+    pub fn deny(&mut self, account: &str, now: Moment) -> Duration {
+        let Some(balance) = self.balances.get_mut(account) else {
+            return RETRY_AFTER.0;
+        };
+        balance.denied_until = now + RETRY_AFTER.0;
+        balance.retry_after()
+    }
+
+    /// Takes up to `amount` permits of `account` for another proxy; the newest, as others could expire
+    /// before they are used.
+    pub fn grant(&mut self, account: &str, amount: f64, now: Moment) -> Vec<Batch> {
+        let members = self.issuers;
+        let Some(balance) = self.balances.get_mut(account) else {
+            return Vec::new();
+        };
+        balance.update(members, now);
+        let total = balance.permits.total();
+        if total < 1.0 - ROUNDING {
+            return Vec::new();
+        }
+        let limit = (total / GRANT_DIVISOR).max(1.0);
+        balance.permits.take_newest(amount.min(limit))
+    }
+
+    /// Lends this proxy's rights to the collector `id`, for the accounts for which it is this proxy's
+    /// choice. A right that is lent to another collector stays there until that loan ends.
+    pub fn lend(&mut self, id: &str, now: Moment) -> Loans {
+        self.collected_at.insert(id.to_owned(), now);
+        self.update_issuers(now);
+        let Some(members) = self.issuers else {
+            return Loans {
+                members: 1,
+                accounts: Vec::new(),
+            };
+        };
+        let names = self.balances.keys();
+        let chosen = names.filter(|name| self.choice(name, now) == Some(id));
+        let mut accounts: Vec<String> = chosen.cloned().collect();
+        accounts.retain(|name| match self.balances.get_mut(name) {
+            Some(balance) if !balance.is_lent_to_another(id, now) => {
+                balance.update(Some(members), now);
+                balance.lent = Some((id.to_owned(), now + LOAN_TERM));
+                true
+            }
+            _ => false,
+        });
+        Loans { members, accounts }
+    }
+
+    /// Accepts the rights that `lender` lent in its answer to a request sent at `asked`. They end
+    /// `LOAN_TERM` after that, as the answer may have been given at any time since. What the lender
+    /// lent before ends now: it may have restarted, and know nothing of it.
+    pub fn accept(&mut self, lender: &str, loans: &Loans, asked: Moment, now: Moment) {
+        let own_members = self.issuers;
+        for balance in self.balances.values_mut() {
+            if balance.loans.contains_key(lender) {
+                balance.update(own_members, now);
+                balance.loans.remove(lender);
+            }
+        }
+        let loan = Loan {
+            members: loans.members,
+            until: asked + LOAN_TERM,
+        };
+        for account in &loans.accounts {
+            if let Some(balance) = self.balances.get_mut(account) {
+                balance.update(own_members, now);
+                balance.loans.insert(lender.to_owned(), loan);
+            }
+        }
+    }
+
+    /// Updates whether this proxy issues permits.
+    ///
+    /// The rights that an earlier process of this proxy has lent must not be exercised here as well. They
+    /// have ended once each collector has asked this process, or the term of a loan has passed.
+    fn update_issuers(&mut self, now: Moment) {
+        let has_asked = |id: &String| *id == self.own || self.collected_at.contains_key(id);
+        let is_cleared =
+            now >= self.started_at + LOAN_TERM || self.collectors.iter().all(has_asked);
+        let issuers = self.members.filter(|_| is_cleared);
+        if self.issuers == issuers {
+            return;
+        }
+        for balance in self.balances.values_mut() {
+            balance.update(self.issuers, now);
+        }
+        self.issuers = issuers;
+    }
+
+    /// The collector from which this proxy draws permits of `account`: the one that has its right, or
+    /// else its choice.
+    pub fn collector(&self, account: &str, now: Moment) -> Option<&str> {
+        let balance = self.balances.get(account);
+        let lent = balance.and_then(|balance| balance.lent.as_ref());
+        match lent {
+            Some((to, until)) if *until > now => Some(to),
+            _ => self.choice(account, now),
+        }
+    }
+
+    /// The first collector in the account's order of preference that is this proxy itself or has asked
+    /// it for its rights recently.
+    fn choice(&self, account: &str, now: Moment) -> Option<&str> {
+        let is_live = |id: &&String| {
+            let asked = self.collected_at.get(*id);
+            **id == self.own || asked.is_some_and(|at| now.since(*at) < COLLECTOR_TIMEOUT)
+        };
+        let live = self.collectors.iter().filter(is_live);
+        let preference = |id: &&String| hash::stable_hash(&(account, id.as_str()));
+        live.max_by_key(preference).map(String::as_str)
+    }
+
+    fn balance(&mut self, account: &Account, now: Moment) -> &mut Balance {
+        let Account { name, limit } = account;
+        if !self.balances.contains_key(name) {
+            let rate = self.tolerance.rate(limit);
+            let balance = Balance::new(rate, self.tolerance.lifetime(limit), now);
+            self.balances.insert(name.clone(), balance);
+        }
+        self.balances
+            .get_mut(name)
+            .expect("the balance was inserted above")
+    }
+}
+
+/// The ids of the collectors: the proxies with the highest scores, of each data centre in turn, so that
+/// some are left if one is partitioned.
+fn collectors(peers: &[Peer]) -> Vec<String> {
+    let mut of_dc: Map<&str, usize> = Map::default();
+    let mut ranked: Vec<(usize, &Peer)> = Vec::new();
+    for peer in ownership::rank(peers, "quota") {
+        let place = of_dc.entry(&peer.dc).or_default();
+        ranked.push((*place, peer));
+        *place += 1;
+    }
+    // Stable, so that the order of scores remains within a place.
+    ranked.sort_by_key(|(place, _)| *place);
+    let chosen = ranked.into_iter().take(COLLECTORS);
+    chosen.map(|(_, peer)| peer.id.clone()).collect()
+}
--- a/crates/engine/src/refusal.rs
+++ b/crates/engine/src/refusal.rs
@@ -25,6 +25,8 @@
     Failed,
     /// No route exists for the database name.
     NoDatabase,
+    /// No client account holds the caller's key.
+    Unauthorized,
     /// No such prepared statement; the statement was not run.
     NoStatement,
     /// The statement is malformed, or not allowed in the session's state.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use dandelionpitch_engine::quota::Tolerance;
 use serde::Deserialize;
 
 use crate::error::Error;
@@ -82,6 +83,30 @@
     /// The bandwidth of the VM's network link, in megabits per second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// The span over which the operations of a client account are counted.
+    #[serde(default = "default_quota_window", with = "humantime_serde")]
+    pub quota_window: Duration,
+    /// The part of an account's limit that is tolerated above it.
+    #[serde(default)]
+    pub quota_excess: f64,
+    /// The number of operations that are tolerated above it.
+    #[serde(default)]
+    pub quota_margin: f64,
+}
+
+impl Line {
+    /// What is tolerated above a client account's limit.
+    pub fn tolerance(&self) -> Tolerance {
+        Tolerance {
+            window: self.quota_window,
+            excess: self.quota_excess,
+            margin: self.quota_margin,
+        }
+    }
+}
+
+fn default_quota_window() -> Duration {
+    Duration::from_secs(5)
 }
 
 fn default_config_within() -> Duration {
@@ -199,6 +224,11 @@
         line.map_or(Duration::MAX, |line| line.config_within)
     }
 
+    fn quota_window(&self) -> Duration {
+        let line = self.line.as_ref();
+        line.map_or(Duration::MAX, |line| line.quota_window)
+    }
+
     /// Rejects zero durations: a loop with a zero polling interval would spin.
     fn validate(&self) -> Result<(), Error> {
         let positive = [
@@ -212,6 +242,7 @@
             ("failover.step_timeout", self.failover.step_timeout),
             ("line.grace", self.grace()),
             ("line.config_within", self.config_within()),
+            ("line.quota_window", self.quota_window()),
         ];
         match positive.iter().find(|(_, value)| value.is_zero()) {
             Some((key, _)) => Err(Error::OutOfRange(format!("{key}: must be above zero"))),
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -14,6 +14,7 @@
 pub mod mirror;
 pub mod operator;
 pub mod peers;
+pub mod quota;
 pub mod reachability;
 pub mod records;
 pub mod restart;
@@ -100,12 +101,14 @@
         isolation,
         failure_signal: failure_signal.clone(),
         records,
+        quota: quota::Quota::new(&config.id, line.tolerance()),
         mirror,
         open_count: Rc::default(),
     });
     let isolation_check = isolation::run(shared.clone(), failure_signal, publish_isolation);
     tokio::task::spawn_local(isolation_check);
     tokio::task::spawn_local(shared.clone().apply_views(view));
+    tokio::task::spawn_local(quota::run(shared.clone()));
     tokio::task::spawn_local(stop::watch_settings(config.clone()));
     if let Some(listener) = peers {
         tokio::task::spawn_local(accept_peers(listener, shared.clone()));
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -13,6 +13,7 @@
 
 use dandelionpitch_engine::{
     admission::Mean,
+    ownership::Share,
     placement::Candidate,
     registry::{Entry, Server},
     restart::Detector,
@@ -27,7 +28,7 @@
 
 use crate::{
     line::{
-        backend::pool::{Pool, Rank, Request},
+        backend::pool::{Client, Pool, Rank, Request},
         clock,
         reachability::{self, FailureSignal},
         restart,
@@ -92,7 +93,7 @@
     /// Creates a server with a pool of at most `limit` connections.
     pub fn new(
         entry: &Entry,
-        limit: usize,
+        limit: Share,
         failure_signal: FailureSignal,
         metrics: Metrics,
     ) -> Rc<Self> {
@@ -109,6 +110,7 @@
     /// connections. The kernel of its VM accepts connections even when the process is busy, so the
     /// short connect timeout detects only an unreachable VM.
     pub fn peer(entry: &Entry, limit: usize, metrics: Metrics) -> Rc<Self> {
+        let limit = Share::from(limit);
         let pool = Pool::new(entry.server.clone(), limit, PEER_CONNECT_TIMEOUT, metrics);
         Self::with_pool(
             entry,
@@ -285,7 +287,12 @@
                 priority: HIGHEST_PRIORITY,
                 due: deadline,
             };
-            let acquiring = self.pool.checkout(&variables, Request { rank, deadline });
+            let request = Request {
+                client: Client::Proxy,
+                rank,
+                deadline,
+            };
+            let acquiring = self.pool.checkout(&variables, request);
             let Ok(mut checkout) = acquiring.await else {
                 return Err(Error::Timeout);
             };
--- a/crates/proxy/src/line/backend/connection.rs
+++ b/crates/proxy/src/line/backend/connection.rs
@@ -1,6 +1,8 @@
 //! An open connection to a backend server and the session state set on it: variables and prepared
 //! statements.
 
+use std::sync::Arc;
+
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     session::{Execution, Session, Variables},
@@ -11,10 +13,14 @@
     Error,
 };
 
+use crate::line::backend::pool::Client;
+
 /// An open connection and its session state.
 #[derive(Debug)]
 pub struct Connection {
     pub link: Link,
+    /// The client account that the server knows for it; `None` on connections to other proxies.
+    account: Option<Arc<str>>,
     /// The session variables that are set on it.
     pub variables: Variables,
     /// The statements prepared on it and their names there.
@@ -35,10 +41,19 @@
         }
     }
 
+    /// Whether it may be used for `client`.
+    pub fn is_usable_by(&self, client: &Client) -> bool {
+        match client {
+            Client::Proxy => true,
+            Client::Account(account) => *account == self.account,
+        }
+    }
+
     /// Wraps a newly opened connection, on which nothing is set.
-    pub fn new(link: Link) -> Self {
+    pub fn new(link: Link, account: Option<Arc<str>>) -> Self {
         Self {
             link,
+            account,
             variables: Variables::default(),
             prepared: Map::default(),
             is_dirty: false,
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -14,7 +14,8 @@
 };
 
 use dandelionpitch_engine::{
-    admission::Mean, refusal::Code, registry::Server, session::Variables, time::Moment,
+    admission::Mean, ownership::Share, refusal::Code, registry::Server, session::Variables,
+    time::Moment,
 };
 use dandelionpitch_platform::{backend::Link, Error as LinkError};
 use tokio::sync::oneshot;
@@ -47,9 +48,29 @@
     pub due: Moment,
 }
 
+/// For whom a connection is wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Client {
+    /// The proxy itself, which may use any connection.
+    Proxy,
+    /// A client account, or callers without one.
+    Account(Option<Arc<str>>),
+}
+
+impl Client {
+    /// The account that the server is told when a connection is opened.
+    fn account(&self) -> Option<Arc<str>> {
+        match self {
+            Self::Proxy => None,
+            Self::Account(account) => account.clone(),
+        }
+    }
+}
+
 /// A request for a connection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Request {
+    pub client: Client,
     pub rank: Rank,
     /// When the statement times out.
     pub deadline: Moment,
@@ -78,6 +99,7 @@
 }
 
 struct Waiter {
+    client: Client,
     rank: Rank,
     deadline: Moment,
     grant: oneshot::Sender<Grant>,
@@ -85,6 +107,7 @@
 
 #[derive(Default)]
 struct State {
+    /// Those that have been idle the longest come first.
     idle: Vec<Connection>,
     /// The number of connections that are open or being opened.
     open: usize,
@@ -95,12 +118,37 @@
     closed: bool,
 }
 
+impl State {
+    /// The number of connections that are in use or being opened.
+    fn in_use(&self) -> usize {
+        self.open - self.idle.len()
+    }
+
+    /// Whether a connection is idle that may be used for `client`.
+    fn has_idle(&self, client: &Client) -> bool {
+        self.idle.iter().any(|idle| idle.is_usable_by(client))
+    }
+
+    /// Closes the connection that has been idle the longest; returns `false` if none is idle.
+    fn close_oldest(&mut self) -> bool {
+        if self.idle.is_empty() {
+            return false;
+        }
+        self.idle.remove(0);
+        self.open -= 1;
+        true
+    }
+}
+
 /// The connection pool of one server.
+///
+/// A server is told the client account on each connection, so the connections of one account cannot
+/// run the statements of another. To reuse connections nevertheless, more may be open than in use.
 pub struct Pool {
     server: Arc<Server>,
     metrics: Metrics,
     state: RefCell<State>,
-    limit: Cell<usize>,
+    limit: Cell<Share>,
     /// Timeout for the server's VM to accept a connection.
     connect_timeout: Duration,
     /// The mean time for which a connection is held.
@@ -110,11 +158,11 @@
 }
 
 impl Pool {
-    /// Creates an empty pool of at most `limit` connections. `connect_timeout` is the timeout for
+    /// Creates an empty pool with this `limit` on its connections. `connect_timeout` is the timeout for
     /// establishing a TCP connection.
     pub fn new(
         server: Arc<Server>,
-        limit: usize,
+        limit: Share,
         connect_timeout: Duration,
         metrics: Metrics,
     ) -> Rc<Self> {
@@ -129,24 +177,27 @@
         })
     }
 
-    /// Changes the maximum number of connections; excess idle connections are closed.
-    pub fn set_limit(&self, limit: usize) {
+    /// Changes the limit on the connections; excess idle connections are closed.
+    pub fn set_limit(&self, limit: Share) {
         self.limit.set(limit);
         let mut state = self.state.borrow_mut();
-        while state.open > limit && state.idle.pop().is_some() {
-            state.open -= 1;
-        }
+        while state.open > limit.open && state.close_oldest() {}
     }
 
-    /// The maximum number of connections.
+    /// The maximum number of connections in use.
     pub fn limit(&self) -> usize {
-        self.limit.get()
+        self.limit.get().in_use
+    }
+
+    /// Whether a statement of `client` would need a new connection.
+    pub fn lacks_connection(&self, client: &Client) -> bool {
+        !self.state.borrow().has_idle(client)
     }
 
     /// The number of statements that have a connection or wait for one.
     pub fn pending(&self) -> usize {
         let state = self.state.borrow();
-        state.open - state.idle.len() + state.waiting.len()
+        state.in_use() + state.waiting.len()
     }
 
     /// Whether opening a connection failed recently and no other connection is open.
@@ -198,12 +249,14 @@
         request: Request,
     ) -> Result<Checkout, Error> {
         let left = clock::now().until(request.deadline);
-        if let Some(connection) = self.take_idle(variables) {
-            return Ok(self.new_checkout(connection));
+        let client = request.client.clone();
+        if self.may_use_another() {
+            if let Some(connection) = self.take_idle(&client, variables) {
+                return Ok(self.new_checkout(connection));
+            }
         }
-        if self.can_open() {
-            self.state.borrow_mut().open += 1;
-            match self.open(Permit::new(self.clone()), left).await {
+        if let Some(permit) = self.permit_to_open() {
+            match self.open(permit, client.account(), left).await {
                 // The server accepts no more connections: wait for one of the open ones.
                 Err(Error::TooManyConnections) if self.state.borrow().open > 0 => {}
                 opened => return opened,
@@ -211,26 +264,41 @@
         }
         match self.wait(request).await? {
             Grant::Connection(checkout) => Ok(checkout),
-            Grant::Permit(permit) => self.open(permit, left).await,
+            Grant::Permit(permit) => self.open(permit, client.account(), left).await,
             Grant::Refused { retry_after } => Err(Error::Refused { retry_after }),
         }
     }
 
-    fn can_open(&self) -> bool {
-        let state = self.state.borrow();
-        let limit = self.limit.get();
-        state.open < limit && !state.closed && clock::now() >= self.backoff_until.get()
+    /// Whether the limit allows one more connection in use.
+    fn may_use_another(&self) -> bool {
+        self.state.borrow().in_use() < self.limit.get().in_use
+    }
+
+    /// A permit to open a connection, if the limits allow one now. An idle connection of another
+    /// account is closed for it if necessary.
+    fn permit_to_open(self: &Rc<Self>) -> Option<Permit> {
+        if !self.may_use_another() || clock::now() < self.backoff_until.get() {
+            return None;
+        }
+        let mut state = self.state.borrow_mut();
+        if state.closed || (state.open >= self.limit.get().open && !state.close_oldest()) {
+            return None;
+        }
+        state.open += 1;
+        Some(Permit::new(self.clone()))
     }
 
-    /// Takes the idle connection with the lowest setup cost, preferring the most recently used one.
-    /// Removes connections that are closed or have unread data.
-    fn take_idle(&self, variables: &Variables) -> Option<Box<Connection>> {
+    /// Takes the idle connection for `client` with the lowest setup cost, preferring the most recently
+    /// used one. Removes connections that are closed or have unread data.
+    fn take_idle(&self, client: &Client, variables: &Variables) -> Option<Box<Connection>> {
         let mut state = self.state.borrow_mut();
         loop {
             let setup_cost = |(index, connection): &(usize, &Connection)| {
                 (connection.setup_cost(variables), std::cmp::Reverse(*index))
             };
-            let cheapest = state.idle.iter().enumerate().min_by_key(setup_cost);
+            let usable = state.idle.iter().enumerate();
+            let usable = usable.filter(|(_, idle)| idle.is_usable_by(client));
+            let cheapest = usable.min_by_key(setup_cost);
             let Some((index, _)) = cheapest else { break };
             let connection = state.idle.remove(index);
             state.min_idle = state.min_idle.min(state.idle.len());
@@ -250,20 +318,31 @@
         }
     }
 
-    /// Opens a connection with `permit`, within at most `left`.
-    async fn open(self: &Rc<Self>, permit: Permit, left: Duration) -> Result<Checkout, Error> {
+    /// Opens a connection for `account` with `permit`, within at most `left`.
+    async fn open(
+        self: &Rc<Self>,
+        permit: Permit,
+        account: Option<Arc<str>>,
+        left: Duration,
+    ) -> Result<Checkout, Error> {
         if self.state.borrow().closed {
             return Err(Error::Unreachable);
         }
         let server = &self.server;
         let (address, id) = (server.address, server.id());
-        let connect = Link::open_with_timeout(self.connect_timeout, address, &server.service, id);
+        let connect = Link::open_with_timeout(
+            self.connect_timeout,
+            address,
+            &server.service,
+            account.as_deref(),
+            id,
+        );
         let limit = OPEN_TIMEOUT.min(left);
         let (error, why, backoff) = match tokio::time::timeout(limit, connect).await {
             Ok(Ok(link)) => {
                 permit.forget();
                 self.metrics.connection(&server.service);
-                return Ok(self.new_checkout(Box::new(Connection::new(link))));
+                return Ok(self.new_checkout(Box::new(Connection::new(link, account))));
             }
             Ok(Err(LinkError::Refused(refusal))) if refusal.code == Code::TooManyConnections => {
                 (Error::TooManyConnections, refusal.to_string(), FULL_BACKOFF)
--- a/crates/proxy/src/line/backend/pool/checkout.rs
+++ b/crates/proxy/src/line/backend/pool/checkout.rs
@@ -40,12 +40,8 @@
         if !self.is_held {
             return;
         }
-        let mut state = self.pool.state.borrow_mut();
-        state.open -= 1;
-        // No connection is left to wait for: dropping the senders fails the waiting statements at once.
-        if state.open == 0 {
-            state.waiting.clear();
-        }
+        self.pool.state.borrow_mut().open -= 1;
+        self.pool.fail_waiting_if_unused();
     }
 }
 
@@ -65,7 +61,7 @@
     pub fn release(mut self) {
         if let Some(connection) = self.connection.take() {
             self.pool.record_hold(self.checked_out_at);
-            self.pool.return_connection(connection);
+            self.pool.return_connection(*connection);
         }
     }
 }
--- a/crates/proxy/src/line/backend/pool/queue.rs
+++ b/crates/proxy/src/line/backend/pool/queue.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
-use dandelionpitch_engine::admission::{self, Decision, Queue, Queued, Selection};
+use dandelionpitch_engine::{
+    admission::{self, Decision, Queue, Queued, Selection},
+    session::Variables,
+};
 use tokio::sync::oneshot;
 
-use super::{checkout::Permit, Error, Grant, Pool, Request, Waiter};
+use super::{checkout::Permit, Client, Error, Grant, Pool, Request, Waiter};
 use crate::line::{backend::connection::Connection, clock};
 
 impl Pool {
@@ -13,19 +16,24 @@
     /// request, no connection is open, or the deadline passes.
     pub(super) async fn wait(&self, request: Request) -> Result<Grant, Error> {
         let (grant, granted) = oneshot::channel();
-        let Request { rank, deadline } = request;
+        let Request {
+            client,
+            rank,
+            deadline,
+        } = request;
         let now = clock::now();
         let left = now.until(deadline);
         {
             let mut state = self.state.borrow_mut();
-            if state.closed || state.open == 0 {
+            // Only connections in use are returned, and then granted to those that wait.
+            if state.closed || state.in_use() == 0 {
                 return Err(Error::Unreachable);
             }
             let before = |waiter: &Waiter| waiter.rank <= rank && !waiter.grant.is_closed();
             let ahead = state.waiting.iter().filter(|waiter| before(waiter)).count();
             let queue = Queue {
                 waiting: ahead,
-                connections: state.open,
+                connections: state.in_use(),
                 hold: self.hold.get().value(),
             };
             if let Decision::Refuse { retry_after } =
@@ -39,6 +47,7 @@
                 .position(|waiter| waiter.rank > rank)
                 .unwrap_or(state.waiting.len());
             let waiter = Waiter {
+                client,
                 rank,
                 deadline,
                 grant,
@@ -55,43 +64,83 @@
         }
     }
 
-    /// Passes a returned connection to the next waiting statement, or makes it idle.
-    pub(super) fn return_connection(self: &Rc<Self>, connection: Box<Connection>) {
-        let mut grant = Grant::Connection(self.new_checkout(connection));
-        while let Some(waiter) = self.next_waiter() {
-            match waiter.grant.send(grant) {
-                Ok(()) => return,
-                Err(returned) => grant = returned,
-            }
-        }
-        if let Grant::Connection(mut checkout) = grant {
+    /// Makes a returned connection idle and serves the next waiting statement.
+    pub(super) fn return_connection(self: &Rc<Self>, connection: Connection) {
+        {
             let mut state = self.state.borrow_mut();
-            match checkout.connection.take() {
-                Some(connection) if !state.closed && state.open <= self.limit.get() => {
-                    state.idle.push(*connection);
-                }
-                _ => state.open -= 1,
+            match !state.closed && state.open <= self.limit.get().open {
+                true => state.idle.push(connection),
+                false => state.open -= 1,
             }
         }
+        self.serve_waiting();
     }
 
-    /// Passes the permit of a closed connection to the next waiting statement, or returns it.
+    /// Returns the permit of a closed connection and serves the next waiting statement.
     pub(super) fn return_permit(self: &Rc<Self>) {
-        let mut grant = Grant::Permit(Permit::new(self.clone()));
-        while let Some(waiter) = self.next_waiter() {
-            match waiter.grant.send(grant) {
-                Ok(()) => return,
-                Err(returned) => grant = returned,
+        self.state.borrow_mut().open -= 1;
+        self.serve_waiting();
+        self.fail_waiting_if_unused();
+    }
+
+    /// Grants idle connections, and permits to open others, to the statements that wait.
+    fn serve_waiting(self: &Rc<Self>) {
+        while self.may_use_another() {
+            let Some(waiter) = self.next_waiter() else {
+                return;
+            };
+            let Some(grant) = self.grant_for(&waiter.client) else {
+                // Dropping the sender tells the statement that the server is unreachable.
+                continue;
+            };
+            if let Err(grant) = waiter.grant.send(grant) {
+                self.take_back(grant);
             }
         }
-        // Not granted: dropping the permit returns it.
+    }
+
+    /// An idle connection for `client`, or a permit to open one. Ignores the backoff, as the server
+    /// has just answered on another connection.
+    fn grant_for(self: &Rc<Self>, client: &Client) -> Option<Grant> {
+        if let Some(connection) = self.take_idle(client, &Variables::default()) {
+            return Some(Grant::Connection(self.new_checkout(connection)));
+        }
+        let mut state = self.state.borrow_mut();
+        if state.open >= self.limit.get().open && !state.close_oldest() {
+            return None;
+        }
+        state.open += 1;
+        Some(Grant::Permit(Permit::new(self.clone())))
+    }
+
+    /// Takes back the grant of a statement that has stopped waiting.
+    fn take_back(&self, grant: Grant) {
+        let mut state = self.state.borrow_mut();
+        match grant {
+            Grant::Connection(mut checkout) => {
+                state.idle.extend(checkout.connection.take().map(|c| *c));
+            }
+            Grant::Permit(permit) => {
+                permit.forget();
+                state.open -= 1;
+            }
+            Grant::Refused { .. } => {}
+        }
+    }
+
+    /// Fails the waiting statements if no connection is in use: none will be returned.
+    pub(super) fn fail_waiting_if_unused(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.in_use() == 0 {
+            state.waiting.clear();
+        }
     }
 
     /// Removes and returns the next statement to get a connection; `None` if no one waits or the pool is
-    /// closed or above its limit. Refuses statements that cannot finish before their deadline.
+    /// closed. Refuses statements that cannot finish before their deadline.
     fn next_waiter(&self) -> Option<Waiter> {
         let mut state = self.state.borrow_mut();
-        if state.closed || state.open > self.limit.get() {
+        if state.closed {
             return None;
         }
         let hold = self.hold.get().value();
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -359,6 +359,7 @@
             servers,
             voters: records.iter().map(voters_of).collect(),
             proxy_count: count,
+            quota_members: members.quota_count(now),
             peers,
             ownership: Map::default(),
         };
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -17,7 +17,7 @@
 use dandelionpitch_engine::{
     catalog::Service,
     freshness::{Lease, Watermark, Watermarks},
-    ownership::{self, Allocation, Limits},
+    ownership::{self, Allocation, Limits, Share},
     placement,
     registry::{Entry, Incarnation, Role},
     time::Moment,
@@ -108,14 +108,15 @@
         })
     }
 
-    /// Applies the servers of a new view. `voters` are those that count for promotions, if known. A
+    /// Applies the servers of a new view, of which this proxy has a share by `allocation`, and whether
+    /// callers have client accounts. `voters` are those that count for promotions, if known. A
     /// search for the leader becomes due if servers or their registered roles have changed, or if the
     /// leader is not registered as a primary.
     pub fn update(
         self: &Rc<Self>,
         entries: &[Entry],
         service: &Service,
-        allocation: Allocation,
+        (allocation, has_accounts): (Allocation, bool),
         voters: Option<&[Incarnation]>,
     ) {
         self.sync_replicas.set(service.sync_replicas as usize);
@@ -128,8 +129,8 @@
                 slots: entry.server.slots,
             };
             let limit = match self.owned.get() {
-                true => allocation.connections(limits),
-                false => ownership::NON_OWNER_CONNECTIONS,
+                true => allocation.share(limits, has_accounts),
+                false => Share::from(ownership::NON_OWNER_CONNECTIONS),
             };
             let same = |backend: &&Rc<Backend>| {
                 backend.server.incarnation == entry.server.incarnation
@@ -198,7 +199,7 @@
         }
     }
 
-    fn new_backend(&self, entry: &Entry, limit: usize) -> Rc<Backend> {
+    fn new_backend(&self, entry: &Entry, limit: Share) -> Rc<Backend> {
         Backend::new(
             entry,
             limit,
--- a/crates/proxy/src/line/peers.rs
+++ b/crates/proxy/src/line/peers.rs
@@ -114,6 +114,18 @@
             .for_each(|peer| peer.pool.shrink(MAX_IDLE_CONNECTIONS));
     }
 
+    /// The other proxy with this id.
+    pub fn get(&self, id: &str) -> Option<Rc<Backend>> {
+        self.backends.borrow().get(id).cloned()
+    }
+
+    /// The other proxies that are not known to be unreachable.
+    pub fn reachable(&self) -> Vec<Rc<Backend>> {
+        let backends = self.backends.borrow();
+        let reachable = backends.values().filter(|peer| !peer.is_down());
+        reachable.cloned().collect()
+    }
+
     /// Whether this proxy runs the group's statements itself instead of forwarding them.
     pub fn owns(&self, name: &str) -> bool {
         !matches!(self.plans.borrow().get(name), Some(Plan::Forward { .. }))
--- /dev/null
+++ b/crates/proxy/src/line/quota.rs
@@ -0,0 +1,299 @@
+//! Applies [`engine::quota`]: admits callers' operations, draws permits from collectors, and gathers them
+//! if this proxy is one.
+//!
+//! [`engine::quota`]: dandelionpitch_engine::quota
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use dandelionpitch_core::hash::Map;
+use dandelionpitch_engine::{
+    account::Account,
+    catalog::Catalog,
+    quota::{Decision, Ledger, Tolerance, LOAN_TERM},
+    session::Variables,
+    time::Moment,
+};
+use dandelionpitch_platform::{
+    backend::Query,
+    quota::{read_batches, read_loans, write_batches, write_loans, Request},
+    Error,
+};
+use serde_json::json;
+use tokio::sync::Mutex;
+
+use crate::line::{
+    backend::{
+        pool::{self, Client, Rank},
+        Backend,
+    },
+    clock, journal,
+    shared::Shared,
+    view::View,
+};
+
+/// Timeout for another proxy to answer a request for permits.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// A collector asks each proxy this many times while a loan lasts, so that one lost answer ends no loan.
+const COLLECTS_PER_LOAN: u32 = 3;
+
+/// The interval at which a proxy checks whether it is a collector.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long a proxy that was not registered before waits until it issues permits: by then the others
+/// have received its registration, and issue fewer.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// Accounts whose refusals are logged one by one within [`LOG_INTERVAL`], so that a caller far above its
+/// limit does not fill the log.
+const MAX_LOGGED_REFUSALS: u32 = 5;
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The quotas as this proxy applies them.
+pub struct Quota {
+    ledger: RefCell<Ledger>,
+    /// One draw at a time for each account.
+    draws: RefCell<Map<String, Rc<Mutex<()>>>>,
+    catalog: RefCell<Option<Arc<Catalog>>>,
+    /// When this proxy found its own registration.
+    registered_at: Cell<Option<Moment>>,
+    has_view: Cell<bool>,
+    logged: Cell<(Moment, u32)>,
+}
+
+/// An operation above its account's limit.
+pub struct Exceeded {
+    pub retry_after: Duration,
+}
+
+impl Quota {
+    pub fn new(own: &str, tolerance: Tolerance) -> Self {
+        Self {
+            ledger: RefCell::new(Ledger::new(own, tolerance, clock::now())),
+            draws: RefCell::default(),
+            catalog: RefCell::default(),
+            registered_at: Cell::default(),
+            has_view: Cell::default(),
+            logged: Cell::default(),
+        }
+    }
+
+    /// Applies a new view; `own` is the id of this proxy.
+    pub fn update(&self, view: &View, own: &str) {
+        let now = clock::now();
+        let is_registered = view.peers.iter().any(|peer| peer.id == own);
+        if is_registered && self.registered_at.get().is_none() {
+            // An entry in the first list is that of this proxy's previous process.
+            let settled = match self.has_view.get() {
+                true => now + SETTLE_TIME,
+                false => now,
+            };
+            self.registered_at.set(Some(settled));
+        }
+        self.has_view.set(true);
+        let issues = self.registered_at.get().is_some_and(|at| now >= at);
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.set_members(issues.then_some(view.quota_members), &view.peers, now);
+        let Some(catalog) = &view.catalog else {
+            return;
+        };
+        let mut applied = self.catalog.borrow_mut();
+        let is_applied = applied
+            .as_ref()
+            .is_some_and(|old| Arc::ptr_eq(old, catalog));
+        if let (Some(accounts), false) = (&catalog.accounts, is_applied) {
+            ledger.configure(accounts, now);
+            self.draws
+                .borrow_mut()
+                .retain(|name, _| accounts.get(name).is_some());
+            *applied = Some(catalog.clone());
+        }
+    }
+
+    /// Takes a permit for an operation of `account`; returns when the permit was issued.
+    pub async fn admit(&self, shared: &Shared, account: &Account) -> Result<Moment, Exceeded> {
+        let decision = self.ledger.borrow_mut().admit(account, clock::now());
+        match decision {
+            Decision::Admitted { issued } => return Ok(issued),
+            Decision::Refused { retry_after } => return Err(Exceeded { retry_after }),
+            Decision::Draw { .. } => {}
+        }
+        let draw = self.draw_lock(&account.name);
+        let _guard = draw.lock().await;
+        for _ in 0..MAX_DRAWS {
+            let now = clock::now();
+            let decision = self.ledger.borrow_mut().retry(account, now);
+            let amount = match decision {
+                Decision::Admitted { issued } => return Ok(issued),
+                Decision::Refused { retry_after } => return Err(Exceeded { retry_after }),
+                Decision::Draw { amount } => amount,
+            };
+            if !self.draw(shared, account, amount).await {
+                break;
+            }
+        }
+        let now = clock::now();
+        let mut ledger = self.ledger.borrow_mut();
+        match ledger.retry(account, now) {
+            Decision::Admitted { issued } => Ok(issued),
+            _ => Err(Exceeded {
+                retry_after: ledger.deny(&account.name, now),
+            }),
+        }
+    }
+
+    /// Gives back the permit of an operation that did not run.
+    pub fn refund(&self, account: &Account, issued: Moment) {
+        self.ledger.borrow_mut().refund(&account.name, issued);
+    }
+
+    /// Logs a refusal, up to a number in each interval.
+    pub fn log_refusal(&self, id: &str, account: &Account, retry_after: Duration) {
+        let now = clock::now();
+        let (since, count) = match self.logged.get() {
+            (since, count) if now.since(since) < LOG_INTERVAL => (since, count + 1),
+            _ => (now, 1),
+        };
+        self.logged.set((since, count));
+        if count <= MAX_LOGGED_REFUSALS {
+            journal::write(
+                "quota used up",
+                json!({ "id": id, "account": account.name, "rate": account.limit.rate,
+                    "retry_after_ms": retry_after.as_millis() as u64 }),
+            );
+        }
+    }
+
+    fn draw_lock(&self, account: &str) -> Rc<Mutex<()>> {
+        let mut draws = self.draws.borrow_mut();
+        draws.entry(account.to_owned()).or_default().clone()
+    }
+
+    /// The account's collector, unless that is this proxy.
+    fn other_collector(&self, account: &str, own: &str) -> Option<String> {
+        let ledger = self.ledger.borrow();
+        let collector = ledger.collector(account, clock::now());
+        collector.filter(|id| *id != own).map(str::to_owned)
+    }
+
+    /// Draws permits from the account's collector; returns `false` if it granted none.
+    async fn draw(&self, shared: &Shared, account: &Account, amount: f64) -> bool {
+        let name = account.name.as_str();
+        let Some(id) = self.other_collector(name, &shared.id) else {
+            return false;
+        };
+        let Some(peer) = shared.peers.get(&id) else {
+            return false;
+        };
+        let request = Request::Draw {
+            account: name,
+            amount,
+        };
+        let granted = match exchange(&peer, request).await {
+            Ok((rows, asked)) => read_batches(&rows, asked),
+            Err(error) => Err(error),
+        };
+        match granted {
+            Ok(granted) => {
+                self.ledger.borrow_mut().credit(name, &granted);
+                !granted.is_empty()
+            }
+            Err(error) => {
+                journal::trouble("draw", &format!("{id}: {error}"));
+                false
+            }
+        }
+    }
+
+    /// Answers another proxy's request: the rows for the permits or loans that it gets.
+    pub fn respond(&self, request: Request<'_>) -> String {
+        let now = clock::now();
+        let mut ledger = self.ledger.borrow_mut();
+        let mut rows = String::new();
+        match request {
+            Request::Draw { account, amount } => {
+                let granted = ledger.grant(account, amount, now);
+                write_batches(&mut rows, &granted, now);
+            }
+            Request::Collect { by } => write_loans(&mut rows, &ledger.lend(by, now)),
+        }
+        rows
+    }
+
+    fn collects(&self) -> bool {
+        let ledger = self.ledger.borrow();
+        ledger.is_collector() && !ledger.is_empty()
+    }
+}
+
+/// How often an operation draws permits: once more if the first grant expires or is only a part.
+const MAX_DRAWS: usize = 2;
+
+/// Gathers all proxies' rights to issue permits while this one is a collector, until the process ends.
+pub async fn run(shared: Rc<Shared>) {
+    loop {
+        let view = shared.view.borrow().clone();
+        // Applied regularly, as a proxy starts to issue permits some time after it was registered.
+        shared.quota.update(&view, &shared.id);
+        let peers = match shared.quota.collects() {
+            true => shared.peers.reachable(),
+            false => Vec::new(),
+        };
+        if peers.is_empty() {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            continue;
+        }
+        let pause = LOAN_TERM / COLLECTS_PER_LOAN / peers.len() as u32;
+        for peer in peers {
+            tokio::task::spawn_local(collect(shared.clone(), peer));
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+async fn collect(shared: Rc<Shared>, peer: Rc<Backend>) {
+    let request = Request::Collect { by: &shared.id };
+    let loans = match exchange(&peer, request).await {
+        Ok((rows, asked)) => read_loans(&rows).map(|loans| (loans, asked)),
+        Err(error) => Err(error),
+    };
+    match loans {
+        Ok((loans, asked)) => {
+            let mut ledger = shared.quota.ledger.borrow_mut();
+            ledger.accept(peer.server.id(), &loans, asked, clock::now());
+        }
+        Err(error) => journal::trouble("collect", &format!("{}: {error}", peer.server.id())),
+    }
+}
+
+/// Sends a request to another proxy; returns the rows of its answer and when it was sent.
+async fn exchange(peer: &Rc<Backend>, request: Request<'_>) -> Result<(Vec<u8>, Moment), Error> {
+    let exchange = async {
+        let deadline = clock::now() + EXCHANGE_TIMEOUT;
+        let rank = Rank {
+            priority: 0,
+            due: deadline,
+        };
+        let wanted = pool::Request {
+            client: Client::Proxy,
+            rank,
+            deadline,
+        };
+        let checkout = peer.pool.checkout(&Variables::default(), wanted).await;
+        let mut checkout = checkout.map_err(|_| Error::Timeout)?;
+        let asked = clock::now();
+        let query = Query::Permits(request);
+        let answer = checkout.connection().link.query(query).await?;
+        checkout.release();
+        Ok((answer.result?.rows, asked))
+    };
+    match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::Timeout),
+    }
+}
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -17,6 +17,7 @@
         group::{Group, Groups},
         mirror::Handle,
         peers::Peers,
+        quota::Quota,
         reachability::FailureSignal,
         records::Reader,
         stop::Stop,
@@ -42,6 +43,7 @@
     pub isolation: watch::Receiver<Isolation>,
     pub failure_signal: FailureSignal,
     pub records: Reader,
+    pub quota: Quota,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
     /// How many callers are connected, plus the statements of other proxies in flight. A graceful
@@ -109,6 +111,8 @@
 
     fn update(&self, view: &View) {
         self.peers.update(view, &self.id, &self.metrics);
+        self.quota.update(view, &self.id);
+        let has_accounts = view.catalog.as_ref().is_some_and(|c| c.accounts.is_some());
         let is_announced = view.peers.iter().any(|peer| peer.id == self.id);
         let mut groups = self.groups.borrow_mut();
         for (name, entries) in &view.servers {
@@ -121,7 +125,8 @@
             if let (Some(service), Some(ownership)) = (service, ownership) {
                 let voters = view.voters.get(name).map(Vec::as_slice);
                 group.set_owned(self.peers.owns(name), is_announced);
-                group.update(entries, service, ownership.allocation, voters);
+                let share = (ownership.allocation, has_accounts);
+                group.update(entries, service, share, voters);
             }
         }
     }
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -1,10 +1,12 @@
 //! A caller's statement while it is processed, and how it can fail.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     admission::{self, Obstacle},
     catalog::{Consistency, Route},
+    forwarding::Requirements,
     refusal::{Code, Refusal},
     session::{Effect, Execution},
     time::Moment,
@@ -15,7 +17,7 @@
     line::{
         backend::{
             connection::Statement,
-            pool::{Error, Rank, Request},
+            pool::{Client, Error, Rank, Request},
             Backend,
         },
         clock,
@@ -42,6 +44,8 @@
     pub effect: Effect,
     pub execution: Option<&'a Execution>,
     pub route: &'a Route,
+    /// The name of the caller's client account, if it has one.
+    pub account: Option<&'a Arc<str>>,
     /// When its message was read.
     pub arrived: Moment,
     /// Whether this proxy's data centre was partitioned from the others when it arrived.
@@ -107,8 +111,16 @@
             priority: self.route.priority + 1,
             due: self.arrived + self.route.target,
         };
-        let deadline = self.deadline();
-        Request { rank, deadline }
+        Request {
+            client: Client::Account(self.account.cloned()),
+            rank,
+            deadline: self.deadline(),
+        }
+    }
+
+    /// What another proxy needs to run it; `floor` is the position that its session's reads must see.
+    pub fn requirements(&self, floor: Option<Position>) -> Requirements {
+        Requirements::new(self.route, self.account.cloned(), self.waited(), floor)
     }
 
     /// The time up to which its reads must see all acknowledged commits, if it or its transaction
--- a/crates/proxy/src/line/traffic/exchange.rs
+++ b/crates/proxy/src/line/traffic/exchange.rs
@@ -9,7 +9,7 @@
 use crate::line::{
     backend::{
         connection::{execute, sync_variables},
-        pool::{checkout::Checkout, Error},
+        pool::{checkout::Checkout, Client, Error},
         Backend,
     },
     clock,
@@ -42,7 +42,7 @@
     session: &Session,
     call: &Call<'_>,
 ) -> Result<Checkout, Failure> {
-    checkout_connection(backend, session, call)
+    checkout_connection(backend, session, call, false)
         .await
         .map_err(|error| {
             if error == Error::Unreachable {
@@ -60,7 +60,7 @@
     session: &Session,
     call: &Call<'_>,
 ) -> Result<Checkout, Failure> {
-    checkout_connection(peer, session, call)
+    checkout_connection(peer, session, call, true)
         .await
         .map_err(|error| {
             match error {
@@ -75,13 +75,17 @@
 /// pool's, the inner one a failure afterwards.
 ///
 /// A server that is leaving accepts new statements for a limited time only, so the wait for a
-/// connection ends with that time.
+/// connection ends with that time. Connections to other proxies are shared by all accounts.
 async fn checkout_connection(
     backend: &Rc<Backend>,
     session: &Session,
     call: &Call<'_>,
+    to_proxy: bool,
 ) -> Result<Result<Checkout, Failure>, Error> {
     let mut request = call.pool_request();
+    if to_proxy {
+        request.client = Client::Proxy;
+    }
     if let Some(until) = backend.takes_work_until() {
         request.deadline = request.deadline.min(until);
     }
--- a/crates/proxy/src/line/traffic/forwarding.rs
+++ b/crates/proxy/src/line/traffic/forwarding.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use dandelionpitch_engine::{
-    forwarding::{self, Requirements},
+    forwarding,
     refusal::{Code, Refusal},
     session::{Effect, Phase, Session, Transaction},
 };
@@ -84,7 +84,7 @@
 ) -> Result<Success, Failure> {
     let checkout = checkout_peer(&shared.peers, peer, session, call).await?;
     shared.metrics.forwarded();
-    let requirements = Requirements::new(call.route, call.waited(), session.floor());
+    let requirements = call.requirements(session.floor());
     let asked = clock::now();
     let (answer, checkout) =
         exchange(checkout, peer, call, Condition::Forwarded(&requirements)).await;
@@ -148,7 +148,7 @@
         session.sent_write();
     }
     let wrote = transaction.wrote || call.effect == Effect::Write;
-    let requirements = Requirements::new(call.route, call.waited(), session.floor());
+    let requirements = call.requirements(session.floor());
     let (answer, checkout) = exchange(
         checkout,
         &backend,
@@ -224,7 +224,7 @@
             continue;
         };
         shared.metrics.forwarded();
-        let requirements = Requirements::new(call.route, call.waited(), session.floor());
+        let requirements = call.requirements(session.floor());
         let begin = Query::Begin {
             read_only: transaction.read_only,
             condition: Condition::Forwarded(&requirements),
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -3,11 +3,13 @@
 //!
 //! [`engine::session`]: dandelionpitch_engine::session
 
+mod access;
 mod reply;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
+    account::Account,
     catalog::Route,
     forwarding::Requirements,
     refusal::{Code, Refusal},
@@ -67,6 +69,9 @@
             buffer: Buffer::default(),
             out: Vec::new(),
             database: String::new(),
+            key: String::new(),
+            account: None,
+            account_name: None,
             state: engine::Session::default(),
             route: None,
             pinned: None,
@@ -95,6 +100,12 @@
     buffer: Buffer,
     out: Vec<u8>,
     database: String,
+    /// The caller's secret, from its first message. It must not be logged.
+    key: String,
+    /// The client account that held the key when the last statement arrived.
+    account: Option<Arc<Account>>,
+    /// The name of the account, as servers and other proxies are told.
+    account_name: Option<Arc<str>>,
     state: engine::Session,
     /// The route of the current statement or open transaction.
     route: Option<Arc<Route>>,
@@ -128,30 +139,19 @@
         let Ok(Some(line)) = first else {
             return false;
         };
-        let database = match line::to_str(&line).and_then(caller::parse_request) {
-            Ok(Request::Start { database }) => database.to_owned(),
-            _ => return false,
-        };
-        let known = match self.shared.catalog() {
-            _ if self.origin == Origin::Peer => match database.as_str() {
-                peer::SERVICE | feed::SERVICE => Ok(()),
-                _ => Err(Refusal::new(
-                    Code::Moved,
-                    "this port accepts only other proxies",
-                )),
-            },
-            None => Err(Refusal::new(Code::Busy, "starting; come back in 1000 ms")),
-            Some(catalog) if !catalog.routes.contains_key(&database) => {
-                Err(unknown_database(&database, catalog.version))
+        match line::to_str(&line).and_then(caller::parse_request) {
+            Ok(Request::Start { database, key }) => {
+                self.database = database.to_owned();
+                self.key = key.to_owned();
             }
-            Some(_) => Ok(()),
-        };
+            _ => return false,
+        }
+        let known = self.check_start();
         let ready = self.ready();
         match &known {
             Ok(()) => caller::write_ready(&mut self.out, ready),
             Err(refusal) => caller::write_start_failure(&mut self.out, refusal),
         }
-        self.database = database;
         self.flush().await && known.is_ok()
     }
 
@@ -223,8 +223,13 @@
 
     /// Handles one message; returns `false` if the session is to end.
     async fn handle(&mut self, line: &[u8], arrived: Moment) -> bool {
-        if self.origin == Origin::Peer && self.database == feed::SERVICE {
-            return self.answer_feed(line).await;
+        if self.origin == Origin::Peer {
+            if self.database == feed::SERVICE {
+                return self.answer_feed(line).await;
+            }
+            if let Some(answered) = self.answer_quota(line).await {
+                return answered;
+            }
         }
         let message = line::to_str(line).and_then(|text| match self.origin {
             Origin::Peer => peer::parse_message(text),
@@ -276,9 +281,22 @@
         arrived: Moment,
     ) -> Result<Option<Success>, Refusal> {
         match self.origin {
-            Origin::Caller => self.update_route()?,
+            Origin::Caller => self.authorize()?,
             Origin::Peer => self.apply_requirements(requirements),
         }
+        let permit = self.take_permit(id, statement).await?;
+        let result = self.run(id, text, statement, arrived).await;
+        self.refund_if_not_run(permit, &result);
+        result
+    }
+
+    async fn run(
+        &mut self,
+        id: &str,
+        text: &str,
+        statement: &Statement<'_>,
+        arrived: Moment,
+    ) -> Result<Option<Success>, Refusal> {
         let step = self.state.step(statement, arrived);
         let (effect, execution) = match step {
             Step::Done => return Ok(None),
@@ -297,12 +315,14 @@
         let Some(route) = self.route.clone() else {
             return Err(Refusal::new(Code::NoDatabase, "no route for statement"));
         };
+        let account = self.account_name.clone();
         let call = Call {
             id,
             text,
             effect,
             execution: execution.as_ref(),
             route: &route,
+            account: account.as_ref(),
             arrived,
             isolated: self.shared.isolation.borrow().is_isolated(arrived),
         };
@@ -351,29 +371,10 @@
         if self.state.phase() == Phase::Idle {
             self.state.set_floor(requirements.floor);
         }
+        self.account_name = requirements.account.clone();
         self.route = Some(Arc::new(Route::from(requirements)));
     }
 
-    /// Looks up the route in the current configuration, unless a transaction is open, which keeps the
-    /// route with which it began.
-    fn update_route(&mut self) -> Result<(), Refusal> {
-        if self.state.phase() != Phase::Idle && self.route.is_some() {
-            return Ok(());
-        }
-        let catalog = self.shared.catalog();
-        let version = catalog.as_ref().map_or(0, |catalog| catalog.version);
-        let route = catalog.and_then(|catalog| catalog.routes.get(&self.database).cloned());
-        let moved = |old: &Arc<Route>| route.as_ref().is_some_and(|r| r.service != old.service);
-        if self.route.as_ref().is_some_and(moved) {
-            self.state.clear_floor();
-        }
-        self.route = route;
-        match self.route {
-            Some(_) => Ok(()),
-            None => Err(unknown_database(&self.database, version)),
-        }
-    }
-
     /// Releases the connection of a failed transaction.
     fn release_if_failed(&mut self) {
         if self.state.phase() == Phase::Failed {
@@ -392,8 +393,3 @@
             "after_ms": call.waited().as_millis() as u64 }),
     );
 }
-
-fn unknown_database(name: &str, version: u64) -> Refusal {
-    let why = format!("no database {name:?} in version {version} of the configuration");
-    Refusal::new(Code::NoDatabase, why)
-}
--- a/crates/proxy/src/line/traffic/session/reply.rs
+++ b/crates/proxy/src/line/traffic/session/reply.rs
@@ -4,7 +4,7 @@
 use dandelionpitch_platform::{
     backend::Success,
     caller::{self, Ready},
-    line,
+    line, quota,
 };
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
@@ -81,6 +81,17 @@
         self.flush().await
     }
 
+    /// Answers a request for quota permits; returns whether the session goes on, or `None` if the
+    /// message is not such a request.
+    pub(super) async fn answer_quota(&mut self, message: &[u8]) -> Option<bool> {
+        let request = line::to_str(message).ok().and_then(quota::Request::parse)?;
+        let rows = self.shared.quota.respond(request);
+        self.out.extend_from_slice(rows.as_bytes());
+        let ready = self.ready();
+        caller::write_done(&mut self.out, ready);
+        Some(self.flush().await)
+    }
+
     /// Sends the output; returns `false` if that fails or times out.
     pub(super) async fn flush(&mut self) -> bool {
         let write = self.writer.write_all(&self.out);
--- a/crates/proxy/src/line/view.rs
+++ b/crates/proxy/src/line/view.rs
@@ -21,6 +21,8 @@
     pub voters: Map<String, Vec<Incarnation>>,
     /// How many proxies share the servers, including this one and those that went missing recently.
     pub proxy_count: usize,
+    /// How many proxies may issue quota permits, including this one.
+    pub quota_members: usize,
     /// The live proxies, to which statements can be forwarded.
     pub peers: Vec<Peer>,
     /// Which proxies open connections to the servers of each group.
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -18,7 +18,7 @@
 use dandelionpitch_proxy::{
     line::{
         backend::{
-            pool::{checkout::Checkout, Rank, Request},
+            pool::{checkout::Checkout, Client, Rank, Request},
             Backend,
         },
         clock,
@@ -276,7 +276,11 @@
         priority: 0,
         due: deadline,
     };
-    let request = Request { rank, deadline };
+    let request = Request {
+        client: Client::Proxy,
+        rank,
+        deadline,
+    };
     let result = peer.pool.checkout(&Variables::default(), request).await;
     result.unwrap_or_else(|error| panic!("no connection: {error:?}"))
 }
--- a/crates/standin/src/line.rs
+++ b/crates/standin/src/line.rs
@@ -13,7 +13,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use rocket::tokio::{net::TcpListener, sync::Notify};
@@ -42,6 +42,15 @@
 /// Service name of the database group.
 pub const SERVICE: &str = "ledger";
 
+/// A statement that a server ran successfully.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The client name in `START`.
+    pub client: String,
+    pub id: String,
+    pub at: Instant,
+}
+
 /// State of the platform.
 #[derive(Debug)]
 pub struct Platform {
@@ -49,6 +58,8 @@
     pub database: Database,
     /// The operators' last configuration, also kept across restores of the store.
     pub config: Vec<u8>,
+    /// The statements that servers ran, in their order.
+    pub runs: Vec<Run>,
     /// Fencing tokens of all calls to the promotion API, in the order of the calls.
     pub fencing_tokens: Vec<u64>,
 }
@@ -95,6 +106,7 @@
             store: Store::default(),
             database: Database::new(&addrs, settings),
             config: Vec::new(),
+            runs: Vec::new(),
             fencing_tokens: Vec::new(),
         })),
         changed: Arc::default(),
--- a/crates/standin/src/line/connection.rs
+++ b/crates/standin/src/line/connection.rs
@@ -1,6 +1,9 @@
 //! Connections to a database server over the line protocol.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use rocket::tokio::{
     self,
@@ -9,7 +12,7 @@
     time::sleep,
 };
 
-use super::{database::Server, Shared, SERVICE};
+use super::{database::Server, Run, Shared, SERVICE};
 
 /// Interval at which a commit checks whether replicas have received it.
 const COMMIT_POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -38,6 +41,7 @@
             transaction: None,
             prepared: BTreeMap::new(),
             session_variables: BTreeMap::new(),
+            client: String::new(),
         };
         tokio::spawn(connection.run(stream));
     }
@@ -59,6 +63,8 @@
     prepared: BTreeMap<String, String>,
     /// Session variables set with `SET`.
     session_variables: BTreeMap<String, String>,
+    /// The client name in `START`.
+    client: String,
 }
 
 /// Result rows, or an error code and its text.
@@ -138,6 +144,7 @@
                 let start = (words.next()?, words.next().unwrap_or_default());
                 let id = self.with_server(|server| server.id.clone());
                 let expected = start.1.split(' ').nth(1).unwrap_or(&id);
+                self.client = start.1.split(' ').next().unwrap_or_default().to_owned();
                 if start.0 != SERVICE || expected != id {
                     return Some(format!("ERR MOVED {id}\r\n"));
                 }
@@ -153,8 +160,11 @@
                 Some(self.ready())
             }
             "QUERY" => {
-                let (_id, text) = (words.next()?, words.next().unwrap_or_default());
+                let (id, text) = (words.next()?, words.next().unwrap_or_default());
                 let result = self.query(text).await?;
+                if result.is_ok() {
+                    self.record_run(id);
+                }
                 let ready = self.ready();
                 Some(match result {
                     Ok(rows) => {
@@ -171,6 +181,21 @@
         }
     }
 
+    /// Records for tests which client a caller's statement was run for.
+    fn record_run(&self, id: &str) {
+        let run = Run {
+            client: self.client.clone(),
+            id: id.to_owned(),
+            at: Instant::now(),
+        };
+        let mut platform = self
+            .shared
+            .platform
+            .lock()
+            .expect("platform lock is not poisoned");
+        platform.runs.push(run);
+    }
+
     fn ready(&self) -> String {
         let state = match &self.transaction {
             None => "I",
--- a/crates/standin/src/line/test_api.rs
+++ b/crates/standin/src/line/test_api.rs
@@ -15,7 +15,7 @@
 
 use super::{
     database::{Fault, Promotion},
-    Shared,
+    Run, Shared,
 };
 
 /// Delay after a restore of the store until the operators write their configuration again.
@@ -31,6 +31,7 @@
         group,
         partition_from,
         promotions,
+        runs,
         overload_next_candidate,
         restore
     ]
@@ -183,6 +184,18 @@
     )
 }
 
+/// Returns the statements that servers ran successfully, in their order: client name, id, and how long
+/// ago in milliseconds.
+#[get("/runs")]
+fn runs(shared: &State<Shared>) -> Json<Value> {
+    let platform = shared
+        .platform
+        .lock()
+        .expect("platform lock is not poisoned");
+    let to_json = |run: &Run| json!([run.client, run.id, run.at.elapsed().as_millis() as u64]);
+    Json(platform.runs.iter().map(to_json).collect())
+}
+
 /// Returns the promotions in their order, each with the server's log at that time.
 #[get("/promotions")]
 fn promotions(shared: &State<Shared>) -> Json<Value> {
