Quotas: rights pass on without a gap, draws try the next collector, a known list is recognised

Change: the next collector's loan starts when the last one ends; four steps a round; a draw tries the collector that has the right, then the next; reads prefer servers with a connection of their account.

--- a/crates/engine/src/placement.rs
+++ b/crates/engine/src/placement.rs
@@ -18,6 +18,8 @@
     pub primary: bool,
     /// Whether it is in another data centre.
     pub remote: bool,
+    /// The time for opening a connection, if none is open for the caller's account.
+    pub opening: Duration,
 }
 
 /// A primary gets a read only if its expected latency is lower than a replica's by this factor.
@@ -35,7 +37,7 @@
     };
     let latency = latency.as_secs_f64().max(0.001);
     let queued = candidate.pending as f64 / candidate.connections.max(1) as f64;
-    let wait = latency * (1.0 + queued);
+    let wait = latency * (1.0 + queued) + candidate.opening.as_secs_f64();
     let remote = match candidate.remote {
         true => REMOTE_COST.as_secs_f64(),
         false => 0.0,
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -120,6 +120,7 @@
 struct Loan {
     /// The number of proxies among which the lender divides the permits.
     members: usize,
+    from: Moment,
     until: Moment,
 }
 
@@ -134,6 +135,8 @@
     issued_until: Moment,
     /// To which collector this proxy has lent its right, and until when.
     lent: Option<(String, Moment)>,
+    /// The collector that had the right before, and when the last of such loans ends.
+    lent_before: Option<(String, Moment)>,
     /// What other proxies have lent to this one, by their ids.
     loans: Map<String, Loan>,
     /// The average number of operations per second, as of `counted_at`.
@@ -151,6 +154,7 @@
             permits: Permits::default(),
             issued_until: now,
             lent: None,
+            lent_before: None,
             loans: Map::default(),
             demand: 0.0,
             counted_at: now,
@@ -182,18 +186,32 @@
         let part = |members: usize, from: Moment, until: Moment| {
             until.since(from).as_secs_f64() / members.max(1) as f64
         };
-        let lent_until = self.lent.as_ref().map(|(_, until)| *until);
-        let own_start = lent_until.map_or(start, |until| start.max(until));
+        let ends = self.lent.iter().chain(&self.lent_before);
+        let own_start = ends.fold(start, |start, (_, until)| start.max(*until));
         let own = members.map_or(0.0, |members| part(members, own_start, end));
         let lent = self.loans.values();
-        let lent = lent.map(|loan| part(loan.members, start, end.min(loan.until)));
+        let lent = lent.map(|loan| part(loan.members, start.max(loan.from), end.min(loan.until)));
         own + lent.sum::<f64>()
     }
 
-    /// Whether this proxy has lent its right to another collector than `id`.
-    fn is_lent_to_another(&self, id: &str, now: Moment) -> bool {
-        let lent = self.lent.as_ref();
-        lent.is_some_and(|(to, until)| to != id && *until > now)
+    /// Lends this proxy's right to the collector `id`; returns how long other collectors still have it.
+    fn lend(&mut self, id: &str, now: Moment) -> Duration {
+        let moved = self.lent.take_if(|(to, _)| to != id);
+        if let Some((to, until)) = moved {
+            let before = self.lent_before.as_ref().map(|(_, until)| *until);
+            let last = before.map_or(until, |before| before.max(until));
+            self.lent_before = Some((to, last));
+        }
+        self.lent = Some((id.to_owned(), now + LOAN_TERM));
+        let before = self.lent_before.as_ref();
+        before.map_or(Duration::ZERO, |(_, until)| now.until(*until))
+    }
+
+    /// The collectors to which this proxy has lent its right; the one that has it now comes first.
+    fn holders(&self, now: Moment) -> impl Iterator<Item = &str> {
+        let loans = self.lent_before.iter().chain(&self.lent);
+        let running = loans.filter(move |(_, until)| *until > now);
+        running.map(|(to, _)| to.as_str())
     }
 
     fn count_operation(&mut self, now: Moment) {
@@ -225,8 +243,8 @@
 pub struct Loans {
     /// The number of proxies among which the lender divides the permits.
     pub members: usize,
-    /// The accounts for which it lends its right.
-    pub accounts: Vec<String>,
+    /// The accounts for which it lends its right, and how long others still have it.
+    pub accounts: Vec<(String, Duration)>,
 }
 
 /// The permits of all accounts on this proxy.
@@ -369,7 +387,8 @@
     }
 
     /// Lends this proxy's rights to the collector `id`, for the accounts for which it is this proxy's
-    /// choice. A right that is lent to another collector stays there until that loan ends.
+    /// choice. A right that is lent to another collector stays there until that loan ends, and then passes
+    /// on without a gap.
     pub fn lend(&mut self, id: &str, now: Moment) -> Loans {
         self.collected_at.insert(id.to_owned(), now);
         self.update_issuers(now);
@@ -381,15 +400,15 @@
         };
         let names = self.balances.keys();
         let chosen = names.filter(|name| self.choice(name, now) == Some(id));
-        let mut accounts: Vec<String> = chosen.cloned().collect();
-        accounts.retain(|name| match self.balances.get_mut(name) {
-            Some(balance) if !balance.is_lent_to_another(id, now) => {
+        let names: Vec<String> = chosen.cloned().collect();
+        let mut accounts = Vec::with_capacity(names.len());
+        for name in names {
+            if let Some(balance) = self.balances.get_mut(&name) {
                 balance.update(Some(members), now);
-                balance.lent = Some((id.to_owned(), now + LOAN_TERM));
-                true
+                let delay = balance.lend(id, now);
+                accounts.push((name, delay));
             }
-            _ => false,
-        });
+        }
         Loans { members, accounts }
     }
 
@@ -404,11 +423,12 @@
                 balance.loans.remove(lender);
             }
         }
-        let loan = Loan {
-            members: loans.members,
-            until: asked + LOAN_TERM,
-        };
-        for account in &loans.accounts {
+        for (account, delay) in &loans.accounts {
+            let loan = Loan {
+                members: loans.members,
+                from: now + *delay,
+                until: asked + LOAN_TERM,
+            };
             if let Some(balance) = self.balances.get_mut(account) {
                 balance.update(own_members, now);
                 balance.loans.insert(lender.to_owned(), loan);
@@ -434,15 +454,21 @@
         self.issuers = issuers;
     }
 
-    /// The collector from which this proxy draws permits of `account`: the one that has its right, or
-    /// else its choice.
-    pub fn collector(&self, account: &str, now: Moment) -> Option<&str> {
+    /// The collectors from which this proxy draws permits of `account`, in order: those that have its
+    /// right, then its choice.
+    ///
+    /// While rights pass from one collector to the next, each has a part of them, and the callers of a
+    /// small account may all use proxies that draw from the one with the smaller part.
+    pub fn sources(&self, account: &str, now: Moment) -> Vec<&str> {
         let balance = self.balances.get(account);
-        let lent = balance.and_then(|balance| balance.lent.as_ref());
-        match lent {
-            Some((to, until)) if *until > now => Some(to),
-            _ => self.choice(account, now),
+        let holders = balance.into_iter().flat_map(|balance| balance.holders(now));
+        let mut sources: Vec<&str> = Vec::new();
+        for id in holders.chain(self.choice(account, now)) {
+            if !sources.contains(&id) {
+                sources.push(id);
+            }
         }
+        sources
     }
 
     /// The first collector in the account's order of preference that is this proxy itself or has asked
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -26,6 +26,7 @@
         latency: millis(latency),
         primary: false,
         remote: false,
+        opening: Duration::ZERO,
     }
 }
 
@@ -281,3 +282,30 @@
         "{by_priority:?} {by_selection:?}"
     );
 }
+
+/// Many accounts on few connections: a read goes to the replica that has a connection of its account, as
+/// opening one would occupy the other replica longer than the read itself.
+#[test]
+fn read_prefers_the_replica_with_a_connection_of_its_account() {
+    let without = Candidate {
+        opening: millis(15),
+        ..replica(0, 20)
+    };
+    let candidates = [without, replica(1, 20)];
+
+    for rotation in 0..2 {
+        assert_eq!(placement::order(&candidates, rotation), [1, 0]);
+    }
+}
+
+/// Guards against a large account that overloads one replica because it has its connections there.
+#[test]
+fn read_opens_a_connection_on_an_idle_replica_if_the_other_is_busy() {
+    let without = Candidate {
+        opening: millis(15),
+        ..replica(0, 20)
+    };
+    let candidates = [without, replica(4, 20)];
+
+    assert_eq!(placement::order(&candidates, 0), [0, 1]);
+}
--- a/crates/engine/tests/quota.rs
+++ b/crates/engine/tests/quota.rs
@@ -272,8 +272,8 @@
 
     fn draw(&mut self, index: usize, amount: f64) {
         let own = format!("proxy-{index}");
-        let collector = self.ledgers[index].collector("pharmacy", self.now);
-        let Some(id) = collector.filter(|id| *id != own) else {
+        let sources = self.ledgers[index].sources("pharmacy", self.now);
+        let Some(id) = sources.into_iter().find(|id| *id != own) else {
             return;
         };
         let collector: usize = id["proxy-".len()..].parse().expect("an index");
@@ -357,7 +357,7 @@
             all.iter().for_each(|peer| {
                 ledger.lend(&peer.id, model.now);
             });
-            ledger.collector("pharmacy", model.now) == Some(own.as_str())
+            ledger.sources("pharmacy", model.now).last() == Some(&own.as_str())
         })
         .expect("a collector");
     let caller = (collector + 1) % Model::PROXIES;
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -265,14 +265,20 @@
         now < self.avoid_until.get() || self.pool.is_backing_off(now)
     }
 
-    /// The input for ordering servers by expected latency. `dc` is this proxy's data centre.
-    pub fn candidate(&self, primary: bool, dc: &str) -> Candidate {
+    /// The input for ordering servers by expected latency for a statement of `client`. `dc` is this proxy's
+    /// data centre.
+    pub fn candidate(&self, primary: bool, dc: &str, client: &Client) -> Candidate {
+        let opening = match self.pool.lacks_connection(client) {
+            true => self.pool.opening_time(),
+            false => Duration::ZERO,
+        };
         Candidate {
             pending: self.pool.pending(),
             connections: self.pool.limit(),
             latency: self.latency(),
             primary,
             remote: self.server.dc != dc,
+            opening,
         }
     }
 
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -36,6 +36,9 @@
 /// How long no connection is opened after the server could not be reached.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(500);
 
+/// The assumed time for opening a connection, before one has been opened.
+const INITIAL_OPENING: Duration = Duration::from_millis(15);
+
 /// The assumed time for which a connection is held, before any connection has been returned.
 const INITIAL_HOLD: Duration = Duration::from_millis(30);
 
@@ -153,6 +156,8 @@
     connect_timeout: Duration,
     /// The mean time for which a connection is held.
     hold: Cell<Mean>,
+    /// The mean time for opening a connection.
+    opening: Cell<Mean>,
     /// No connection is opened before this time.
     backoff_until: Cell<Moment>,
 }
@@ -173,6 +178,7 @@
             limit: Cell::new(limit),
             connect_timeout,
             hold: Cell::new(Mean::new(INITIAL_HOLD)),
+            opening: Cell::new(Mean::new(INITIAL_OPENING)),
             backoff_until: Cell::default(),
         })
     }
@@ -189,6 +195,11 @@
         self.limit.get().in_use
     }
 
+    /// The mean time for opening a connection.
+    pub fn opening_time(&self) -> Duration {
+        self.opening.get().value()
+    }
+
     /// Whether a statement of `client` would need a new connection.
     pub fn lacks_connection(&self, client: &Client) -> bool {
         !self.state.borrow().has_idle(client)
@@ -338,9 +349,13 @@
             id,
         );
         let limit = OPEN_TIMEOUT.min(left);
+        let started_at = clock::now();
         let (error, why, backoff) = match tokio::time::timeout(limit, connect).await {
             Ok(Ok(link)) => {
                 permit.forget();
+                let mut opening = self.opening.get();
+                opening.record(clock::now().since(started_at));
+                self.opening.set(opening);
                 self.metrics.connection(&server.service);
                 return Ok(self.new_checkout(Box::new(Connection::new(link, account))));
             }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -12,8 +12,10 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    sync::Arc,
 };
 
+use dandelionpitch_core::hash;
 use dandelionpitch_engine::{
     catalog::Service,
     freshness::{Lease, Watermark, Watermarks},
@@ -27,7 +29,12 @@
 use self::single_flight::SingleFlight;
 
 use crate::{
-    line::{backend::Backend, journal, reachability::FailureSignal, records::Reader},
+    line::{
+        backend::{pool::Client, Backend},
+        journal,
+        reachability::FailureSignal,
+        records::Reader,
+    },
     metrics::Metrics,
 };
 
@@ -285,17 +292,21 @@
         self.pending_watermark.set(None);
     }
 
-    /// The servers that may run a read, in order of preference. Servers that are leaving, missing
+    /// The servers that may run a read of `account`, in order of preference. Among equal servers, each
+    /// account prefers another one, on which its connections are then reused. Servers that are leaving, missing
     /// or failed to answer recently come last, and servers that no longer accept work are excluded.
-    pub fn read_candidates(&self, now: Moment) -> Vec<Rc<Backend>> {
+    pub fn read_candidates(&self, account: Option<&Arc<str>>, now: Moment) -> Vec<Rc<Backend>> {
         let mut servers = self.servers();
         servers.retain(|backend| backend.takes_work(now));
+        let client = Client::Account(account.cloned());
         let candidates: Vec<placement::Candidate> = servers
             .iter()
-            .map(|backend| backend.candidate(self.is_leader(backend), &self.dc))
+            .map(|backend| backend.candidate(self.is_leader(backend), &self.dc, &client))
             .collect();
-        let rotation = self.rotation.get();
-        self.rotation.set(rotation.wrapping_add(1));
+        let rotation = match account {
+            Some(account) => hash::stable_hash(account) as usize,
+            None => self.next_rotation(),
+        };
         let mut order: Vec<Rc<Backend>> = placement::order(&candidates, rotation)
             .into_iter()
             .map(|index| servers[index].clone())
@@ -306,6 +317,12 @@
         });
         order
     }
+
+    fn next_rotation(&self) -> usize {
+        let rotation = self.rotation.get();
+        self.rotation.set(rotation.wrapping_add(1));
+        rotation
+    }
 }
 
 /// The groups by name.
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -42,6 +42,14 @@
 /// A collector asks each proxy this many times while a loan lasts, so that one lost answer ends no loan.
 const COLLECTS_PER_LOAN: u32 = 3;
 
+/// The interval at which a collector asks each proxy during the first [`INITIAL_TIME`], so that an account
+/// has its permits soon after many proxies started.
+const INITIAL_INTERVAL: Duration = Duration::from_millis(100);
+const INITIAL_TIME: Duration = Duration::from_secs(2);
+
+/// The number of steps in which a collector asks all proxies. Few, as a busy VM runs each step late.
+const COLLECT_STEPS: u32 = 4;
+
 /// The interval at which a proxy checks whether it is a collector.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -62,7 +70,8 @@
     catalog: RefCell<Option<Arc<Catalog>>>,
     /// When this proxy found its own registration.
     registered_at: Cell<Option<Moment>>,
-    has_view: Cell<bool>,
+    /// Whether a list of the proxies has been received.
+    has_list: Cell<bool>,
     logged: Cell<(Moment, u32)>,
 }
 
@@ -78,7 +87,7 @@
             draws: RefCell::default(),
             catalog: RefCell::default(),
             registered_at: Cell::default(),
-            has_view: Cell::default(),
+            has_list: Cell::default(),
             logged: Cell::default(),
         }
     }
@@ -89,13 +98,15 @@
         let is_registered = view.peers.iter().any(|peer| peer.id == own);
         if is_registered && self.registered_at.get().is_none() {
             // An entry in the first list is that of this proxy's previous process.
-            let settled = match self.has_view.get() {
+            let settled = match self.has_list.get() {
                 true => now + SETTLE_TIME,
                 false => now,
             };
             self.registered_at.set(Some(settled));
         }
-        self.has_view.set(true);
+        if !view.peers.is_empty() {
+            self.has_list.set(true);
+        }
         let issues = self.registered_at.get().is_some_and(|at| now >= at);
         let mut ledger = self.ledger.borrow_mut();
         ledger.set_members(issues.then_some(view.quota_members), &view.peers, now);
@@ -125,16 +136,12 @@
         }
         let draw = self.draw_lock(&account.name);
         let _guard = draw.lock().await;
-        for _ in 0..MAX_DRAWS {
-            let now = clock::now();
-            let decision = self.ledger.borrow_mut().retry(account, now);
-            let amount = match decision {
+        for source in self.sources(&account.name, &shared.id) {
+            let decision = self.ledger.borrow_mut().retry(account, clock::now());
+            match decision {
                 Decision::Admitted { issued } => return Ok(issued),
                 Decision::Refused { retry_after } => return Err(Exceeded { retry_after }),
-                Decision::Draw { amount } => amount,
-            };
-            if !self.draw(shared, account, amount).await {
-                break;
+                Decision::Draw { amount } => self.draw(shared, &source, account, amount).await,
             }
         }
         let now = clock::now();
@@ -174,21 +181,18 @@
         draws.entry(account.to_owned()).or_default().clone()
     }
 
-    /// The account's collector, unless that is this proxy.
-    fn other_collector(&self, account: &str, own: &str) -> Option<String> {
+    /// The other proxies from which permits of `account` can be drawn.
+    fn sources(&self, account: &str, own: &str) -> Vec<String> {
         let ledger = self.ledger.borrow();
-        let collector = ledger.collector(account, clock::now());
-        collector.filter(|id| *id != own).map(str::to_owned)
+        let sources = ledger.sources(account, clock::now()).into_iter();
+        sources.filter(|id| *id != own).map(str::to_owned).collect()
     }
 
-    /// Draws permits from the account's collector; returns `false` if it granted none.
-    async fn draw(&self, shared: &Shared, account: &Account, amount: f64) -> bool {
+    /// Draws permits from a collector.
+    async fn draw(&self, shared: &Shared, id: &str, account: &Account, amount: f64) {
         let name = account.name.as_str();
-        let Some(id) = self.other_collector(name, &shared.id) else {
-            return false;
-        };
-        let Some(peer) = shared.peers.get(&id) else {
-            return false;
+        let Some(peer) = shared.peers.get(id) else {
+            return;
         };
         let request = Request::Draw {
             account: name,
@@ -199,14 +203,8 @@
             Err(error) => Err(error),
         };
         match granted {
-            Ok(granted) => {
-                self.ledger.borrow_mut().credit(name, &granted);
-                !granted.is_empty()
-            }
-            Err(error) => {
-                journal::trouble("draw", &format!("{id}: {error}"));
-                false
-            }
+            Ok(granted) => self.ledger.borrow_mut().credit(name, &granted),
+            Err(error) => journal::trouble("draw", &format!("{id}: {error}")),
         }
     }
 
@@ -231,29 +229,43 @@
     }
 }
 
-/// How often an operation draws permits: once more if the first grant expires or is only a part.
-const MAX_DRAWS: usize = 2;
-
 /// Gathers all proxies' rights to issue permits while this one is a collector, until the process ends.
 pub async fn run(shared: Rc<Shared>) {
+    let mut since = None;
     loop {
         let view = shared.view.borrow().clone();
         // Applied regularly, as a proxy starts to issue permits some time after it was registered.
         shared.quota.update(&view, &shared.id);
-        let peers = match shared.quota.collects() {
-            true => shared.peers.reachable(),
-            false => Vec::new(),
+        let interval = match shared.quota.collects() {
+            true => collect_from_all(&shared, *since.get_or_insert_with(clock::now)).await,
+            false => {
+                since = None;
+                CHECK_INTERVAL
+            }
         };
-        if peers.is_empty() {
-            tokio::time::sleep(CHECK_INTERVAL).await;
-            continue;
-        }
-        let pause = LOAN_TERM / COLLECTS_PER_LOAN / peers.len() as u32;
-        for peer in peers {
-            tokio::task::spawn_local(collect(shared.clone(), peer));
+        tokio::time::sleep(interval).await;
+    }
+}
+
+/// Asks all proxies, in several steps that spread the work; returns the time until the next step.
+/// This proxy is a collector `since` then.
+async fn collect_from_all(shared: &Rc<Shared>, since: Moment) -> Duration {
+    let interval = match clock::now().since(since) < INITIAL_TIME {
+        true => INITIAL_INTERVAL,
+        false => LOAN_TERM / COLLECTS_PER_LOAN,
+    };
+    let pause = interval / COLLECT_STEPS;
+    let peers = shared.peers.reachable();
+    let per_step = peers.len().div_ceil(COLLECT_STEPS as usize).max(1);
+    for (step, some) in peers.chunks(per_step).enumerate() {
+        if step > 0 {
             tokio::time::sleep(pause).await;
         }
+        for peer in some {
+            tokio::task::spawn_local(collect(shared.clone(), peer.clone()));
+        }
     }
+    pause
 }
 
 async fn collect(shared: Rc<Shared>, peer: Rc<Backend>) {
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -58,7 +58,8 @@
                 else {
                     return Err(call.busy("required log position is unknown", RETRY_AFTER));
                 };
-                (group.read_candidates(clock::now()), Some(floor))
+                let servers = group.read_candidates(call.account, clock::now());
+                (servers, Some(floor))
             }
         };
         for backend in servers {
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -235,7 +235,7 @@
         let latest = call.route.consistency == Consistency::Latest;
         let servers = match (latest, transaction.read_only) {
             (true, _) => autocommit::confirmed_leader(group, call).await?,
-            (false, true) => group.read_candidates(clock::now()),
+            (false, true) => group.read_candidates(call.account, clock::now()),
             (false, false) => match autocommit::wait_for_leader(group, call).await {
                 Some(leader) => vec![leader.backend],
                 None => return Err(call.busy("no primary is known", RETRY_DELAY)),
