--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forwarding;
 pub mod freshness;
 pub mod isolation;
+pub mod lag;
 pub mod members;
 pub mod mirror;
 pub mod ownership;
--- a/crates/engine/tests/load.rs
+++ b/crates/engine/tests/load.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     admission::{self, Decision, Mean, Obstacle, Queue, Queued, Selection},
+    lag::Lag,
     members::Members,
     placement::{self, Candidate},
     share,
@@ -309,3 +311,30 @@
 
     assert_eq!(placement::order(&candidates, 0), [0, 1]);
 }
+
+fn position(lsn: u64) -> Position {
+    Position { term: 2, lsn }
+}
+
+/// Replicas far behind, many reads: guards against a read that is sent to each of them before the primary.
+#[test]
+fn replica_that_lacked_a_position_is_skipped_until_it_may_have_caught_up() {
+    let mut lag = Lag::default();
+
+    lag.note_lacking(position(100), at(0));
+
+    assert!(lag.lacks(position(100), at(20)));
+    assert!(lag.lacks(position(120), at(20)));
+    assert!(!lag.lacks(position(90), at(20)));
+    assert!(!lag.lacks(position(100), at(200)));
+}
+
+#[test]
+fn replica_that_served_a_position_is_used_again() {
+    let mut lag = Lag::default();
+    lag.note_lacking(position(100), at(0));
+
+    lag.note_served(position(105));
+
+    assert!(!lag.lacks(position(110), at(20)));
+}
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -11,8 +11,10 @@
     time::Duration,
 };
 
+use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
     admission::Mean,
+    lag::Lag,
     ownership::Share,
     placement::Candidate,
     registry::{Entry, Server},
@@ -78,6 +80,7 @@
     pub is_voter: Cell<bool>,
     restart_detector: Cell<Detector>,
     latency: Cell<Mean>,
+    lag: Cell<Lag>,
     avoid_until: Cell<Moment>,
     max_probe_delay: Duration,
     /// Timeout for its VM to accept a connection.
@@ -136,6 +139,7 @@
             is_voter: Cell::default(),
             restart_detector: Cell::default(),
             latency: Cell::new(Mean::new(INITIAL_LATENCY)),
+            lag: Cell::default(),
             avoid_until: Cell::default(),
             last_reached: Cell::default(),
             failure_signal,
@@ -179,6 +183,21 @@
         self.latency.set(latency);
     }
 
+    /// Records whether it had `position` when a read that requires it was sent at `asked`.
+    pub fn note_read(&self, position: Position, asked: Moment, lacked: bool) {
+        let mut lag = self.lag.get();
+        match lacked {
+            true => lag.note_lacking(position, asked),
+            false => lag.note_served(position),
+        }
+        self.lag.set(lag);
+    }
+
+    /// Whether it probably lacks `position`.
+    pub fn lacks(&self, position: Position, now: Moment) -> bool {
+        self.lag.get().lacks(position, now)
+    }
+
     /// The mean latency of recent statements.
     pub fn latency(&self) -> Duration {
         self.latency.get().value()
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -15,7 +15,7 @@
     sync::Arc,
 };
 
-use dandelionpitch_core::hash;
+use dandelionpitch_core::{hash, position::Position};
 use dandelionpitch_engine::{
     catalog::Service,
     freshness::{Lease, Watermark, Watermarks},
@@ -295,7 +295,12 @@
     /// The servers that may run a read of `account`, in order of preference. Among equal servers, each
     /// account prefers another one, on which its connections are then reused. Servers that are leaving, missing
     /// or failed to answer recently come last, and servers that no longer accept work are excluded.
-    pub fn read_candidates(&self, account: Option<&Arc<str>>, now: Moment) -> Vec<Rc<Backend>> {
+    pub fn read_candidates(
+        &self,
+        account: Option<&Arc<str>>,
+        required: Option<Position>,
+        now: Moment,
+    ) -> Vec<Rc<Backend>> {
         let mut servers = self.servers();
         servers.retain(|backend| backend.takes_work(now));
         let client = Client::Account(account.cloned());
@@ -313,7 +318,8 @@
             .collect();
         order.sort_by_key(|backend| {
             let leaving = backend.is_leaving() || backend.is_missing();
-            (backend.is_avoided(now), leaving)
+            let lacks = required.is_some_and(|position| backend.lacks(position, now));
+            (backend.is_avoided(now), leaving || lacks)
         });
         order
     }
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -10,8 +10,9 @@
     refusal::{Code, Refusal},
     registry::Incarnation,
     session::{Effect, Session},
+    time::Moment,
 };
-use dandelionpitch_platform::backend::{Condition, Success};
+use dandelionpitch_platform::backend::{Answer, Condition, Success};
 
 use crate::{
     line::{
@@ -58,7 +59,7 @@
                 else {
                     return Err(call.busy("required log position is unknown", RETRY_AFTER));
                 };
-                let servers = group.read_candidates(call.account, clock::now());
+                let servers = group.read_candidates(call.account, Some(floor), clock::now());
                 (servers, Some(floor))
             }
         };
@@ -200,7 +201,12 @@
     };
     release_if_idle(checkout, &answer);
     let trusted = group.note_position(backend, asked, answer.position);
-    backend.record_latency(clock::now().since(asked));
+    note_lag(backend, after, asked, &answer);
+    let refused = answer.result.as_ref().err();
+    // A refusal is fast, and would make the server look like the fastest one.
+    if !refused.is_some_and(|refusal| refusal.code.guarantees_not_run()) {
+        backend.record_latency(clock::now().since(asked));
+    }
     let latest = call.route.consistency == Consistency::Latest;
     if latest && !trusted {
         let why = "the server is no longer the primary";
@@ -228,6 +234,18 @@
     })
 }
 
+/// Records whether the server lacked the position that a read sent at `asked` requires.
+pub fn note_lag(backend: &Backend, required: Option<Position>, asked: Moment, answer: &Answer) {
+    let Some(position) = required else {
+        return;
+    };
+    match &answer.result {
+        Ok(_) => backend.note_read(position, asked, false),
+        Err(refusal) if refusal.code == Code::Lagging => backend.note_read(position, asked, true),
+        Err(_) => {}
+    }
+}
+
 /// Waits for the answer to a write. If it is overdue, the primary is suspected of being partitioned:
 /// later writes are sent only after replicas have confirmed it.
 pub async fn suspect_if_overdue<T>(
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -15,7 +15,7 @@
     clock,
     group::Group,
     traffic::{
-        autocommit,
+        autocommit::{self, note_lag},
         call::{note_failure, Call, Failure},
         exchange::{checkout, exchange},
     },
@@ -235,7 +235,7 @@
         let latest = call.route.consistency == Consistency::Latest;
         let servers = match (latest, transaction.read_only) {
             (true, _) => autocommit::confirmed_leader(group, call).await?,
-            (false, true) => group.read_candidates(call.account, clock::now()),
+            (false, true) => group.read_candidates(call.account, after, clock::now()),
             (false, false) => match autocommit::wait_for_leader(group, call).await {
                 Some(leader) => vec![leader.backend],
                 None => return Err(call.busy("no primary is known", RETRY_DELAY)),
@@ -270,6 +270,7 @@
             match tokio::time::timeout(call.remaining(), request).await {
                 Ok(Ok(answer)) => {
                     let trusted = group.note_position(&backend, asked, answer.position);
+                    note_lag(&backend, after, asked, &answer);
                     match answer.result {
                         Ok(_) if latest && !trusted => {
                             last = call.busy("the server is no longer the primary", RETRY_DELAY);
