Accounts for operators: limits in the status, operations and draws as metrics; a test waits for restarted proxies

account_operations counts what each account's quota admitted or refused, quota_draws the requests for permits; GET /status lists the accounts without their keys (line_accounts checks it). line_restores, fencing_tokens_rise_across_a_restore_and_restarts: the test opened a session on a proxy that had just been started and had not read the store, which answers BUSY as it may. It waits until the three are ready; its checks are unchanged.

--- a/crates/e2e/tests/line_accounts.rs
+++ b/crates/e2e/tests/line_accounts.rs
@@ -83,6 +83,10 @@
     let of = |name: &str| runs.iter().filter(|run| run.0 == name).count();
     assert_eq!(of("pharmacy"), 2 * of("courier"), "{:?}", &runs[..6]);
     assert_eq!(of("pharmacy") + of("courier"), runs.len());
+    let status = site.status(0).await;
+    assert_eq!(status["accounts"][1]["name"], "pharmacy");
+    let status = status.to_string();
+    assert!(!keys.iter().any(|key| status.contains(key)), "{status}");
     let logged = site.log_lines_with("key");
     let leaked = logged
         .iter()
--- a/crates/e2e/tests/line_restores.rs
+++ b/crates/e2e/tests/line_restores.rs
@@ -167,6 +167,9 @@
     for proxy in 0..3 {
         site.proxies[proxy] = site.start_proxy(proxy);
     }
+    for proxy in 0..3 {
+        assert!(site.becomes_ready(proxy).await, "proxy {proxy}");
+    }
     write(&site, 0, "b", "second");
     let leader = site.group().await["leader"].as_u64().expect("a leader");
     site.fault(leader as usize, "dead", true).await;
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use dandelionpitch_engine::{isolation::Isolation, ownership::Plan};
+use dandelionpitch_engine::{account::Directory, isolation::Isolation, ownership::Plan};
 use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
@@ -26,12 +26,22 @@
     /// The groups whose statements this proxy runs on connections of its own.
     pub owns: Vec<String>,
     pub servers: Vec<ServerReport>,
+    /// The client accounts and their limits, without their keys.
+    pub accounts: Vec<AccountReport>,
     /// Where this proxy gets changes of the store, and how stale its copy is.
     pub changes: mirror::Report,
     /// Log lines dropped because standard output was not read fast enough.
     pub log_lines_dropped: u64,
 }
 
+/// One client account in the status report; its limit is for all proxies together.
+#[derive(Debug, Serialize)]
+pub struct AccountReport {
+    pub name: String,
+    pub rate_per_second: f64,
+    pub burst: f64,
+}
+
 /// One backend server in the status report.
 #[derive(Debug, Serialize)]
 pub struct ServerReport {
@@ -85,11 +95,27 @@
         members: view.proxy_count,
         owns: owned_groups(&view),
         servers: servers.collect(),
+        accounts: accounts(&view),
         changes: context.mirror.report(),
         log_lines_dropped: journal::dropped(),
     })
 }
 
+fn accounts(view: &View) -> Vec<AccountReport> {
+    let catalog = view.catalog.iter();
+    let accounts = catalog.flat_map(|catalog| &catalog.accounts);
+    let reports = accounts
+        .flat_map(Directory::iter)
+        .map(|account| AccountReport {
+            name: account.name.clone(),
+            rate_per_second: account.limit.rate,
+            burst: account.limit.burst,
+        });
+    let mut reports: Vec<AccountReport> = reports.collect();
+    reports.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+    reports
+}
+
 fn owned_groups(view: &View) -> Vec<String> {
     let owned = view.ownership.iter();
     let owned = owned.filter(|(_, ownership)| ownership.plan == Plan::Run);
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -191,6 +191,7 @@
     /// Draws permits from a collector.
     async fn draw(&self, shared: &Shared, id: &str, account: &Account, amount: f64) {
         let name = account.name.as_str();
+        shared.metrics.quota_draw();
         let Some(peer) = shared.peers.get(id) else {
             return;
         };
--- a/crates/proxy/src/line/traffic/session/access.rs
+++ b/crates/proxy/src/line/traffic/session/access.rs
@@ -112,7 +112,10 @@
             return Ok(None);
         }
         let quota = &self.shared.quota;
-        match quota.admit(&self.shared, account).await {
+        let admitted = quota.admit(&self.shared, account).await;
+        let metrics = &self.shared.metrics;
+        metrics.account_operation(&account.name, admitted.is_ok());
+        match admitted {
             Ok(issued) => Ok(Some(Permit {
                 account: account.clone(),
                 issued,
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -37,6 +37,8 @@
     store_errors: Counter<u64>,
     invalid_entries: Counter<u64>,
     forwarded: Counter<u64>,
+    account_operations: Counter<u64>,
+    quota_draws: Counter<u64>,
     log_lines_dropped: Gauge<u64>,
     version: Gauge<u64>,
     changes_age: Gauge<u64>,
@@ -113,6 +115,8 @@
             store_errors: meter.u64_counter("store_errors").build(),
             invalid_entries: meter.u64_counter("entries_passed_over").build(),
             forwarded: meter.u64_counter("statements_handed_over").build(),
+            account_operations: meter.u64_counter("account_operations").build(),
+            quota_draws: meter.u64_counter("quota_draws").build(),
             log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
             changes_age: meter.u64_gauge("store_changes_age_ms").build(),
             store_era: meter.u64_gauge("store_era").build(),
@@ -194,6 +198,23 @@
         self.forwarded.add(1, &[]);
     }
 
+    /// Counts an operation of a client account, which its quota admitted or not. The SDK limits the
+    /// number of series.
+    pub fn account_operation(&self, account: &str, admitted: bool) {
+        let outcome = match admitted {
+            true => "admitted",
+            false => "refused",
+        };
+        let account = KeyValue::new("account", account.to_owned());
+        let outcome = KeyValue::new("outcome", outcome);
+        self.account_operations.add(1, &[account, outcome]);
+    }
+
+    /// Counts a request for quota permits to another proxy.
+    pub fn quota_draw(&self) {
+        self.quota_draws.add(1, &[]);
+    }
+
     /// Records the total number of log lines dropped because standard output was not read.
     pub fn log_lines_dropped(&self, lines: u64) {
         self.log_lines_dropped.record(lines, &[]);
