--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -67,7 +67,8 @@
 ///
 /// A statement that can still meet its target goes before one that cannot, since otherwise both
 /// would be late. One that cannot finish before its deadline is refused now instead of timing out.
-/// Execution is estimated at half of `hold`, because the mean includes idle transactions.
+/// Execution is estimated at half of `hold`, because the mean includes idle transactions. Without this,
+/// work whose target has passed was served first, and what could still meet its target became late too.
 pub fn select(entries: &[Queued], hold: Duration, now: Moment) -> Selection {
     let done = now + hold / 2;
     let too_late = |queued: &(usize, &Queued)| done > queued.1.deadline;
@@ -120,7 +121,8 @@
     }
 }
 
-/// An exponentially weighted moving average of durations in which a new sample has a weight of 1/5.
+/// An exponentially weighted moving average of durations in which a new sample has a weight of 1/5: it
+/// follows a slow server within a handful of statements, and forgets one outlier as fast.
 #[derive(Clone, Copy, Debug)]
 pub struct Mean(Duration);
 
--- a/crates/engine/src/delta.rs
+++ b/crates/engine/src/delta.rs
@@ -1,7 +1,8 @@
 //! Delta encoding of values.
 //!
-//! Sending a large configuration in full to dozens of followers after each small change would
-//! saturate the relay's network link until the followers time out and request it elsewhere.
+//! Sending a configuration of hundreds of kilobytes in full to dozens of followers after each small
+//! change would saturate the relay's network link for seconds, until the followers time out and request it
+//! elsewhere, which saturates those links too. What changed is a few hundred bytes.
 
 use dandelionpitch_core::hash::{self, Map};
 
--- a/crates/engine/src/election.rs
+++ b/crates/engine/src/election.rs
@@ -13,14 +13,17 @@
 /// until the lease expires.
 pub const LEASE_TTL: Duration = Duration::from_millis(2_000);
 
+/// How often the leader renews its lease. A renewal costs the store a tenth of a read, and only the leader
+/// makes them.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 
-/// How long before its expiry a lease is no longer relied on. Another process promotes only some
-/// time after the lease has expired, and not within [`PROMOTION_COOLDOWN`] of a promotion that this
+/// How long before its expiry a lease is no longer relied on. Another process promotes only
+/// most of a second after the lease has expired, and not within [`PROMOTION_COOLDOWN`] of a promotion that this
 /// process recorded.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(800);
 
-/// How long a recently started process lets others claim a vacant leadership first.
+/// How long a recently started process lets others claim a vacant leadership first: longer than these
+/// need to see that it is vacant and to claim it.
 const STARTUP_DELAY: Duration = Duration::from_millis(400);
 
 /// How long a process that receives store changes through a relay lets the relays claim a vacant
--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -13,18 +13,20 @@
 /// request.
 ///
 /// A failover holds the replicas and then waits for at least [`PROMOTION_WAIT`], so no other server
-/// can acknowledge a commit while the confirmation is valid.
+/// can acknowledge a commit while the confirmation is valid. Each renewal costs a server as much as a short
+/// statement.
 pub const LEADER_LEASE: Duration = Duration::from_millis(500);
 
 /// How long a failover waits between holding the replicas and the promotion: the lease, plus a
 /// margin for the time that a status request takes to reach a replica.
 pub const PROMOTION_WAIT: Duration = Duration::from_millis(550);
 
-/// The minimum time between two stored watermarks; closer ones replace each other.
+/// The minimum time between two stored watermarks; closer ones replace each other, as a replica's lag is
+/// not known more closely.
 const MIN_SPACING: Duration = Duration::from_millis(50);
 
-/// The maximum number of stored watermarks: with [`MIN_SPACING`], more than the largest staleness
-/// bound needs.
+/// The maximum number of stored watermarks: with [`MIN_SPACING`], those of six seconds, more than the
+/// largest staleness bound needs.
 const CAPACITY: usize = 128;
 
 /// A position of the primary's log and the time at which it was requested: the log up to `position`
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -20,14 +20,15 @@
 const MIN_OWNER_CONNECTIONS: usize = 3;
 
 /// All owners of a group share 1/n of a server's connections. The rest is reserved for new owners while
-/// the server still counts the connections of owners that have failed.
+/// the server still counts the connections of owners that have failed: those of a VM that lost power
+/// count for three seconds more.
 const BUDGET_DIVISOR: usize = 2;
 
 /// The connection limit per server of a proxy that does not own the group, used while it reaches the
 /// servers but no owner, as in a network partition. Fits into the connections that owners leave free.
 pub const NON_OWNER_CONNECTIONS: usize = 1;
 
-/// CPU time of a forwarded statement, in core seconds.
+/// CPU time of a forwarded statement, in core seconds: two messages read and written on each side.
 const STATEMENT_CORE_SECONDS: f64 = 0.4e-3;
 
 /// Network traffic of a forwarded statement: a 2 KB response received and sent.
--- a/crates/engine/src/share.rs
+++ b/crates/engine/src/share.rs
@@ -16,6 +16,8 @@
 /// One proxy's share of the connections to a server with `slots` slots that accepts
 /// `max_connections` from all `members` live proxies together; at least one.
 ///
+/// While replicas lag, all reads go to the primary, and its queue would grow to several times its slots:
+/// every statement would be late, and those of transactions several times over.
 /// The slots limit the share so that, under overload, statements wait in the proxies, which order
 /// them by priority and deadline and refuse late ones, and not in the server's queue.
 pub fn connections(max_connections: u32, slots: u32, members: usize) -> usize {
--- a/crates/engine/src/takeover.rs
+++ b/crates/engine/src/takeover.rs
@@ -35,7 +35,8 @@
 pub const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How long replication may make no progress before the primary counts as partitioned from all its
-/// replicas: its commits would then wait forever. Longer than ordinary replication lag.
+/// replicas: its commits would then wait forever. Longer than ordinary replication lag, and than a
+/// stretch in which replicas apply slowly.
 pub const STALLED_AFTER: Duration = Duration::from_millis(900);
 
 /// How long replicas may stay held while a primary leads. A failover that another process abandoned
@@ -50,7 +51,8 @@
 /// than the failover leader's lease, so that two leaders do not replace the same primary in turn.
 pub const PROMOTION_COOLDOWN: Duration = Duration::from_secs(5);
 
-/// How long after its call a promotion may still take effect, including delays of the call itself.
+/// How long after its call a promotion may still take effect: a second on the slowest platform, and the
+/// delay of a call that was held up on its way.
 ///
 /// No other server is promoted until the promoted one is seen leading or this time has passed. If
 /// the answer to the call is lost and a second server were promoted, the first promotion could take
--- a/crates/proxy/src/line/control/election.rs
+++ b/crates/proxy/src/line/control/election.rs
@@ -24,7 +24,8 @@
 /// The delay after a failed call, short enough for several retries before the lease expires.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// The timeout of a renewal. A longer wait for a lost answer would use up the lease.
+/// The timeout of a renewal. The store answers in 4 ms, and in 240 ms when it is slow; a longer wait for a
+/// lost answer would use up the lease.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How often a process checks whether the leadership is vacant.
--- a/crates/proxy/src/line/journal.rs
+++ b/crates/proxy/src/line/journal.rs
@@ -19,7 +19,7 @@
 
 const QUEUE_CAPACITY: usize = 1_000;
 
-/// The rate limit of each kind.
+/// The rate limit of each kind: 20 kinds at this rate are below 100 KB a second.
 const MAX_LINES_PER_SECOND: u32 = 20;
 
 /// How long a stopping process waits for queued lines to be written.
