--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -9,19 +9,24 @@
 //! An account's callers use the proxies unevenly, so all proxies lend their rights to a few of them, the
 //! *collectors*, and draw permits from these.
 
+mod balance;
 mod permits;
+mod tolerance;
 
 use std::time::Duration;
 
 use dandelionpitch_core::hash::{self, Map};
 
 use crate::{
-    account::{Account, Directory, Limit},
+    account::{Account, Directory},
     ownership::{self, Peer},
     time::Moment,
 };
 
+use balance::{Balance, Loan, RETRY_AFTER};
+
 pub use permits::{Batch, Permits};
+pub use tolerance::Tolerance;
 
 /// The number of collectors. More of them share the work, but each has to ask every proxy.
 const COLLECTORS: usize = 6;
@@ -32,81 +37,12 @@
 /// How long a collector that has stopped asking is preferred to the next one.
 const COLLECTOR_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// The interval at which permits are stamped while they are issued.
-const ISSUE_STEP: Duration = Duration::from_millis(100);
-
-/// A proxy draws permits for as many operations as it expects within this time, at most half of
-/// the time for which they are valid.
-const DEMAND_HORIZON: Duration = Duration::from_millis(500);
-
-/// The time constant of the average over recent operations.
-const DEMAND_DECAY: Duration = Duration::from_secs(2);
-
 /// A collector grants at most 1/n of its permits at once, so that many proxies can draw.
 const GRANT_DIVISOR: f64 = 4.0;
 
-/// The bounds of the retry-after of an operation above the limit.
-const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
-
 /// Sums of fractions may fall short of a whole permit by a rounding error.
 const ROUNDING: f64 = 1e-4;
 
-/// The part of a limit for which no permits are issued. It covers proxies that know of fewer proxies than
-/// there are, and so issue more.
-const RESERVE: f64 = 0.025;
-
-/// How long a permit is valid at least; long enough to be drawn and used.
-const MIN_LIFETIME: Duration = Duration::from_millis(400);
-
-/// How long a permit is valid at most. What is tolerated beyond that serves more operations if it is issued
-/// evenly, as some rights are not exercised while proxies start or are cut off.
-const MAX_LIFETIME: Duration = Duration::from_millis(1_000);
-
-/// What is tolerated above an account's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Tolerance {
-    /// The span over which operations are counted.
-    pub window: Duration,
-    /// The tolerated part of the limit, for example 0.1.
-    pub excess: f64,
-    /// Operations tolerated in addition.
-    pub margin: f64,
-}
-
-impl Tolerance {
-    /// The operations allowed in any window.
-    pub fn allowed(&self, limit: &Limit) -> f64 {
-        self.regular(limit) * (1.0 + self.excess) + self.margin
-    }
-
-    /// The permits issued per second by all proxies together: all that may be issued for a window, evenly,
-    /// so that an account that always asks for more gets all that it is allowed.
-    fn rate(&self, limit: &Limit) -> f64 {
-        let span = self.window + self.lifetime(limit);
-        self.issued(limit) / span.as_secs_f64()
-    }
-
-    /// How long a permit is valid: those issued before a window and used in it count too. As long as
-    /// possible without issuing less than the limit, within bounds.
-    fn lifetime(&self, limit: &Limit) -> Duration {
-        let window = self.window.as_secs_f64();
-        let regular = (self.regular(limit) / window).max(f64::MIN_POSITIVE);
-        let longest = (self.issued(limit) / regular - window).max(0.0);
-        let longest = Duration::try_from_secs_f64(longest).unwrap_or(MAX_LIFETIME);
-        longest.clamp(MIN_LIFETIME, MAX_LIFETIME)
-    }
-
-    /// The permits that may be issued for a window.
-    fn issued(&self, limit: &Limit) -> f64 {
-        self.allowed(limit) * (1.0 - RESERVE)
-    }
-
-    /// The operations of a window within the limit itself.
-    fn regular(&self, limit: &Limit) -> f64 {
-        limit.rate * self.window.as_secs_f64() + limit.burst
-    }
-}
-
 /// Whether an operation may run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Decision {
@@ -118,129 +54,6 @@
     Refused { retry_after: Duration },
 }
 
-/// The right of another proxy to issue permits, lent to this one.
-#[derive(Clone, Copy, Debug)]
-struct Loan {
-    /// The number of proxies among which the lender divides the permits.
-    members: usize,
-    from: Moment,
-    until: Moment,
-}
-
-/// The permits of one account on this proxy.
-#[derive(Debug)]
-struct Balance {
-    /// Permits issued per second by all proxies.
-    rate: f64,
-    lifetime: Duration,
-    permits: Permits,
-    /// The time up to which permits have been issued.
-    issued_until: Moment,
-    /// To which collector this proxy has lent its right, and until when.
-    lent: Option<(String, Moment)>,
-    /// The collector that had the right before, and when the last of such loans ends.
-    lent_before: Option<(String, Moment)>,
-    /// What other proxies have lent to this one, by their ids.
-    loans: Map<String, Loan>,
-    /// The average number of operations per second, as of `counted_at`.
-    demand: f64,
-    counted_at: Moment,
-    /// No permits are drawn before this time.
-    denied_until: Moment,
-}
-
-impl Balance {
-    fn new(rate: f64, lifetime: Duration, now: Moment) -> Self {
-        Self {
-            rate,
-            lifetime,
-            permits: Permits::default(),
-            issued_until: now,
-            lent: None,
-            lent_before: None,
-            loans: Map::default(),
-            demand: 0.0,
-            counted_at: now,
-            denied_until: Moment::default(),
-        }
-    }
-
-    /// Issues the permits due until `now`, as one of `members` proxies, and drops expired ones.
-    fn update(&mut self, members: Option<usize>, now: Moment) {
-        let oldest = now - self.lifetime;
-        let mut start = self.issued_until.max(oldest);
-        while start < now {
-            let end = now.min(start + ISSUE_STEP);
-            let amount = self.rate * self.issuing_time(members, start, end);
-            self.permits.add(Batch {
-                issued: start,
-                amount,
-            });
-            start = end;
-        }
-        self.issued_until = self.issued_until.max(now);
-        self.loans.retain(|_, loan| loan.until > now);
-        self.permits.drop_issued_before(oldest);
-    }
-
-    /// The time in seconds from `start` to `end`, multiplied by the part of all permits that this proxy
-    /// has the right to issue.
-    fn issuing_time(&self, members: Option<usize>, start: Moment, end: Moment) -> f64 {
-        let part = |members: usize, from: Moment, until: Moment| {
-            until.since(from).as_secs_f64() / members.max(1) as f64
-        };
-        let ends = self.lent.iter().chain(&self.lent_before);
-        let own_start = ends.fold(start, |start, (_, until)| start.max(*until));
-        let own = members.map_or(0.0, |members| part(members, own_start, end));
-        let lent = self.loans.values();
-        let lent = lent.map(|loan| part(loan.members, start.max(loan.from), end.min(loan.until)));
-        own + lent.sum::<f64>()
-    }
-
-    /// Lends this proxy's right to the collector `id`; returns how long other collectors still have it.
-    fn lend(&mut self, id: &str, now: Moment) -> Duration {
-        let moved = self.lent.take_if(|(to, _)| to != id);
-        if let Some((to, until)) = moved {
-            let before = self.lent_before.as_ref().map(|(_, until)| *until);
-            let last = before.map_or(until, |before| before.max(until));
-            self.lent_before = Some((to, last));
-        }
-        self.lent = Some((id.to_owned(), now + LOAN_TERM));
-        let before = self.lent_before.as_ref();
-        before.map_or(Duration::ZERO, |(_, until)| now.until(*until))
-    }
-
-    /// The collectors to which this proxy has lent its right; the one that has it now comes first.
-    fn holders(&self, now: Moment) -> impl Iterator<Item = &str> {
-        let loans = self.lent_before.iter().chain(&self.lent);
-        let running = loans.filter(move |(_, until)| *until > now);
-        running.map(|(to, _)| to.as_str())
-    }
-
-    fn count_operation(&mut self, now: Moment) {
-        self.demand = self.demand_at(now) + 1.0 / DEMAND_DECAY.as_secs_f64();
-        self.counted_at = now;
-    }
-
-    /// The expected operations per second.
-    fn demand_at(&self, now: Moment) -> f64 {
-        let passed = now.since(self.counted_at).as_secs_f64();
-        self.demand * (-passed / DEMAND_DECAY.as_secs_f64()).exp()
-    }
-
-    /// The permits that this proxy expects to need soon.
-    fn expected_need(&self, now: Moment) -> f64 {
-        let horizon = DEMAND_HORIZON.min(self.lifetime / 2);
-        self.demand_at(now) * horizon.as_secs_f64()
-    }
-
-    /// When an operation above the limit may be retried: about when the next permit is issued.
-    fn retry_after(&self) -> Duration {
-        let interval = Duration::from_secs_f64(1.0 / self.rate.max(1.0));
-        interval.clamp(RETRY_AFTER.0, RETRY_AFTER.1)
-    }
-}
-
 /// The rights that a proxy lends to a collector.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loans {
