Quotas: a proxy that was not registered before waits 2 s, also if its first list has its own new entry

By reading: the first list that a new proxy reads may already hold the entry that it has just written itself, and it then issued permits at once, while the others did not count it.

--- a/crates/proxy/src/line/control/keys.rs
+++ b/crates/proxy/src/line/control/keys.rs
@@ -47,6 +47,12 @@
     key.strip_prefix(MEMBER_PREFIX)
 }
 
+/// The name of the process that wrote a live proxy's entry; `None` if the entry is invalid.
+pub fn member_process(value: &[u8]) -> Option<&str> {
+    let entry: Entry<'_> = serde_json::from_slice(value).ok()?;
+    Some(entry.name)
+}
+
 /// Decodes the live proxy `id`; returns `None` if no statements can be forwarded to it.
 pub fn decode_member(id: &str, value: &[u8]) -> Result<Option<Peer>, serde_json::Error> {
     let entry: Entry<'_> = serde_json::from_slice(value)?;
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -74,6 +74,8 @@
     pub records: RefCell<Map<String, record::StoredRecord>>,
     pub(super) catalog: RefCell<Option<Arc<Catalog>>>,
     pub(super) members: RefCell<Members>,
+    /// Whether an earlier process of this proxy was registered when this one read its first list.
+    pub(super) has_predecessor: Cell<bool>,
     /// The ids of servers whose registrations cannot be decoded.
     pub(super) invalid_registrations: RefCell<Set<String>>,
     /// Whether any source of changes responds.
@@ -155,6 +157,7 @@
                         let name = String::from_utf8_lossy(&item.value).into_owned();
                         leader = Some((name, item.revision));
                     } else if let Some(id) = keys::member_id(key) {
+                        self.note_predecessor(id, &item.value);
                         members.push((id.to_owned(), self.decode_peer(id, &item.value)));
                     } else {
                         self.note_record(item, now);
@@ -269,6 +272,15 @@
         })
     }
 
+    /// Records an entry in the first list that an earlier process of this proxy has written.
+    fn note_predecessor(&self, id: &str, value: &[u8]) {
+        let is_first_list = self.publish.borrow().peers.is_empty();
+        let is_other = keys::member_process(value).is_some_and(|name| name != self.name);
+        if is_first_list && id == self.id && is_other {
+            self.has_predecessor.set(true);
+        }
+    }
+
     fn note_record(&self, item: &Item, now: Moment) {
         record::StoredRecord::insert_item(item, &mut self.records.borrow_mut(), now);
     }
@@ -360,6 +372,7 @@
             voters: records.iter().map(voters_of).collect(),
             proxy_count: count,
             quota_members: members.quota_count(now),
+            has_predecessor: self.has_predecessor.get(),
             peers,
             ownership: Map::default(),
         };
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -84,6 +84,7 @@
             records: RefCell::default(),
             catalog: RefCell::default(),
             members: RefCell::default(),
+            has_predecessor: Cell::default(),
             invalid_registrations: RefCell::default(),
             is_following: Cell::new(false),
             subscription,
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -70,8 +70,6 @@
     catalog: RefCell<Option<Arc<Catalog>>>,
     /// When this proxy found its own registration.
     registered_at: Cell<Option<Moment>>,
-    /// Whether a list of the proxies has been received.
-    has_list: Cell<bool>,
     logged: Cell<(Moment, u32)>,
 }
 
@@ -87,7 +85,6 @@
             draws: RefCell::default(),
             catalog: RefCell::default(),
             registered_at: Cell::default(),
-            has_list: Cell::default(),
             logged: Cell::default(),
         }
     }
@@ -97,16 +94,12 @@
         let now = clock::now();
         let is_registered = view.peers.iter().any(|peer| peer.id == own);
         if is_registered && self.registered_at.get().is_none() {
-            // An entry in the first list is that of this proxy's previous process.
-            let settled = match self.has_list.get() {
-                true => now + SETTLE_TIME,
-                false => now,
+            let settled = match view.has_predecessor {
+                true => now,
+                false => now + SETTLE_TIME,
             };
             self.registered_at.set(Some(settled));
         }
-        if !view.peers.is_empty() {
-            self.has_list.set(true);
-        }
         let issues = self.registered_at.get().is_some_and(|at| now >= at);
         let mut ledger = self.ledger.borrow_mut();
         ledger.set_members(issues.then_some(view.quota_members), &view.peers, now);
--- a/crates/proxy/src/line/view.rs
+++ b/crates/proxy/src/line/view.rs
@@ -23,6 +23,9 @@
     pub proxy_count: usize,
     /// How many proxies may issue quota permits, including this one.
     pub quota_members: usize,
+    /// Whether an earlier process of this proxy was registered when this one started, so that the others
+    /// already count it.
+    pub has_predecessor: bool,
     /// The live proxies, to which statements can be forwarded.
     pub peers: Vec<Peer>,
     /// Which proxies open connections to the servers of each group.
