Quotas: terms of loans and the number of collectors grow with the fleet

Change: a loan lasts 1.2 s for 80 proxies and grows with their number (6 s at most, told with the loan), and there are 6 * sqrt(N / 80) collectors: about 200 requests a second and collector at 81 and at 300 proxies.

--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -28,14 +28,32 @@
 pub use permits::{Batch, Permits};
 pub use tolerance::Tolerance;
 
-/// The number of collectors. More of them share the work, but each has to ask every proxy.
-const COLLECTORS: usize = 6;
+/// The number of collectors of a small fleet. More of them share the work, but each has to ask every proxy.
+const MIN_COLLECTORS: f64 = 6.0;
 
-/// How long a proxy lends its right to issue permits, unless the collector asks again.
-pub const LOAN_TERM: Duration = Duration::from_millis(1_200);
+/// The size of a fleet up to which it has [`MIN_COLLECTORS`] and loans of [`MIN_LOAN_TERM`].
+const SMALL_FLEET: f64 = 80.0;
 
-/// How long a collector that has stopped asking is preferred to the next one.
-const COLLECTOR_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a proxy of a small fleet lends its right to issue permits, unless the collector asks again.
+const MIN_LOAN_TERM: Duration = Duration::from_millis(1_200);
+const MAX_LOAN_TERM: Duration = Duration::from_millis(6_000);
+
+/// A collector that has stopped asking is preferred to the next one for this part of a loan.
+const COLLECTOR_TIMEOUT_PART: f64 = 0.8;
+
+/// How long a proxy lends its right. Grows with the fleet, so that a collector asks no more proxies in a
+/// second than in a small one; proxies that fail take their rights with them for longer.
+pub fn loan_term(members: usize) -> Duration {
+    let factor = members as f64 / SMALL_FLEET;
+    MIN_LOAN_TERM.mul_f64(factor.max(1.0)).min(MAX_LOAN_TERM)
+}
+
+/// The number of collectors. Grows with the square root of the fleet: draws grow with it, but so do the
+/// requests that each proxy answers with the number of collectors.
+fn collector_count(peers: usize) -> usize {
+    let factor = (peers as f64 / SMALL_FLEET).max(1.0).sqrt();
+    (MIN_COLLECTORS * factor).round() as usize
+}
 
 /// A collector grants at most 1/n of its permits at once, so that many proxies can draw.
 const GRANT_DIVISOR: f64 = 4.0;
@@ -59,6 +77,8 @@
 pub struct Loans {
     /// The number of proxies among which the lender divides the permits.
     pub members: usize,
+    /// How long they last.
+    pub term: Duration,
     /// The accounts for which it lends its right, and how long others still have it.
     pub accounts: Vec<(String, Duration)>,
 }
@@ -211,9 +231,11 @@
         let Some(members) = self.issuers else {
             return Loans {
                 members: 1,
+                term: Duration::ZERO,
                 accounts: Vec::new(),
             };
         };
+        let term = loan_term(members);
         let names = self.balances.keys();
         let chosen = names.filter(|name| self.choice(name, now) == Some(id));
         let names: Vec<String> = chosen.cloned().collect();
@@ -221,15 +243,19 @@
         for name in names {
             if let Some(balance) = self.balances.get_mut(&name) {
                 balance.update(Some(members), now);
-                let delay = balance.lend(id, now);
+                let delay = balance.lend(id, term, now);
                 accounts.push((name, delay));
             }
         }
-        Loans { members, accounts }
+        Loans {
+            members,
+            term,
+            accounts,
+        }
     }
 
-    /// Accepts the rights that `lender` lent in its answer to a request sent at `asked`. They end
-    /// `LOAN_TERM` after that, as the answer may have been given at any time since. What the lender
+    /// Accepts the rights that `lender` lent in its answer to a request sent at `asked`. Their
+    /// term begins then, as the answer may have been given at any time since. What the lender
     /// lent before ends now: it may have restarted, and know nothing of it.
     pub fn accept(&mut self, lender: &str, loans: &Loans, asked: Moment, now: Moment) {
         let own_members = self.issuers;
@@ -243,7 +269,7 @@
             let loan = Loan {
                 members: loans.members,
                 from: now + *delay,
-                until: asked + LOAN_TERM,
+                until: asked + loans.term,
             };
             if let Some(balance) = self.balances.get_mut(account) {
                 balance.update(own_members, now);
@@ -258,8 +284,9 @@
     /// have ended once each collector has asked this process, or the term of a loan has passed.
     fn update_issuers(&mut self, now: Moment) {
         let has_asked = |id: &String| *id == self.own || self.collected_at.contains_key(id);
-        let is_cleared =
-            now >= self.started_at + LOAN_TERM || self.collectors.iter().all(has_asked);
+        // An earlier process counted no more proxies, so its loans were no longer.
+        let term = loan_term(self.members.unwrap_or(1));
+        let is_cleared = now >= self.started_at + term || self.collectors.iter().all(has_asked);
         let issuers = self.members.filter(|_| is_cleared);
         if self.issuers == issuers {
             return;
@@ -290,9 +317,10 @@
     /// The first collector in the account's order of preference that is this proxy itself or has asked
     /// it for its rights recently.
     fn choice(&self, account: &str, now: Moment) -> Option<&str> {
+        let timeout = loan_term(self.members.unwrap_or(1)).mul_f64(COLLECTOR_TIMEOUT_PART);
         let is_live = |id: &&String| {
             let asked = self.collected_at.get(*id);
-            **id == self.own || asked.is_some_and(|at| now.since(*at) < COLLECTOR_TIMEOUT)
+            **id == self.own || asked.is_some_and(|at| now.since(*at) < timeout)
         };
         let live = self.collectors.iter().filter(is_live);
         let preference = |id: &&String| hash::stable_hash(&(account, id.as_str()));
@@ -324,6 +352,6 @@
     }
     // Stable, so that the order of scores remains within a place.
     ranked.sort_by_key(|(place, _)| *place);
-    let chosen = ranked.into_iter().take(COLLECTORS);
+    let chosen = ranked.into_iter().take(collector_count(peers.len()));
     chosen.map(|(_, peer)| peer.id.clone()).collect()
 }
--- a/crates/engine/src/quota/balance.rs
+++ b/crates/engine/src/quota/balance.rs
@@ -4,7 +4,7 @@
 
 use dandelionpitch_core::hash::Map;
 
-use super::{Batch, Permits, LOAN_TERM};
+use super::{Batch, Permits};
 use crate::time::Moment;
 
 /// The interval at which permits are stamped while they are issued.
@@ -100,15 +100,15 @@
         own + lent.sum::<f64>()
     }
 
-    /// Lends this proxy's right to the collector `id`; returns how long other collectors still have it.
-    pub(super) fn lend(&mut self, id: &str, now: Moment) -> Duration {
+    /// Lends this proxy's right to the collector `id` for `term`; returns how long other collectors still have it.
+    pub(super) fn lend(&mut self, id: &str, term: Duration, now: Moment) -> Duration {
         let moved = self.lent.take_if(|(to, _)| to != id);
         if let Some((to, until)) = moved {
             let before = self.lent_before.as_ref().map(|(_, until)| *until);
             let last = before.map_or(until, |before| before.max(until));
             self.lent_before = Some((to, last));
         }
-        self.lent = Some((id.to_owned(), now + LOAN_TERM));
+        self.lent = Some((id.to_owned(), now + term));
         let before = self.lent_before.as_ref();
         before.map_or(Duration::ZERO, |(_, until)| now.until(*until))
     }
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -14,7 +14,7 @@
 use dandelionpitch_engine::{
     account::Account,
     catalog::Catalog,
-    quota::{Decision, Ledger, Tolerance, LOAN_TERM},
+    quota::{loan_term, Decision, Ledger, Tolerance},
     session::Variables,
     time::Moment,
 };
@@ -42,9 +42,9 @@
 /// A collector asks each proxy this many times while a loan lasts, so that one lost answer ends no loan.
 const COLLECTS_PER_LOAN: u32 = 3;
 
-/// The interval at which a collector asks each proxy during the first [`INITIAL_TIME`], so that an account
-/// has its permits soon after many proxies started.
-const INITIAL_INTERVAL: Duration = Duration::from_millis(100);
+/// A collector asks this many times as often during the first [`INITIAL_TIME`], so that an account has its
+/// permits soon after many proxies started.
+const INITIAL_FACTOR: u32 = 4;
 const INITIAL_TIME: Duration = Duration::from_secs(2);
 
 /// The number of steps in which a collector asks all proxies. Few, as a busy VM runs each step late.
@@ -244,9 +244,11 @@
 /// Asks all proxies, in several steps that spread the work; returns the time until the next step.
 /// This proxy is a collector `since` then.
 async fn collect_from_all(shared: &Rc<Shared>, since: Moment) -> Duration {
+    let members = shared.view.borrow().quota_members;
+    let regular = loan_term(members) / COLLECTS_PER_LOAN;
     let interval = match clock::now().since(since) < INITIAL_TIME {
-        true => INITIAL_INTERVAL,
-        false => LOAN_TERM / COLLECTS_PER_LOAN,
+        true => regular / INITIAL_FACTOR,
+        false => regular,
     };
     let pause = interval / COLLECT_STEPS;
     let peers = shared.peers.reachable();
