--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -1,6 +1,6 @@
 //! The live proxies, according to their entries in the store.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use dandelionpitch_core::hash::Map;
 
@@ -24,9 +24,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     seen: Map<String, Member>,
+    /// The proxies to which statements can be forwarded, as of the last call of [`Self::peers`].
+    peers: Arc<[Peer]>,
+    /// From when on `peers` is outdated; `None` until the next change.
+    outdated_at: Option<Moment>,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 struct Member {
     /// Where other proxies reach it, if its entry has an address.
     peer: Option<Peer>,
@@ -37,20 +41,21 @@
 impl Members {
     /// Records that a proxy has an entry.
     pub fn mark_present(&mut self, name: &str, peer: Option<Peer>) {
-        let missing_since = None;
-        self.seen.insert(
-            name.to_owned(),
-            Member {
-                peer,
-                missing_since,
-            },
-        );
+        let member = Member {
+            peer,
+            missing_since: None,
+        };
+        if self.seen.get(name) != Some(&member) {
+            self.seen.insert(name.to_owned(), member);
+            self.outdated_at = Some(Moment::default());
+        }
     }
 
     /// Records that a proxy's entry was removed.
     pub fn mark_missing(&mut self, name: &str, now: Moment) {
         if let Some(member) = self.seen.get_mut(name) {
             member.missing_since.get_or_insert(now);
+            self.outdated_at = Some(Moment::default());
         }
     }
 
@@ -59,6 +64,7 @@
         for member in self.seen.values_mut() {
             member.missing_since.get_or_insert(now);
         }
+        self.outdated_at = Some(Moment::default());
         present.for_each(|(name, peer)| self.mark_present(&name, peer));
     }
 
@@ -80,15 +86,28 @@
         issuing.count().max(1)
     }
 
-    /// The proxies to which statements can be forwarded, sorted by id.
-    pub fn peers(&self, now: Moment) -> Vec<Peer> {
+    /// The proxies to which statements can be forwarded, sorted by id. The list is the same
+    /// allocation as before if they have not changed.
+    pub fn peers(&mut self, now: Moment) -> Arc<[Peer]> {
+        if self.outdated_at.is_some_and(|at| at <= now) {
+            self.update_peers(now);
+        }
+        self.peers.clone()
+    }
+
+    fn update_peers(&mut self, now: Moment) {
         let retained = self
             .seen
             .values()
             .filter(|m| m.is_retained(FORWARDING_RETENTION, now));
         let mut peers: Vec<Peer> = retained.filter_map(|m| m.peer.clone()).collect();
         peers.sort_by(|a, b| a.id.cmp(&b.id));
-        peers
+        if *self.peers != *peers {
+            self.peers = peers.into();
+        }
+        let missing = self.seen.values().filter_map(|m| m.missing_since);
+        let expiries = missing.map(|since| since + FORWARDING_RETENTION);
+        self.outdated_at = expiries.filter(|expiry| *expiry > now).min();
     }
 }
 
--- a/crates/engine/src/mirror.rs
+++ b/crates/engine/src/mirror.rs
@@ -54,6 +54,14 @@
     pub changes: Vec<Change<V>>,
 }
 
+/// The changes that a follower has missed, or as many of the earliest ones as fit into a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part<V> {
+    pub update: Update<V>,
+    /// Whether later changes follow in another part, so that the follower is not up to date yet.
+    pub has_more: bool,
+}
+
 /// The store's content at one revision, with the removals that followers may have missed.
 #[derive(Clone, Debug)]
 pub struct Mirror<V> {
@@ -66,6 +74,28 @@
     revision: u64,
 }
 
+/// A change that a follower has missed.
+struct Missed<'a, V> {
+    key: &'a str,
+    revision: u64,
+    /// `None` if the key was removed.
+    value: Option<&'a V>,
+}
+
+impl<V: Clone> Missed<'_, V> {
+    fn to_change(&self) -> Change<V> {
+        let (key, revision) = (self.key.to_owned(), self.revision);
+        match self.value {
+            Some(value) => Change::Written(Item {
+                key,
+                value: value.clone(),
+                revision,
+            }),
+            None => Change::Removed { key, revision },
+        }
+    }
+}
+
 impl<V> Default for Mirror<V> {
     fn default() -> Self {
         Self {
@@ -79,6 +109,13 @@
 }
 
 impl<V: Clone> Mirror<V> {
+    /// Records that removals up to the current revision may be unknown, so that followers from before get
+    /// a snapshot.
+    pub fn note_history_unknown(&mut self) {
+        self.compacted_revision = self.revision;
+        self.tombstones.clear();
+    }
+
     /// The revision that the mirror has reached; 0 if it is empty.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -122,33 +159,90 @@
     /// The changes after the revision `after`, or a snapshot if removals after it have been
     /// discarded.
     pub fn since(&self, after: u64) -> Update<V> {
-        let is_snapshot = after < self.compacted_revision;
-        let from = match is_snapshot {
-            true => 0,
-            false => after + 1,
+        Update {
+            revision: self.revision,
+            is_snapshot: self.needs_snapshot(after),
+            changes: self
+                .missed(after)
+                .map(|change| change.to_change())
+                .collect(),
+        }
+    }
+
+    /// Like [`Self::since`], but only the earliest changes that take up to `max_bytes`; `size` returns
+    /// the size of a key and its value. `None` if a snapshot, or the changes of one revision, exceed
+    /// that: neither can be split, as a follower must not apply a part of them.
+    ///
+    /// Nothing is copied that is not returned: a relay has hundreds of followers, and after an outage
+    /// each lacks most of the content.
+    pub fn part_since(
+        &self,
+        after: u64,
+        max_bytes: usize,
+        mut size: impl FnMut(&str, Option<&V>) -> usize,
+    ) -> Option<Part<V>> {
+        let is_snapshot = self.needs_snapshot(after);
+        let mut used = 0;
+        let mut taken: Vec<Missed<'_, V>> = Vec::new();
+        let mut has_more = false;
+        for change in self.missed(after) {
+            used += size(change.key, change.value);
+            if used > max_bytes {
+                // The changes of this revision follow in the next part.
+                taken.retain(|earlier| !is_snapshot && earlier.revision != change.revision);
+                has_more = true;
+                break;
+            }
+            taken.push(change);
+        }
+        let revision = match has_more {
+            true => taken.last()?.revision,
+            false => self.revision,
+        };
+        let update = Update {
+            revision,
+            is_snapshot,
+            changes: taken.iter().map(Missed::to_change).collect(),
+        };
+        Some(Part { update, has_more })
+    }
+
+    /// Whether a follower at the revision `after` may have missed removals that have been discarded. An
+    /// empty follower has nothing to remove.
+    fn needs_snapshot(&self, after: u64) -> bool {
+        after < self.compacted_revision && after != 0
+    }
+
+    /// The changes after the revision `after`, by revision.
+    fn missed(&self, after: u64) -> impl Iterator<Item = Missed<'_, V>> {
+        let (from, known_removals) = match self.needs_snapshot(after) || after == 0 {
+            true => (0, self.tombstones.len()),
+            false => {
+                let seen = |(revision, _): &(u64, String)| *revision <= after;
+                (after + 1, self.tombstones.partition_point(seen))
+            }
         };
         let written = self.keys_by_revision.range((from, String::new())..);
         let written = written.filter_map(|(revision, key)| {
             let (_, value) = self.values.get(key)?;
-            Some(Change::Written(Item {
-                key: key.clone(),
-                value: value.clone(),
+            Some(Missed {
+                key,
                 revision: *revision,
-            }))
+                value: Some(value),
+            })
         });
-        let removed = self.tombstones.iter();
-        let removed = removed.filter(|(revision, _)| !is_snapshot && *revision > after);
-        let removed = removed.map(|(revision, key)| Change::Removed {
-            key: key.clone(),
+        let removed = self.tombstones.range(known_removals..);
+        let removed = removed.map(|(revision, key)| Missed {
+            key,
             revision: *revision,
+            value: None,
         });
-        let mut changes: Vec<_> = written.chain(removed).collect();
-        changes.sort_by_key(Change::revision);
-        Update {
-            revision: self.revision,
-            is_snapshot,
-            changes,
-        }
+        let (mut written, mut removed) = (written.peekable(), removed.peekable());
+        std::iter::from_fn(move || match (written.peek(), removed.peek()) {
+            (Some(write), Some(removal)) if removal.revision < write.revision => removed.next(),
+            (Some(_), _) => written.next(),
+            (None, _) => removed.next(),
+        })
     }
 
     /// Removes the keys that a snapshot does not list. The revisions of their removal are unknown, so the
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -211,7 +211,8 @@
     }
 }
 
-fn find<'a>(peers: &'a [Peer], id: &str) -> Option<&'a Peer> {
+/// The proxy with this id in a list sorted by id.
+pub fn find<'a>(peers: &'a [Peer], id: &str) -> Option<&'a Peer> {
     let index = peers.binary_search_by(|peer| peer.id.as_str().cmp(id));
     index.ok().map(|index| &peers[index])
 }
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -136,13 +136,17 @@
         }
     }
 
-    /// Sets how many proxies issue permits, `None` if this one must not, and which proxies there are.
-    pub fn set_members(&mut self, members: Option<usize>, peers: &[Peer], now: Moment) {
+    /// Sets how many proxies issue permits, `None` if this one must not.
+    pub fn set_members(&mut self, members: Option<usize>, now: Moment) {
         self.members = members;
+        self.update_issuers(now);
+    }
+
+    /// Sets which proxies there are. Ranks all of them, so it should be called only when they change.
+    pub fn set_peers(&mut self, peers: &[Peer]) {
         self.collectors = collectors(peers);
         self.collected_at
             .retain(|id, _| self.collectors.contains(id));
-        self.update_issuers(now);
     }
 
     /// Whether this proxy is a collector.
--- a/crates/engine/src/registry.rs
+++ b/crates/engine/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use dandelionpitch_core::hash::Map;
+use dandelionpitch_core::hash::{Map, Set};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -102,10 +102,16 @@
     }
 }
 
+/// The servers of each group, sorted by incarnation. Groups without servers are absent.
+pub type Groups = Map<Arc<str>, Arc<[Entry]>>;
+
 /// The known servers by id.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: Map<String, Entry>,
+    /// The same entries by group. A change builds only its own group anew, so that its cost does not
+    /// grow with the number of groups.
+    groups: Arc<Groups>,
     /// The time up to which no change of the store has been missed.
     synced_until: Option<Moment>,
 }
@@ -142,30 +148,56 @@
             missing_since: None,
             leaving_since,
         };
-        self.entries.insert(entry.server.id().to_owned(), entry);
+        self.insert(entry);
         true
     }
 
+    /// Inserts an entry, or replaces the one with the same id, which may be of another group.
+    fn insert(&mut self, entry: Entry) {
+        let id = entry.server.id().to_owned();
+        let old = self.entries.insert(id, entry.clone());
+        let moved = old.filter(|old| old.server.service != entry.server.service);
+        if let Some(old) = moved {
+            self.rebuild_group(&old, None);
+        }
+        self.rebuild_group(&entry, Some(&entry));
+    }
+
+    /// Replaces the servers with the id of `changed` in its group by `current`.
+    fn rebuild_group(&mut self, changed: &Entry, current: Option<&Entry>) {
+        let server = &changed.server;
+        let groups = Arc::make_mut(&mut self.groups);
+        let known = groups.get(server.service.as_str());
+        let others = known.iter().flat_map(|entries| entries.iter());
+        let others = others.filter(|entry| entry.server.id() != server.id());
+        let mut entries: Vec<Entry> = others.chain(current).cloned().collect();
+        entries.sort_by(|a, b| a.server.incarnation.cmp(&b.server.incarnation));
+        match entries.is_empty() {
+            true => groups.remove(server.service.as_str()),
+            false => groups.insert(server.service.as_str().into(), entries.into()),
+        };
+    }
+
     /// Notes that an entry is missing from the store. The server is kept for [`MISSING_TIMEOUT`].
     ///
     /// Entries may expire while the store is down, so all servers may be missing when it is back. A
     /// server is dropped only if its entry stays missing while the store answers.
     pub fn mark_missing(&mut self, id: &str, now: Moment) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.missing_since.get_or_insert(now);
+        let present = self.entries.get(id);
+        let present = present.filter(|entry| entry.missing_since.is_none());
+        if let Some(mut entry) = present.cloned() {
+            entry.missing_since = Some(now);
+            self.insert(entry);
         }
     }
 
     /// Applies a complete list; servers that are not in it are missing.
     pub fn replace(&mut self, servers: Vec<Server>, now: Moment) {
-        let present: Vec<String> = servers
-            .iter()
-            .map(|server| server.id().to_owned())
-            .collect();
+        let present: Set<&str> = servers.iter().map(Server::id).collect();
         let absent: Vec<String> = self
             .entries
             .keys()
-            .filter(|id| !present.contains(id))
+            .filter(|id| !present.contains(id.as_str()))
             .cloned()
             .collect();
         for id in absent {
@@ -204,17 +236,21 @@
             .map(|entry| entry.server.id().to_owned())
             .collect();
         for id in &ids {
-            self.entries.remove(id);
+            if let Some(entry) = self.entries.remove(id) {
+                self.rebuild_group(&entry, None);
+            }
         }
         ids
     }
 
     /// Restarts the timeout of all missing entries, because the store was unreachable.
     pub fn restart_expiry(&mut self, now: Moment) {
-        for entry in self.entries.values_mut() {
-            if entry.missing_since.is_some() {
-                entry.missing_since = Some(now);
-            }
+        let missing = self.entries.values();
+        let missing = missing.filter(|entry| entry.missing_since.is_some());
+        let missing: Vec<Entry> = missing.cloned().collect();
+        for mut entry in missing {
+            entry.missing_since = Some(now);
+            self.insert(entry);
         }
     }
 
@@ -225,15 +261,14 @@
     }
 
     /// The servers of one group, sorted by incarnation.
-    pub fn servers_of(&self, service: &str) -> Vec<Entry> {
-        let mut found: Vec<Entry> = self
-            .entries
-            .values()
-            .filter(|entry| entry.server.service == service)
-            .cloned()
-            .collect();
-        found.sort_by(|a, b| a.server.incarnation.cmp(&b.server.incarnation));
-        found
+    pub fn servers_of(&self, service: &str) -> Arc<[Entry]> {
+        self.groups.get(service).cloned().unwrap_or_default()
+    }
+
+    /// The servers of all groups. Those of a group that did not change are the same allocation as
+    /// before.
+    pub fn groups(&self) -> &Arc<Groups> {
+        &self.groups
     }
 
     pub fn len(&self) -> usize {
--- a/crates/engine/tests/control.rs
+++ b/crates/engine/tests/control.rs
@@ -229,7 +229,7 @@
 
     let restart_applied = registry.put(incarnation_of("a", 2_000, false), at(8_000));
     let late_applied = registry.put(incarnation_of("a", 1_000, true), at(8_100));
-    let entry = registry.servers_of("ledger").remove(0);
+    let entry = registry.servers_of("ledger")[0].clone();
 
     assert!(restart_applied && !late_applied);
     assert_eq!(entry.server.incarnation.born, 2_000);
--- a/crates/engine/tests/interleavings/view.rs
+++ b/crates/engine/tests/interleavings/view.rs
@@ -113,7 +113,7 @@
     }
 
     pub fn entries(&self) -> Vec<Entry> {
-        self.registry.servers_of(GROUP)
+        self.registry.servers_of(GROUP).to_vec()
     }
 }
 
--- a/crates/engine/tests/mirror.rs
+++ b/crates/engine/tests/mirror.rs
@@ -153,3 +153,68 @@
     assert!(!applied);
     assert_eq!(mirror.since(0).changes, []);
 }
+
+/// A follower lacks more changes than fit into a response. Guards against a follower that skips changes, or
+/// that applies a part of the changes of one revision.
+#[test]
+fn missed_changes_are_sent_in_parts_in_order() {
+    let mut mirror = mirror();
+    let changes: Vec<_> = (14..40)
+        .flat_map(|revision| {
+            [
+                written("config", revision, "x"),
+                written(name(revision), revision, "x"),
+            ]
+        })
+        .collect();
+    mirror.apply(&update(40, false, &changes));
+    mirror.apply(&update(41, false, &[removed(name(20), 41)]));
+    let mut follower = Mirror::default();
+    follower.apply(&update(13, true, &[written("config", 12, "v2")]));
+    let mut reached = Vec::new();
+
+    loop {
+        let part = mirror
+            .part_since(follower.revision(), 5, |_, _| 1)
+            .expect("five changes are never of one revision");
+        assert!(part.update.changes.len() <= 5 && !part.update.is_snapshot);
+        follower.apply(&part.update);
+        reached.push(follower.revision());
+        if !part.has_more {
+            break;
+        }
+    }
+
+    assert_eq!(follower.since(0).changes, mirror.since(0).changes);
+    assert_eq!(reached, [18, 24, 29, 34, 38, 41]);
+}
+
+/// The name of a key that differs for each revision below 64.
+fn name(revision: u64) -> &'static str {
+    const NAMES: &str = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ+-";
+    &NAMES[revision as usize..=revision as usize]
+}
+
+/// A snapshot lists all keys, so a follower that applied a part of it would drop the others.
+#[test]
+fn snapshot_that_is_too_large_is_not_split() {
+    let mirror = mirror();
+
+    assert!(mirror.part_since(3, 0, |_, _| 1).is_none());
+    assert!(mirror
+        .part_since(3, 1, |_, _| 1)
+        .is_some_and(|part| part.update.is_snapshot));
+}
+
+/// The changes of one revision were made together. Guards against a response that never contains any.
+#[test]
+fn changes_of_one_revision_that_are_too_large_are_not_split() {
+    let mut mirror = mirror();
+    mirror.apply(&update(
+        14,
+        false,
+        &[written("a", 14, "x"), written("b", 14, "x")],
+    ));
+
+    assert!(mirror.part_since(13, 1, |_, _| 1).is_none());
+}
--- a/crates/engine/tests/quota.rs
+++ b/crates/engine/tests/quota.rs
@@ -49,7 +49,8 @@
 fn ledger(index: usize, count: usize, started_at: Moment, now: Moment) -> Ledger {
     let mut ledger = Ledger::new(&format!("proxy-{index}"), TOLERANCE, started_at);
     ledger.configure(&directory(), now);
-    ledger.set_members(Some(count), &peers(count), now);
+    ledger.set_peers(&peers(count));
+    ledger.set_members(Some(count), now);
     ledger
 }
 
@@ -245,7 +246,8 @@
 
     fn act(&mut self, index: usize) {
         let now = self.now;
-        self.ledgers[index].set_members(Some(Self::PROXIES), &peers(Self::PROXIES), now);
+        self.ledgers[index].set_peers(&peers(Self::PROXIES));
+        self.ledgers[index].set_members(Some(Self::PROXIES), now);
         if self.ledgers[index].is_collector() && self.random.chance(4) {
             self.collect(index);
         }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -63,6 +63,9 @@
 pub struct Line {
     /// The address of the platform service that promotes servers.
     pub promoter: SocketAddr,
+    /// How many promotions that service executes per second, for all proxies together.
+    #[serde(default = "default_promotions_per_second")]
+    pub promotions_per_second: f64,
     /// The time between SIGTERM and the platform killing the process.
     #[serde(with = "humantime_serde")]
     pub grace: Duration,
@@ -109,6 +112,10 @@
     Duration::from_secs(5)
 }
 
+fn default_promotions_per_second() -> f64 {
+    50.0
+}
+
 fn default_config_within() -> Duration {
     Duration::from_secs(3)
 }
@@ -244,8 +251,12 @@
             ("line.config_within", self.config_within()),
             ("line.quota_window", self.quota_window()),
         ];
-        match positive.iter().find(|(_, value)| value.is_zero()) {
-            Some((key, _)) => Err(Error::OutOfRange(format!("{key}: must be above zero"))),
+        let line = self.line.as_ref();
+        let has_rate = line.is_none_or(|line| line.promotions_per_second > 0.0);
+        let rate = (!has_rate).then_some("line.promotions_per_second");
+        let zero = positive.iter().find(|(_, value)| value.is_zero());
+        match zero.map(|(key, _)| *key).or(rate) {
+            Some(key) => Err(Error::OutOfRange(format!("{key}: must be above zero"))),
             None => Ok(()),
         }
     }
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -25,7 +25,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use dandelionpitch_engine::{isolation::Isolation, ownership};
+use dandelionpitch_engine::{isolation::Isolation, ownership, planner::Planner};
 use tokio::{net::TcpListener, sync::watch, task::LocalSet};
 
 use self::{
@@ -96,6 +96,8 @@
         view: view.clone(),
         groups: RefCell::default(),
         peers: peers::Peers::default(),
+        planner: RefCell::new(Planner::new(&config.id, &config.dc)),
+        applied_peers: RefCell::default(),
         metrics,
         stop: stop.clone(),
         isolation,
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -5,6 +5,7 @@
 //! share the [`state`], from which the traffic thread's view is published.
 
 pub mod attempt;
+pub mod bootstrap;
 pub mod election;
 pub mod failover;
 pub mod follow;
--- /dev/null
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -0,0 +1,121 @@
+//! Copies the store's content from a relay when the process starts.
+//!
+//! The content of a large deployment takes many calls to list, and megabytes of the store's network link
+//! for each proxy that starts. A relay has it already, so the store is only asked for the relays and for
+//! what has changed since the relay's copy, which also proves that the copy is complete.
+
+use std::{rc::Rc, time::Duration};
+
+use dandelionpitch_core::hash;
+use dandelionpitch_engine::{feed::Source, mirror::Update, ownership::Peer, time::Moment};
+use dandelionpitch_platform::{feed::Request, store::WatchResult, Error};
+
+use crate::line::{
+    clock,
+    control::{
+        keys::{self, RELAY_PREFIX},
+        relay::Relay,
+        state::Control,
+    },
+    journal,
+};
+
+/// How long a relay that has no content yet is asked again. When all proxies start at once, the relays
+/// need about this long to list the store.
+const MAX_WAIT: Duration = Duration::from_millis(2_000);
+
+/// The delay until a relay without content is asked again.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// The number of relays that are tried.
+const MAX_RELAYS_TRIED: usize = 3;
+
+/// Fills the mirror from a relay and brings it up to date with the store. Returns `false` if that fails,
+/// so that the store has to be listed.
+pub async fn run(control: &Rc<Control>) -> bool {
+    let relays = match find_relays(control).await {
+        Ok(relays) => relays,
+        Err(error) => {
+            journal::trouble("bootstrap", &error.to_string());
+            return false;
+        }
+    };
+    let until = clock::now() + MAX_WAIT;
+    for peer in relays.iter().take(MAX_RELAYS_TRIED) {
+        let copied = match copy_content(control, peer, until).await {
+            Ok(()) => catch_up(control).await,
+            Err(error) => Err(error),
+        };
+        match copied {
+            Ok(is_complete) => return is_complete,
+            Err(error) => journal::trouble("bootstrap", &format!("{}: {error}", peer.id)),
+        }
+    }
+    false
+}
+
+/// Copies a relay's content into the mirror.
+async fn copy_content(control: &Control, peer: &Peer, until: Moment) -> Result<(), Error> {
+    let source = Source::Peer(peer.id.clone());
+    let mut relay = Relay::at(&peer.id, peer.address);
+    loop {
+        let request = Request {
+            after: control.mirror.revision(),
+            wait: Duration::ZERO,
+        };
+        match relay.poll(&control.mirror, request).await {
+            Ok(answer) => {
+                // The mirror counts as current only once the store has confirmed it.
+                let update = &answer.part.update;
+                control.mirror.apply(&source, update, Moment::default());
+                if !answer.part.has_more {
+                    return Ok(());
+                }
+            }
+            Err(Error::Refused(_)) if clock::now() < until => {
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// The relays, those of this proxy's data centre first. None if this proxy was a relay itself before it
+/// restarted: the others wait for its content.
+async fn find_relays(control: &Control) -> Result<Vec<Peer>, Error> {
+    let entries = control.store().list_stale(RELAY_PREFIX).await?;
+    let relays = entries.iter().filter_map(|item| {
+        let id = item.key.strip_prefix(RELAY_PREFIX)?;
+        keys::decode_member(id, &item.value).ok().flatten()
+    });
+    let mut relays: Vec<Peer> = relays.collect();
+    if relays.iter().any(|peer| peer.id == control.id) {
+        return Ok(Vec::new());
+    }
+    relays.sort_by_cached_key(|peer| {
+        let is_remote = peer.dc != control.dc;
+        (is_remote, hash::stable_hash(&(&control.name, &peer.id)))
+    });
+    Ok(relays)
+}
+
+/// Applies what has changed in the store since the relay's copy.
+async fn catch_up(control: &Control) -> Result<bool, Error> {
+    let asked = clock::now();
+    let after = control.mirror.revision();
+    let result = control.store().watch("", after, Duration::ZERO).await?;
+    let WatchResult::Changes { events, next } = result else {
+        return Ok(false);
+    };
+    let update = Update {
+        revision: next,
+        is_snapshot: false,
+        changes: events,
+    };
+    if !control.mirror.apply(&Source::Store, &update, asked) {
+        return Ok(false);
+    }
+    control.mirror.note_history_unknown();
+    control.apply_snapshot(&control.mirror.content());
+    Ok(true)
+}
--- a/crates/proxy/src/line/control/election.rs
+++ b/crates/proxy/src/line/control/election.rs
@@ -28,9 +28,13 @@
 /// lost answer would use up the lease.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How often a process checks whether the leadership is vacant.
+/// How often a process checks whether it may claim a vacant leadership.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The interval while another process is the leader. The end of its leadership is notified, so this only
+/// covers a notification that came just before it was waited for.
+const LED_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// The longest jitter before a claim, so that usually only one process sends a claim.
 const MAX_CLAIM_JITTER: Duration = Duration::from_millis(150);
 
@@ -55,7 +59,8 @@
         }
         let delay = match step(&control, &mut lease).await {
             Ok(()) if lease.is_some() => RENEW_INTERVAL,
-            Ok(()) => CHECK_INTERVAL,
+            Ok(()) if control.election.borrow().is_vacant() => CHECK_INTERVAL,
+            Ok(()) => LED_CHECK_INTERVAL,
             Err(error) => {
                 control.metrics.store_error();
                 journal::trouble("duty", &error.to_string());
@@ -66,6 +71,7 @@
         tokio::select! {
             () = tokio::time::sleep(delay.min(CHECK_INTERVAL)), if stopping => {}
             () = tokio::time::sleep(delay), if !stopping => {}
+            () = control.vacated.notified(), if !stopping && lease.is_none() => {}
             () = control.stopping.cancelled(), if !stopping => {}
         }
     }
@@ -147,5 +153,6 @@
     let Some(token) = token else { return Ok(None) };
     journal::write("duty", json!({ "taken": true, "token": token }));
     control.election.borrow_mut().note_won(&control.name, token);
+    control.elected.notify_one();
     Ok(Some(lease))
 }
--- a/crates/proxy/src/line/control/failover.rs
+++ b/crates/proxy/src/line/control/failover.rs
@@ -1,68 +1,70 @@
 //! Replaces primaries while this process is the failover leader. [`takeover`] decides what to do with
 //! a group; this module polls its servers, starts failover attempts and saves its roster.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+mod group;
+mod rosters;
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use dandelionpitch_core::hash::{Map, Set};
 use dandelionpitch_engine::{
-    registry::{Entry, Incarnation, Role},
-    roster::{self, Roster},
-    takeover::{self, Decision, Member, Monitor, Sight, Status, PROMOTION_COOLDOWN},
+    catalog::Catalog,
+    pace::{self, Pacer, Waiting},
+    registry::{Entry, Groups, Incarnation, Role},
+    takeover::{self, Cause, Decision, Member, Sight, Status, PROMOTION_COOLDOWN},
     time::Moment,
 };
 use dandelionpitch_platform::backend::Command;
 
+use self::{
+    group::Group,
+    rosters::{Unsaved, MAX_RECORDS_PER_WRITE},
+};
 use crate::line::{
     clock,
-    control::{
-        attempt::{Attempt, Completion},
-        probe::Probe,
-        record::{Record, StoredRecord},
-        recorder::write_record,
-        state::Control,
-    },
-    journal,
+    control::{attempt::Attempt, probe::Probe, state::Control},
 };
 
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long a group is not evaluated after a promotion was requested. The promotion takes effect with
-/// a delay, and statuses from before are obsolete.
-const PROMOTION_SETTLE_TIME: Duration = Duration::from_millis(1_200);
-
-/// The delay after a failed attempt, or after a roster could not be saved.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
-
-/// The state of one group.
-struct Group {
-    monitor: Monitor,
-    roster: Roster,
-    /// The record in the store that the roster is based on.
-    recorded: Option<StoredRecord>,
-    /// Whether the roster is being written to the store.
-    is_writing: bool,
-    /// The earliest time at which the group is evaluated again.
-    not_before: Moment,
-    /// Whether a failover attempt is active.
-    is_attempting: bool,
-}
-
 type Probes = Map<Incarnation, Rc<Probe>>;
 
 /// The state of the failover leader.
-#[derive(Default)]
 struct Coordinator {
     probes: RefCell<Probes>,
+    /// The registered servers for which the probes were last cleaned up.
+    probed: RefCell<Arc<Groups>>,
     groups: RefCell<Map<String, Group>>,
     /// The groups with an active attempt. Unlike `groups`, it is kept when the leadership is lost:
     /// if it is regained during an attempt, a second attempt could promote another server in quick
     /// succession, and commits acknowledged by the first would be lost.
     groups_in_failover: RefCell<Set<String>>,
+    pacer: RefCell<Pacer>,
+    /// The rosters found in this evaluation that differ from their records.
+    unsaved: RefCell<Vec<Unsaved>>,
+}
+
+/// A group whose primary has to be replaced.
+struct Candidate {
+    service: String,
+    waiting: Waiting,
+    members: Vec<Member>,
+    probes: Vec<Rc<Probe>>,
+    old_primary: Option<Incarnation>,
+    cause: Cause,
 }
 
-/// Evaluates all groups periodically while this process is the failover leader.
-pub async fn run(control: Rc<Control>) {
-    let coordinator = Rc::new(Coordinator::default());
+/// Evaluates all groups periodically while this process is the failover leader. `promotions_per_second` is
+/// the platform's limit.
+pub async fn run(control: Rc<Control>, promotions_per_second: f64) {
+    let coordinator = Rc::new(Coordinator {
+        probes: RefCell::default(),
+        probed: RefCell::default(),
+        groups: RefCell::default(),
+        groups_in_failover: RefCell::default(),
+        pacer: RefCell::new(Pacer::new(promotions_per_second)),
+        unsaved: RefCell::default(),
+    });
     loop {
         tokio::time::sleep(EVALUATION_INTERVAL).await;
         let now = clock::now();
@@ -70,24 +72,51 @@
             // Observations are obsolete by the time this process is the leader again.
             coordinator.probes.borrow_mut().clear();
             coordinator.groups.borrow_mut().clear();
+            if !control.election.borrow().is_elected() {
+                control.elected.notified().await;
+            }
             continue;
         }
-        for service in control.services() {
-            coordinator.clone().evaluate_group(&control, &service, now);
-        }
-        coordinator.drop_unregistered(&control);
+        coordinator.evaluate_all(&control, now);
     }
 }
 
 impl Coordinator {
+    /// Evaluates all groups, and starts attempts for as many as the platform's limit allows.
+    fn evaluate_all(self: &Rc<Self>, control: &Rc<Control>, now: Moment) {
+        let Some(catalog) = control.catalog() else {
+            return;
+        };
+        let services = catalog.services.keys();
+        let candidates = services.filter_map(|service| self.evaluate_group(control, service, now));
+        let mut candidates: Vec<Candidate> = candidates.collect();
+        let unsaved = self.unsaved.take();
+        for batch in unsaved.chunks(MAX_RECORDS_PER_WRITE) {
+            let saving = rosters::save(self.clone(), control.clone(), batch.to_vec());
+            tokio::task::spawn_local(saving);
+        }
+        pace::order(&mut candidates, |candidate| candidate.waiting);
+        for candidate in candidates {
+            if !self.pacer.borrow_mut().try_start(now) {
+                break;
+            }
+            self.start_attempt(control, candidate);
+        }
+        self.drop_unregistered(control, &catalog);
+    }
+
     /// Drops the probes of servers that are no longer registered.
-    fn drop_unregistered(&self, control: &Control) {
-        let services = control.services();
-        let entries = services
+    fn drop_unregistered(&self, control: &Control, catalog: &Catalog) {
+        let current = control.registry.borrow().groups().clone();
+        let checked = self.probed.replace(current.clone());
+        if Arc::ptr_eq(&checked, &current) {
+            return;
+        }
+        let configured = current
             .iter()
-            .flat_map(|service| control.servers_of(service));
-        let present = entries.map(|entry| entry.server.incarnation.clone());
-        let present: Set<Incarnation> = present.collect();
+            .filter(|(service, _)| catalog.services.contains_key(&***service));
+        let entries = configured.flat_map(|(_, entries)| entries.iter());
+        let present: Set<&Incarnation> = entries.map(|entry| &entry.server.incarnation).collect();
         self.probes
             .borrow_mut()
             .retain(|id, _| present.contains(id));
@@ -95,22 +124,27 @@
 
     fn probes_of(&self, entries: &[Entry]) -> Vec<Rc<Probe>> {
         let mut probes = self.probes.borrow_mut();
-        entries
-            .iter()
-            .map(|entry| {
-                probes
-                    .entry(entry.server.incarnation.clone())
-                    .or_insert_with(|| Probe::new(entry.server.clone()))
-                    .clone()
-            })
-            .collect()
+        let probe_of = |entry: &Entry| match probes.get(&entry.server.incarnation) {
+            Some(probe) => probe.clone(),
+            None => {
+                let probe = Probe::new(entry.server.clone());
+                probes.insert(entry.server.incarnation.clone(), probe.clone());
+                probe
+            }
+        };
+        entries.iter().map(probe_of).collect()
     }
 
-    /// Polls the servers of a group, evaluates it and starts an attempt if its primary must be replaced.
-    fn evaluate_group(self: Rc<Self>, control: &Rc<Control>, service: &str, now: Moment) {
+    /// Polls the servers of a group and evaluates it. Returns the group if its primary must be replaced.
+    fn evaluate_group(
+        self: &Rc<Self>,
+        control: &Rc<Control>,
+        service: &str,
+        now: Moment,
+    ) -> Option<Candidate> {
         let entries = control.servers_of(service);
         if entries.is_empty() {
-            return;
+            return None;
         }
         let probes = self.probes_of(&entries);
         let members: Vec<Member> = entries
@@ -124,43 +158,77 @@
             })
             .collect();
         let mut groups = self.groups.borrow_mut();
-        let group = groups.entry(service.to_owned()).or_insert_with(|| Group {
-            is_attempting: self.groups_in_failover.borrow().contains(service),
-            ..Group::new(control, service, now)
-        });
+        if !groups.contains_key(service) {
+            let is_attempting = self.groups_in_failover.borrow().contains(service);
+            let group = Group::new(control, service, is_attempting, now);
+            groups.insert(service.to_owned(), group);
+        }
+        let group = groups.get_mut(service)?;
         group.merge_record(control, service, now);
         group.update_roster(&members, control.sync_replicas(service), now);
-        self.save_roster(control, service, group);
+        if let Some(unsaved) = Unsaved::new(control, service, group) {
+            group.is_writing = true;
+            self.unsaved.borrow_mut().push(unsaved);
+        }
         let is_healthy = takeover::leader(&members).is_some() && !group.monitor.is_suspect(now);
         probes
             .iter()
             .for_each(|probe| probe.poll_if_due(now, is_healthy));
         step_down_superseded(&members, &probes);
         if group.is_attempting || now < group.not_before || control.stopping.is_cancelled() {
-            return;
+            return None;
         }
         let (old_primary, cause) = match group.monitor.evaluate(&members, now) {
             Decision::Replace { old, cause } => (old, cause),
-            Decision::Resume => return resume_held(&members, &probes),
-            Decision::Healthy | Decision::Undecided => return,
+            Decision::Resume => {
+                resume_held(&members, &probes);
+                return None;
+            }
+            Decision::Healthy => {
+                group.note_healthy();
+                return None;
+            }
+            Decision::Undecided => return None,
         };
         if !is_past_cooldown(control, service, now) {
-            return;
+            return None;
         }
+        Some(Candidate {
+            service: service.to_owned(),
+            waiting: group.note_waiting(now),
+            members,
+            probes,
+            old_primary,
+            cause,
+        })
+    }
+
+    /// Starts an attempt, unless one of the members is just being released.
+    fn start_attempt(self: &Rc<Self>, control: &Rc<Control>, candidate: Candidate) {
+        let Candidate {
+            service,
+            members,
+            probes,
+            old_primary,
+            cause,
+            ..
+        } = candidate;
+        let mut groups = self.groups.borrow_mut();
+        let Some(group) = groups.get_mut(&service) else {
+            return;
+        };
         let not_resuming = probes.iter().filter(|probe| probe.cancel_resume());
         if not_resuming.count() < probes.len() {
             return;
         }
         group.is_attempting = true;
-        self.groups_in_failover
-            .borrow_mut()
-            .insert(service.to_owned());
+        self.groups_in_failover.borrow_mut().insert(service.clone());
         control
             .active_attempts
             .set(control.active_attempts.get() + 1);
         let attempt = Attempt {
             control: control.clone(),
-            service: service.to_owned(),
+            service,
             members,
             newest_term: group.monitor.newest_term(),
             roster: group.roster.clone(),
@@ -187,106 +255,6 @@
     }
 }
 
-impl Group {
-    fn new(control: &Control, service: &str, now: Moment) -> Self {
-        let recorded = control.records.borrow().get(service).cloned();
-        let members = recorded.as_ref().map(|stored| &stored.record.members[..]);
-        let promoted = recorded
-            .as_ref()
-            .filter(|stored| stored.record.promotions > 0);
-        Self {
-            monitor: Monitor::default(),
-            roster: Roster::new(members.unwrap_or_default(), now),
-            // A promotion that this process requested before it lost the leadership may still take effect.
-            not_before: promoted
-                .map_or(now, |stored| stored.promotion_seen_at + PROMOTION_COOLDOWN),
-            recorded,
-            is_writing: false,
-            is_attempting: false,
-        }
-    }
-
-    /// Merges the group's record into the roster if it has changed in the store.
-    ///
-    /// The previous leader's record may list a server that confirms commits and is unknown here. A
-    /// quorum computed without it might lack acknowledged commits, so every recorded server counts,
-    /// and a promotion is recorded only as an update of the record that its roster is based on.
-    fn merge_record(&mut self, control: &Control, service: &str, now: Moment) {
-        let records = control.records.borrow();
-        let Some(stored) = records.get(service) else {
-            return;
-        };
-        let known_revision = self.recorded.as_ref().map(|recorded| recorded.revision);
-        if known_revision != Some(stored.revision) {
-            self.roster.merge(&stored.record.members, now);
-            self.recorded = Some(stored.clone());
-        }
-    }
-
-    fn update_roster(&mut self, members: &[Member], sync_replicas: u32, now: Moment) {
-        let recorded = self.recorded.as_ref();
-        let basis = roster::Basis {
-            sync_replicas,
-            promoted: recorded.and_then(|stored| stored.record.promoted()),
-        };
-        self.roster.update(members, basis, now);
-    }
-
-    fn finish_attempt(&mut self, completion: &Completion, now: Moment) {
-        self.is_attempting = false;
-        match completion {
-            Completion::Requested { server, term } => {
-                self.monitor.note_promotion(server, *term, now);
-                self.not_before = now + PROMOTION_SETTLE_TIME;
-            }
-            Completion::NotRequested => {
-                self.monitor.note_attempt();
-                self.not_before = now + RETRY_DELAY;
-            }
-        }
-    }
-}
-
-impl Coordinator {
-    /// Writes the roster to the store if it has changed, or if its record predates the last restore.
-    fn save_roster(self: &Rc<Self>, control: &Rc<Control>, service: &str, group: &mut Group) {
-        let members = group.roster.ids();
-        let recorded = group.recorded.clone();
-        let is_saved = recorded.as_ref().is_some_and(|stored| {
-            stored.record.members == members && stored.record.is_in_era_of(stored.revision)
-        });
-        let Some(token) = control.election.borrow().token(clock::now()) else {
-            return;
-        };
-        if is_saved || group.is_writing || group.is_attempting {
-            return;
-        }
-        group.is_writing = true;
-        let (coordinator, control, service) = (self.clone(), control.clone(), service.to_owned());
-        tokio::task::spawn_local(async move {
-            let record = Record {
-                holder: control.name.clone(),
-                token,
-                server: recorded
-                    .as_ref()
-                    .map_or(String::new(), |stored| stored.record.server.clone()),
-                promotions: recorded
-                    .as_ref()
-                    .map_or(0, |stored| stored.record.promotions),
-                members,
-            };
-            let revision = recorded.map(|stored| stored.revision);
-            if let Err(failure) = write_record(&control, &service, &record, revision).await {
-                journal::trouble("roster", &failure.to_string());
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-            if let Some(group) = coordinator.groups.borrow_mut().get_mut(&service) {
-                group.is_writing = false;
-            }
-        });
-    }
-}
-
 /// Schedules the release of held replicas for the next poll.
 fn resume_held(members: &[Member], probes: &[Rc<Probe>]) {
     for (member, probe) in members.iter().zip(probes) {
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -22,7 +22,7 @@
     control::backoff::{self, Backoff},
     line::{
         clock,
-        control::{relay::Relay, state::Control},
+        control::{bootstrap, relay::Relay, state::Control},
         journal, records,
     },
 };
@@ -85,7 +85,7 @@
         }
     }
 
-    /// The source of the next poll. A process that has just started reads the store itself, as a relay
+    /// The source of the next poll. A process that has just started asks the store itself, as a relay
     /// may not have the latest configuration.
     fn choose_source(&self) -> Source {
         match self.control.mirror.revision() {
@@ -106,6 +106,10 @@
     }
 
     async fn list_store(&mut self) -> Result<bool, Error> {
+        if self.control.mirror.revision() == 0 && bootstrap::run(&self.control).await {
+            self.needs_list = false;
+            return Ok(true);
+        }
         let asked = clock::now();
         let (items, revision) = self.control.store().list(ALL_KEYS).await?;
         let update = Update {
@@ -147,8 +151,12 @@
             .poll(&self.control.mirror, Request { after, wait })
             .await?;
         self.relay = Some(relay);
-        let synced_until = feed::synced_until(asked, answer.waited, answer.age);
-        let changed = self.apply(source, &answer.update, synced_until);
+        let synced_until = match answer.part.has_more {
+            // Later changes are still to come, however recent the relay is.
+            true => Moment::default(),
+            false => feed::synced_until(asked, answer.timing.waited, answer.timing.age),
+        };
+        let changed = self.apply(source, &answer.part.update, synced_until);
         // The relay's response includes changes that are no longer available from the store.
         self.needs_list = false;
         Ok(changed)
--- a/crates/proxy/src/line/control/heartbeat.rs
+++ b/crates/proxy/src/line/control/heartbeat.rs
@@ -30,13 +30,22 @@
 /// Renews the entry until the process stops.
 pub async fn run(control: Rc<Control>) {
     let mut lease = None;
+    let mut is_announced = false;
     let mut backoff = Backoff::new(
         RETRY_DELAYS.0,
         RETRY_DELAYS.1,
         backoff::stable_hash(&control.name),
     );
     while !control.stopping.is_cancelled() {
-        let delay = match renew(&control, &mut lease).await {
+        let renewed = match renew(&control, &mut lease).await {
+            Ok(true) => announce_relay(&control, lease, &mut is_announced).await,
+            Ok(false) => {
+                is_announced = false;
+                Ok(())
+            }
+            Err(error) => Err(error),
+        };
+        let delay = match renewed {
             Ok(()) => {
                 backoff.reset();
                 RENEW_INTERVAL
@@ -70,6 +79,11 @@
     write_entry(control, lease, None).await
 }
 
+fn encode_entry(control: &Control, peer: Option<SocketAddr>) -> Result<Vec<u8>, Error> {
+    keys::encode_member(&control.name, &control.dc, peer, control.peer.capacity)
+        .map_err(|error| Error::Protocol(error.to_string()))
+}
+
 /// Writes the entry, with the address where statements are accepted.
 async fn write_entry(
     control: &Control,
@@ -77,8 +91,7 @@
     peer: Option<SocketAddr>,
 ) -> Result<(), Error> {
     let key = keys::member_key(&control.id);
-    let value = keys::encode_member(&control.name, &control.dc, peer, control.peer.capacity)
-        .map_err(|error| Error::Protocol(error.to_string()))?;
+    let value = encode_entry(control, peer)?;
     let write = Write {
         key: &key,
         value: &value,
@@ -88,11 +101,38 @@
     Ok(())
 }
 
-async fn renew(control: &Control, lease: &mut Option<Lease>) -> Result<(), Error> {
+/// Writes or removes the key by which starting proxies find relays, if this proxy has become one or is
+/// one no longer.
+async fn announce_relay(
+    control: &Control,
+    lease: Option<Lease>,
+    is_announced: &mut bool,
+) -> Result<(), Error> {
+    let is_relay = control.subscription.borrow().is_relay;
+    if is_relay == *is_announced {
+        return Ok(());
+    }
+    let key = keys::relay_key(&control.id);
+    let value = encode_entry(control, control.peer.address)?;
+    let write = Write {
+        key: &key,
+        value: &value,
+        lease,
+    };
+    match is_relay {
+        true => control.store().change(&[], &[write], &[]).await?,
+        false => control.store().change(&[], &[], &[&key]).await?,
+    };
+    *is_announced = is_relay;
+    Ok(())
+}
+
+/// Renews the lease; returns `false` if it was granted anew.
+async fn renew(control: &Control, lease: &mut Option<Lease>) -> Result<bool, Error> {
     let store = control.store();
     if let Some(held) = *lease {
         if store.renew(held, CALL_TIMEOUT).await? {
-            return Ok(());
+            return Ok(true);
         }
         journal::write("lease", json!({ "lapsed": held.id() }));
         *lease = None;
@@ -100,5 +140,5 @@
     let granted = store.grant(LEASE_TTL).await?;
     write_entry(control, granted, control.peer.address).await?;
     *lease = Some(granted);
-    Ok(())
+    Ok(false)
 }
--- a/crates/proxy/src/line/control/keys.rs
+++ b/crates/proxy/src/line/control/keys.rs
@@ -11,6 +11,9 @@
 /// The prefix of the live proxies' keys, followed by the proxy's id.
 const MEMBER_PREFIX: &str = "dandelionpitch/member/";
 
+/// The prefix of the relays' keys, followed by the proxy's id. The value is that of the proxy's own key.
+pub const RELAY_PREFIX: &str = "dandelionpitch/relay/";
+
 /// JSON representation of a live proxy.
 #[derive(Deserialize, Serialize)]
 struct Entry<'a> {
@@ -27,6 +30,11 @@
     format!("{MEMBER_PREFIX}{id}")
 }
 
+/// The key of the relay `id`.
+pub fn relay_key(id: &str) -> String {
+    format!("{RELAY_PREFIX}{id}")
+}
+
 /// Encodes a live proxy; without a `peer` address, no statements are forwarded to it.
 pub fn encode_member(
     name: &str,
--- a/crates/proxy/src/line/control/record.rs
+++ b/crates/proxy/src/line/control/record.rs
@@ -1,12 +1,14 @@
 //! The record of a group in the store: the last promotion, and the servers that count for promotions.
 
+use std::sync::Arc;
+
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{era, registry::Incarnation, roster, time::Moment};
 use dandelionpitch_platform::store::Item;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::line::journal;
+use crate::line::{journal, view::Voters};
 
 /// The prefix of the records' keys, followed by the name of the group.
 pub const RECORD_PREFIX: &str = "dandelionpitch/group/";
@@ -96,26 +98,38 @@
     pub promotion_seen_at: Moment,
 }
 
-impl StoredRecord {
-    /// Inserts an item of the store into `known`, if it is a record.
-    pub fn insert_item(item: &Item, known: &mut Map<String, Self>, now: Moment) {
+/// The records of all groups.
+#[derive(Debug, Default)]
+pub struct Records {
+    stored: Map<String, StoredRecord>,
+    /// The servers that count for promotions, by group.
+    voters: Arc<Voters>,
+}
+
+impl Records {
+    /// The record of a group.
+    pub fn get(&self, service: &str) -> Option<&StoredRecord> {
+        self.stored.get(service)
+    }
+
+    /// The servers that count for promotions, for the groups that have a record.
+    pub fn voters(&self) -> &Arc<Voters> {
+        &self.voters
+    }
+
+    /// Inserts an item of the store, if it is a record.
+    pub fn insert_item(&mut self, item: &Item, now: Moment) {
         let Some(service) = item.key.strip_prefix(RECORD_PREFIX) else {
             return;
         };
         if let Some(record) = Record::decode(item) {
-            Self::insert(service, record, item.revision, known, now);
+            self.insert(service, record, item.revision, now);
         }
     }
 
-    /// Inserts the record at `revision` into `known`, unless a later one is known.
-    pub fn insert(
-        service: &str,
-        record: Record,
-        revision: u64,
-        known: &mut Map<String, Self>,
-        now: Moment,
-    ) {
-        let old = known.get(service);
+    /// Inserts the record at `revision`, unless a later one is known.
+    pub fn insert(&mut self, service: &str, record: Record, revision: u64, now: Moment) {
+        let old = self.stored.get(service);
         if old.is_some_and(|old| old.revision >= revision) {
             return;
         }
@@ -126,20 +140,26 @@
         };
         let same = old.filter(|old| old.record.promotions == record.promotions);
         let promotion_seen_at = same.map_or(now, |old| old.promotion_seen_at);
-        let stored = Self {
+        if old.is_none_or(|old| old.record.members != record.members) {
+            let members = record.members.as_slice().into();
+            Arc::make_mut(&mut self.voters).insert(service.into(), members);
+        }
+        let stored = StoredRecord {
             record,
             revision,
             promotion_seen_at,
         };
-        known.insert(service.to_owned(), stored);
+        self.stored.insert(service.to_owned(), stored);
     }
 
     /// Notes that the store was restored from a backup and is now at the revision `current`. A
     /// record that has not been read since is missing from the store, so the next write has to
     /// create it.
     pub fn note_store_restored(&mut self, current: u64) {
-        if era::of(self.revision) < era::of(current) {
-            self.revision = 0;
+        for stored in self.stored.values_mut() {
+            if era::of(stored.revision) < era::of(current) {
+                stored.revision = 0;
+            }
         }
     }
 }
--- a/crates/proxy/src/line/control/recorder.rs
+++ b/crates/proxy/src/line/control/recorder.rs
@@ -1,55 +1,83 @@
-//! Writes the record of a group to the store, and reads it again after a conflict.
+//! Writes the records of groups to the store, and reads one again after a conflict.
 
-use dandelionpitch_platform::store::{Outcome, Write};
+use dandelionpitch_platform::store::{self, Outcome};
 
 use crate::line::{
     clock,
     control::{
         keys::LEADER,
-        record::{Failure, Record, StoredRecord, RECORD_PREFIX},
+        record::{Failure, Record, RECORD_PREFIX},
         state::Control,
     },
     journal,
 };
 
+/// A group's record to be written, which is based on the one at the revision `known`.
+#[derive(Clone, Copy)]
+pub struct Write<'a> {
+    pub service: &'a str,
+    pub record: &'a Record,
+    pub known: Option<u64>,
+}
+
 /// Writes a group's record, which is based on the one at the revision `known`; returns its
 /// revision.
 ///
-/// The store writes it only if this process is still the leader and the stored record is still at
-/// `known`. Otherwise a process whose lease has expired could promote a server next to a new
-/// leader, or a new leader could promote one without knowing of its predecessor's last promotion.
-///
 /// # Errors
 ///
-/// [`Failure::Conflict`] if a condition does not hold, or [`Failure::Store`] if the call fails; the
-/// record may have been written all the same.
+/// As for [`write_records`].
 pub async fn write_record(
     control: &Control,
     service: &str,
     record: &Record,
     known: Option<u64>,
 ) -> Result<u64, Failure> {
-    let value = serde_json::to_vec(record).map_err(|error| Failure::Store(error.to_string()))?;
-    let key = format!("{RECORD_PREFIX}{service}");
     let write = Write {
-        key: &key,
-        value: &value,
-        lease: None,
+        service,
+        record,
+        known,
     };
-    let conditions = [
-        (LEADER, record.token),
-        (key.as_str(), known.unwrap_or_default()),
-    ];
-    match control.store().change(&conditions, &[write], &[]).await {
+    write_records(control, &[write]).await
+}
+
+/// Writes the records of several groups, or none of them; returns their revision.
+///
+/// The store writes them only if this process is still the leader and each stored record is still at
+/// its `known` revision. Otherwise a process whose lease has expired could promote a server next to a
+/// new leader, or a new leader could promote one without knowing of its predecessor's last promotion.
+///
+/// # Errors
+///
+/// [`Failure::Conflict`] if a condition does not hold, or [`Failure::Store`] if the call fails; the
+/// records may have been written all the same.
+pub async fn write_records(control: &Control, records: &[Write<'_>]) -> Result<u64, Failure> {
+    let Some(first) = records.first() else {
+        return Err(Failure::Conflict);
+    };
+    let mut rows = Vec::with_capacity(records.len());
+    for write in records {
+        let value = serde_json::to_vec(write.record);
+        let value = value.map_err(|error| Failure::Store(error.to_string()))?;
+        let known = write.known.unwrap_or_default();
+        rows.push((format!("{RECORD_PREFIX}{}", write.service), value, known));
+    }
+    let mut conditions = vec![(LEADER, first.record.token)];
+    conditions.extend(rows.iter().map(|(key, _, known)| (key.as_str(), *known)));
+    let writes = rows.iter().map(|(key, value, _)| store::Write {
+        key,
+        value,
+        lease: None,
+    });
+    let writes: Vec<store::Write<'_>> = writes.collect();
+    match control.store().change(&conditions, &writes, &[]).await {
         Ok(Outcome::Done { revision }) => {
-            let mut records = control.records.borrow_mut();
-            StoredRecord::insert(
-                service,
-                record.clone(),
-                revision,
-                &mut records,
-                clock::now(),
-            );
+            let mut stored = control.records.borrow_mut();
+            for Write {
+                service, record, ..
+            } in records
+            {
+                stored.insert(service, (*record).clone(), revision, clock::now());
+            }
             Ok(revision)
         }
         Ok(Outcome::Conflict | Outcome::LeaseNotFound) => Err(Failure::Conflict),
@@ -76,7 +104,7 @@
         Ok(Some(item)) => {
             let mut records = control.records.borrow_mut();
             item.iter()
-                .for_each(|item| StoredRecord::insert_item(item, &mut records, clock::now()));
+                .for_each(|item| records.insert_item(item, clock::now()));
         }
         Err(error) => journal::trouble("record", &error.to_string()),
     }
--- a/crates/proxy/src/line/control/relay.rs
+++ b/crates/proxy/src/line/control/relay.rs
@@ -28,11 +28,17 @@
     /// If the proxy is not registered or accepts no connections from other proxies.
     pub fn new(control: &Control, id: &str) -> Result<Self, Error> {
         let unregistered = || Error::Protocol(format!("relay {id} is not registered"));
-        Ok(Self {
+        let address = control.address_of(id).ok_or_else(unregistered)?;
+        Ok(Self::at(id, address))
+    }
+
+    /// The relay `id` at a known address.
+    pub fn at(id: &str, address: SocketAddr) -> Self {
+        Self {
             id: id.to_owned(),
-            address: control.address_of(id).ok_or_else(unregistered)?,
+            address,
             link: None,
-        })
+        }
     }
 
     pub fn id(&self) -> &str {
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -8,15 +8,15 @@
     time::Duration,
 };
 
-use dandelionpitch_core::hash::{Map, Set};
+use dandelionpitch_core::hash::Set;
 use dandelionpitch_engine::{
-    catalog::{Catalog, Service},
+    catalog::Catalog,
     election::Election,
     era,
     feed::Subscription,
     members::Members,
     mirror::Update,
-    ownership::{self, Allocation, Change, Limits, Peer, Query},
+    ownership::Peer,
     registry::{Entry, Registry, Server},
     time::Moment,
 };
@@ -25,7 +25,7 @@
     store::{self, Event, Item, Store, Subject, Value},
 };
 use serde_json::json;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -37,7 +37,7 @@
         },
         journal,
         mirror::Handle,
-        view::{Ownership, View},
+        view::View,
     },
     metrics::Metrics,
 };
@@ -67,11 +67,15 @@
     pub store: RefCell<Store>,
     pub promoter: dandelionpitch_platform::promoter::Promoter,
     pub election: RefCell<Election>,
+    /// Notified when the leadership may have become vacant.
+    pub vacated: Notify,
+    /// Notified when this process has become the failover leader.
+    pub elected: Notify,
     /// The number of active failover attempts.
     pub active_attempts: Cell<usize>,
     pub registry: RefCell<Registry>,
-    /// The groups' records by group name.
-    pub records: RefCell<Map<String, record::StoredRecord>>,
+    /// The groups' records.
+    pub records: RefCell<record::Records>,
     pub(super) catalog: RefCell<Option<Arc<Catalog>>>,
     pub(super) members: RefCell<Members>,
     /// Whether an earlier process of this proxy was registered when this one read its first list.
@@ -97,15 +101,13 @@
     }
 
     /// The servers of a group and the state of their registrations.
-    pub fn servers_of(&self, service: &str) -> Vec<Entry> {
+    pub fn servers_of(&self, service: &str) -> Arc<[Entry]> {
         self.registry.borrow().servers_of(service)
     }
 
-    /// The groups of the current configuration.
-    pub fn services(&self) -> Vec<String> {
-        let catalog = self.catalog.borrow();
-        let services = catalog.iter().flat_map(|catalog| catalog.services.keys());
-        services.cloned().collect()
+    /// The configuration in force, if one has been read.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
     }
 
     /// How many replicas have to receive a commit of the group.
@@ -120,8 +122,7 @@
     /// Where another proxy accepts connections from this one, if it is known.
     pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
         let view = self.publish.borrow();
-        let peer = view.peers.iter().find(|peer| peer.id == id);
-        peer.map(|peer| peer.address)
+        view.peer(id).map(|peer| peer.address)
     }
 
     /// Applies the complete content of a store that was restored from a backup.
@@ -130,9 +131,9 @@
         journal::write("store restored", json!({ "era": era::of(update.revision) }));
         self.election.borrow_mut().note_store_restored(now);
         self.apply_all(&update.changes, Registry::restore);
-        for stored in self.records.borrow_mut().values_mut() {
-            stored.note_store_restored(update.revision);
-        }
+        self.records
+            .borrow_mut()
+            .note_store_restored(update.revision);
     }
 
     /// Applies the complete content of the store.
@@ -171,7 +172,7 @@
         let leader = leader
             .as_ref()
             .map(|(name, revision)| (name.as_str(), *revision));
-        self.election.borrow_mut().note_leader(leader);
+        self.note_leader(leader);
         self.publish();
     }
 
@@ -208,9 +209,7 @@
             }
             Subject::Proxy(key) if key == LEADER => {
                 let name = String::from_utf8_lossy(&item.value);
-                self.election
-                    .borrow_mut()
-                    .note_leader(Some((&name, item.revision)));
+                self.note_leader(Some((&name, item.revision)));
             }
             Subject::Proxy(key) => match keys::member_id(key) {
                 Some(id) => {
@@ -229,7 +228,7 @@
                 journal::write("server", json!({ "id": id, "missing": true }));
                 self.registry.borrow_mut().mark_missing(id, now);
             }
-            Subject::Proxy(key) if key == LEADER => self.election.borrow_mut().note_leader(None),
+            Subject::Proxy(key) if key == LEADER => self.note_leader(None),
             Subject::Proxy(key) => {
                 if let Some(id) = keys::member_id(key) {
                     self.members.borrow_mut().mark_missing(id, now);
@@ -239,6 +238,13 @@
         }
     }
 
+    fn note_leader(&self, leader: Option<(&str, u64)>) {
+        self.election.borrow_mut().note_leader(leader);
+        if leader.is_none() {
+            self.vacated.notify_one();
+        }
+    }
+
     /// Decodes a registration. Returns `None` if it is invalid, as other programs write to the same store;
     /// this is logged once until the registration is valid again.
     fn decode_server(&self, id: &str, value: &[u8]) -> Option<Server> {
@@ -282,7 +288,7 @@
     }
 
     fn note_record(&self, item: &Item, now: Moment) {
-        record::StoredRecord::insert_item(item, &mut self.records.borrow_mut(), now);
+        self.records.borrow_mut().insert_item(item, now);
     }
 
     /// Drops servers and proxies that have been missing for too long, and publishes the result. No
@@ -290,13 +296,13 @@
     pub fn expire(&self, synced_until: Moment) {
         let expired = self.registry.borrow_mut().expire(synced_until);
         let proxy_count = self.members.borrow_mut().count(clock::now());
-        let peers = self.members.borrow().peers(clock::now());
+        let peers = self.members.borrow_mut().peers(clock::now());
         let view = self.publish.borrow().clone();
-        if (proxy_count, &peers) != (view.proxy_count, &view.peers) {
-            self.publish();
-        }
+        let same_peers = Arc::ptr_eq(&peers, &view.peers);
         if !expired.is_empty() {
             journal::write("servers gone", json!({ "ids": expired }));
+        }
+        if !expired.is_empty() || !same_peers || proxy_count != view.proxy_count {
             self.publish();
         }
     }
@@ -318,71 +324,25 @@
         }
     }
 
-    /// Which proxies own a group, derived from the view `before` and the `change` of the proxies since.
-    fn ownership(
-        &self,
-        name: &str,
-        service: &Service,
-        now: &View,
-        (before, change): (&View, &Change<'_>),
-    ) -> Ownership {
-        let slots = now.servers[name].iter().map(|entry| entry.server.slots);
-        let limits = Limits {
-            max_connections: service.max_connections,
-            slots: slots.min().unwrap_or(1),
-        };
-        let dcs: Set<&str> = now.peers.iter().map(|peer| peer.dc.as_str()).collect();
-        let allocation = Allocation::new(now.proxy_count, dcs.len(), limits);
-        let query = Query {
-            own: &self.id,
-            dc: &self.dc,
-            service: name,
-        };
-        let prior = before.ownership.get(name);
-        let plan = match prior.filter(|prior| prior.allocation == allocation) {
-            Some(prior) => ownership::replan(&prior.plan, change, &now.peers, query, allocation),
-            None => ownership::plan(&now.peers, &self.id, &self.dc, name, allocation),
-        };
-        Ownership { allocation, plan }
-    }
-
+    /// Publishes the current state. Costs little more than what has changed, as each change of the
+    /// store is published by every proxy.
     fn publish(&self) {
-        let registry = self.registry.borrow();
-        let catalog = self.catalog.borrow().clone();
-        let mut servers = Map::default();
-        for service in catalog.iter().flat_map(|catalog| catalog.services.keys()) {
-            servers.insert(service.clone(), registry.servers_of(service));
-        }
-        let records = self.records.borrow();
-        let voters_of = |(name, stored): (&String, &record::StoredRecord)| {
-            let voters = stored.record.members.clone();
-            (name.clone(), voters)
-        };
         let now = clock::now();
         let mut members = self.members.borrow_mut();
         let (count, peers) = (members.count(now), members.peers(now));
-        let before = self.publish.borrow().clone();
-        if before.peers != peers {
+        if !Arc::ptr_eq(&self.publish.borrow().peers, &peers) {
             self.subscription
                 .replace(Subscription::new(&peers, &self.id, &self.dc));
         }
-        let mut view = View {
-            catalog,
-            servers,
-            voters: records.iter().map(voters_of).collect(),
+        let view = View {
+            catalog: self.catalog.borrow().clone(),
+            servers: self.registry.borrow().groups().clone(),
+            voters: self.records.borrow().voters().clone(),
             proxy_count: count,
             quota_members: members.quota_count(now),
             has_predecessor: self.has_predecessor.get(),
             peers,
-            ownership: Map::default(),
         };
-        let change = Change::new(&before.peers, &view.peers);
-        let services = view.catalog.iter().flat_map(|catalog| &catalog.services);
-        let ownership = services.map(|(name, service)| {
-            let ownership = self.ownership(name, service, &view, (&before, &change));
-            (name.clone(), ownership)
-        });
-        view.ownership = ownership.collect();
         self.publish.send_replace(Arc::new(view));
     }
 }
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -10,7 +10,7 @@
 use dandelionpitch_engine::{feed::Subscription, registry::Registry, time::Moment};
 use dandelionpitch_platform::{promoter::Promoter, store::Store};
 use tokio::{
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, oneshot, watch, Notify},
     task::LocalSet,
 };
 
@@ -62,7 +62,7 @@
         .map(|address| operator::metrics_only(address, metrics.clone()));
     let promoter = Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
-    let config_deadline = line.config_within;
+    let (config_deadline, promotions_per_second) = (line.config_within, line.promotions_per_second);
     let start = move || {
         let mut registry = Registry::default();
         registry.note_synced(Moment::default());
@@ -79,6 +79,8 @@
             store: RefCell::new(store),
             promoter,
             election: RefCell::default(),
+            vacated: Notify::default(),
+            elected: Notify::default(),
             active_attempts: Cell::default(),
             registry: RefCell::new(registry),
             records: RefCell::default(),
@@ -92,7 +94,13 @@
             synced_until_ms: responder.synced_until_ms,
             publish,
         });
-        run(control, responder.requests, endpoint, metrics_endpoint);
+        run(
+            control,
+            promotions_per_second,
+            responder.requests,
+            endpoint,
+            metrics_endpoint,
+        );
     };
     std::thread::Builder::new()
         .name("control".to_owned())
@@ -105,6 +113,7 @@
 
 fn run(
     control: Rc<Control>,
+    promotions_per_second: f64,
     requests: mpsc::UnboundedReceiver<Request>,
     endpoint: Endpoint,
     metrics_endpoint: Option<Endpoint>,
@@ -117,7 +126,7 @@
         tokio::task::spawn_local(follow::run(control.clone()));
         tokio::task::spawn_local(heartbeat::run(control.clone()));
         tokio::task::spawn_local(election::run(control.clone()));
-        tokio::task::spawn_local(failover::run(control.clone()));
+        tokio::task::spawn_local(failover::run(control.clone(), promotions_per_second));
         tokio::task::spawn_local(record_lookup::run(control.clone(), requests));
         if let Some(metrics_endpoint) = metrics_endpoint {
             tokio::task::spawn_local(serve_metrics(metrics_endpoint));
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -45,6 +45,37 @@
     pub term: u64,
 }
 
+/// What a view says about one group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Inputs {
+    /// The registered servers.
+    pub entries: Arc<[Entry]>,
+    /// The servers that count for promotions; `None` until a failover leader has recorded them.
+    pub voters: Option<Arc<[Incarnation]>>,
+    pub service: Service,
+    pub allocation: Allocation,
+    /// Whether callers have client accounts.
+    pub has_accounts: bool,
+    /// Whether this proxy runs the group's statements on its own connections.
+    pub is_owned: bool,
+    /// Whether this proxy has read its own entry from the store, so that others know of it.
+    pub is_announced: bool,
+}
+
+impl Inputs {
+    /// The limits of this proxy's connections to one of the servers.
+    fn share(&self, entry: &Entry) -> Share {
+        let limits = Limits {
+            max_connections: self.service.max_connections,
+            slots: entry.server.slots,
+        };
+        match self.is_owned {
+            true => self.allocation.share(limits, self.has_accounts),
+            false => Share::from(ownership::NON_OWNER_CONNECTIONS),
+        }
+    }
+}
+
 /// A database group.
 pub struct Group {
     pub name: String,
@@ -57,8 +88,8 @@
     lease: Cell<Lease>,
     sync_replicas: Cell<usize>,
     owned: Cell<bool>,
-    /// Whether this proxy has read its own entry from the store.
-    is_announced: Cell<bool>,
+    /// The part of the view that was applied last.
+    applied: RefCell<Option<Inputs>>,
     /// Whether a search for the leader is due because registrations have changed.
     search_due: Cell<bool>,
     /// The servers that count for promotions, including unregistered ones; `None` until a failover
@@ -99,7 +130,7 @@
             lease: Cell::default(),
             sync_replicas: Cell::default(),
             owned: Cell::new(true),
-            is_announced: Cell::default(),
+            applied: RefCell::default(),
             search_due: Cell::default(),
             voters: RefCell::default(),
             records,
@@ -115,30 +146,43 @@
         })
     }
 
-    /// Applies the servers of a new view, of which this proxy has a share by `allocation`, and whether
-    /// callers have client accounts. `voters` are those that count for promotions, if known. A
-    /// search for the leader becomes due if servers or their registered roles have changed, or if the
-    /// leader is not registered as a primary.
-    pub fn update(
-        self: &Rc<Self>,
-        entries: &[Entry],
-        service: &Service,
-        (allocation, has_accounts): (Allocation, bool),
-        voters: Option<&[Incarnation]>,
-    ) {
-        self.sync_replicas.set(service.sync_replicas as usize);
+    /// Applies the group's part of a view, unless it is the one applied last. A search for the leader
+    /// becomes due if servers or their registered roles have changed, or if the leader is not
+    /// registered as a primary.
+    ///
+    /// No search is started in the background before this proxy has read its own entry from the
+    /// store: proxies that start together all consider themselves owners at first, and their status
+    /// requests could need more connections than the servers accept.
+    pub fn update(self: &Rc<Self>, inputs: &Inputs) {
+        if self.applied.borrow().as_ref() == Some(inputs) {
+            return;
+        }
+        *self.applied.borrow_mut() = Some(inputs.clone());
+        self.sync_replicas
+            .set(inputs.service.sync_replicas as usize);
+        self.owned.set(inputs.is_owned);
+        let servers_changed = self.update_servers(inputs);
+        let voters = inputs.voters.as_deref();
+        for backend in self.servers.borrow().iter() {
+            let counts = voters.is_some_and(|ids| ids.contains(&backend.server.incarnation));
+            backend.is_voter.set(counts);
+        }
+        *self.voters.borrow_mut() = voters.map(<[Incarnation]>::to_vec);
+        if servers_changed || !self.is_leader_registered(&inputs.entries) {
+            self.search_due.set(true);
+        }
+        if inputs.is_owned && inputs.is_announced && self.search_due.take() {
+            self.spawn_search();
+        }
+    }
+
+    /// Replaces the servers; returns whether any was added, was removed or changed its role.
+    fn update_servers(&self, inputs: &Inputs) -> bool {
         let mut changed = false;
         let old = std::mem::take(&mut *self.servers.borrow_mut());
-        let mut servers = Vec::with_capacity(entries.len());
-        for entry in entries {
-            let limits = Limits {
-                max_connections: service.max_connections,
-                slots: entry.server.slots,
-            };
-            let limit = match self.owned.get() {
-                true => allocation.share(limits, has_accounts),
-                false => Share::from(ownership::NON_OWNER_CONNECTIONS),
-            };
+        let mut servers = Vec::with_capacity(inputs.entries.len());
+        for entry in inputs.entries.iter() {
+            let limit = inputs.share(entry);
             let same = |backend: &&Rc<Backend>| {
                 backend.server.incarnation == entry.server.incarnation
                     && backend.server.address == entry.server.address
@@ -164,38 +208,19 @@
                 self.clear_leader(&backend);
             }
         }
-        for backend in &servers {
-            let counts = voters.is_some_and(|ids| ids.contains(&backend.server.incarnation));
-            backend.is_voter.set(counts);
-        }
-        *self.voters.borrow_mut() = voters.map(<[Incarnation]>::to_vec);
         *self.servers.borrow_mut() = servers;
-        let primaries = |entry: &&Entry| entry.server.role == Role::Primary;
-        let leader = self
-            .leader
-            .borrow()
-            .as_ref()
-            .map(|l| l.backend.server.incarnation.clone());
-        let registered = entries.iter().filter(primaries);
-        let registered = registered.map(|entry| &entry.server.incarnation);
-        changed |= !registered.into_iter().any(|id| Some(id) == leader.as_ref());
-        if changed {
-            self.search_due.set(true);
-        }
-        if self.owned.get() && self.is_announced.get() && self.search_due.take() {
-            self.spawn_search();
-        }
+        changed
     }
 
-    /// Sets whether this proxy runs the group's statements on its own connections, and whether the
-    /// other proxies know of it.
-    ///
-    /// No search is started in the background before this proxy has read its own entry from the
-    /// store: proxies that start together all consider themselves owners at first, and their status
-    /// requests could need more connections than the servers accept.
-    pub fn set_owned(&self, owned: bool, is_announced: bool) {
-        self.owned.set(owned);
-        self.is_announced.set(is_announced);
+    /// Whether the leader is known and registered as a primary.
+    fn is_leader_registered(&self, entries: &[Entry]) -> bool {
+        let leader = self.known_leader();
+        leader.is_some_and(|leader| {
+            let mut primaries = entries
+                .iter()
+                .filter(|entry| entry.server.role == Role::Primary);
+            primaries.any(|entry| entry.server.incarnation == leader.backend.server.incarnation)
+        })
     }
 
     /// Closes idle connections if other proxies own the group.
--- a/crates/proxy/src/line/isolation.rs
+++ b/crates/proxy/src/line/isolation.rs
@@ -1,7 +1,7 @@
 //! Checks whether this data centre is partitioned from the others, after a server or proxy could not
 //! be reached.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use dandelionpitch_engine::isolation::Isolation;
 use futures::{stream::FuturesUnordered, StreamExt};
@@ -9,7 +9,6 @@
 use tokio::sync::watch;
 
 use crate::line::{
-    backend::Backend,
     clock, journal,
     reachability::{self, FailureSignal},
     shared::Shared,
@@ -29,6 +28,11 @@
 /// scarce.
 const MAX_PEERS_TRIED: usize = 4;
 
+/// The number of servers in other data centres that are tried after the proxies. Bounded, as the
+/// proxies of a partitioned data centre would otherwise connect to every server of a large deployment
+/// in each round.
+const MAX_SERVERS_TRIED: usize = 24;
+
 /// Whenever `failure_signal` is notified, tries to connect to other data centres until an attempt
 /// succeeds, and publishes the result of each round.
 pub async fn run(
@@ -57,17 +61,18 @@
 /// Whether any proxy or server in another data centre accepts a connection. `true` if none is known.
 async fn reaches_other_dcs(shared: &Shared) -> bool {
     let peers = shared.peers.in_other_dcs(&shared.dc, MAX_PEERS_TRIED);
+    let peers: Vec<SocketAddr> = peers.iter().map(|peer| peer.server.address).collect();
     if any_accepts_connection(&peers).await {
         return true;
     }
-    let servers = shared.servers_in_other_dcs();
+    let servers = shared.servers_in_other_dcs(MAX_SERVERS_TRIED);
     (peers.is_empty() && servers.is_empty()) || any_accepts_connection(&servers).await
 }
 
-async fn any_accepts_connection(targets: &[Rc<Backend>]) -> bool {
+async fn any_accepts_connection(targets: &[SocketAddr]) -> bool {
     let mut attempts: FuturesUnordered<_> = targets
         .iter()
-        .map(|backend| reachability::can_connect(backend.server.address, CONNECT_TIMEOUT))
+        .map(|address| reachability::can_connect(*address, CONNECT_TIMEOUT))
         .collect();
     while let Some(reached) = attempts.next().await {
         if reached {
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -16,8 +16,9 @@
     time::Moment,
 };
 use dandelionpitch_platform::{
-    feed::{Request, Response, Version},
-    store::Value,
+    feed::{self, Encoded, Request, Timing, Version},
+    store::{Event, Value},
+    Error,
 };
 use serde::Serialize;
 use tokio::sync::watch;
@@ -31,6 +32,14 @@
 /// change in quick succession.
 const MAX_EARLIER_VERSIONS: usize = 8;
 
+/// The maximum size of a response. A follower that is further behind gets several: a larger one would
+/// occupy a slow network link for longer than the follower waits for it.
+const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+
+/// The number of revisions after which the changes are kept encoded. Most followers have reached the same
+/// revision, those that are behind a few others.
+const MAX_ENCODED: usize = 16;
+
 /// The mirror of the process, shared by both threads.
 #[derive(Clone, Debug)]
 pub struct Handle {
@@ -48,6 +57,23 @@
     synced_until: Moment,
     /// The source of the last update, until it fails.
     source: Option<Source>,
+    /// The changes after a revision as sent to followers, by that revision; `None` if they cannot be sent
+    /// in parts. Dropped when the content changes.
+    encoded: Map<u64, Option<Arc<Encoded>>>,
+}
+
+/// A response to a follower.
+pub struct Response {
+    pub changes: Arc<Encoded>,
+    pub timing: Timing,
+}
+
+/// What can be done about a follower's request at this moment.
+enum Attempt {
+    Respond(Response),
+    /// There is no change yet.
+    Wait,
+    Refuse,
 }
 
 /// The earlier versions of a key.
@@ -92,6 +118,9 @@
         content.synced_until = content.synced_until.max(synced_until);
         content.source = Some(source.clone());
         let changed = content.mirror.revision() != before;
+        if changed {
+            content.encoded.clear();
+        }
         drop(content);
         if changed {
             self.changed.send_replace(());
@@ -134,63 +163,31 @@
     }
 
     /// Responds to a long poll as soon as there are changes, or when its wait has passed. `None` if the
-    /// mirror has no source or is older than [`MAX_RELAY_AGE`].
-    pub async fn respond(&self, request: Request) -> Option<Response> {
+    /// mirror has no source, is older than [`MAX_RELAY_AGE`] or has changes that cannot be sent in parts.
+    pub async fn respond(&self, request: Request) -> Result<Option<Response>, Error> {
         let requested_at = clock::now();
         let mut changed = self.changed.subscribe();
         loop {
             let waited = clock::now().since(requested_at);
             let left = request.wait.saturating_sub(waited);
-            if let Some(response) = self.try_respond(request.after, waited, left)? {
-                return Some(response);
+            match self.lock().try_respond(request.after, waited, left)? {
+                Attempt::Respond(response) => return Ok(Some(response)),
+                Attempt::Refuse => return Ok(None),
+                Attempt::Wait => {}
             }
             // The channel stays open, as the sender is in `self`. The loop handles a timeout.
             let _ = tokio::time::timeout(left, changed.changed()).await;
         }
     }
 
-    /// The response at this moment: `Some(None)` if there is no change yet and time is `left`, `None` as
-    /// in [`Self::respond`].
-    fn try_respond(
-        &self,
-        after: u64,
-        waited: Duration,
-        left: Duration,
-    ) -> Option<Option<Response>> {
-        let content = self.lock();
-        let age = clock::now().since(content.synced_until);
-        if content.source.is_none() || age > MAX_RELAY_AGE {
-            return None;
-        }
-        if content.mirror.revision() <= after && !left.is_zero() {
-            return Some(None);
-        }
-        let update = content.mirror.since(after);
-        Some(Some(Response {
-            update,
-            waited,
-            age,
-        }))
+    /// Everything that the store contains.
+    pub fn content(&self) -> Vec<Event> {
+        self.lock().mirror.since(0).changes
     }
 
-    /// The delta to a key's current value from the version that a follower at revision `reached` has.
-    /// `None` if that version is not kept, as for small values.
-    pub fn delta(&self, key: &str, reached: u64) -> Option<Arc<Delta>> {
-        let mut content = self.lock();
-        let Content {
-            mirror, history, ..
-        } = &mut *content;
-        let history = history.get_mut(key)?;
-        let (base, old) = history.versions.iter().rfind(|(at, _)| *at <= reached)?;
-        let (to, value) = mirror.get(key)?;
-        match &history.last_delta {
-            Some((at, last)) if *at == to && last.base_revision == *base => Some(last.clone()),
-            _ => {
-                let delta = Arc::new(Delta::new(*base, old, value));
-                history.last_delta = Some((to, delta.clone()));
-                Some(delta)
-            }
-        }
+    /// Records that removals up to now may have been missed, as the content was copied from a relay.
+    pub fn note_history_unknown(&self) {
+        self.lock().mirror.note_history_unknown();
     }
 
     /// The current value of a key and the revision at which it was written.
@@ -206,6 +203,53 @@
 }
 
 impl Content {
+    /// The response to a request for the changes after `after`, which has `waited` and has time `left`.
+    fn try_respond(
+        &mut self,
+        after: u64,
+        waited: Duration,
+        left: Duration,
+    ) -> Result<Attempt, Error> {
+        let age = clock::now().since(self.synced_until);
+        if self.source.is_none() || age > MAX_RELAY_AGE {
+            return Ok(Attempt::Refuse);
+        }
+        if self.mirror.revision() <= after && !left.is_zero() {
+            return Ok(Attempt::Wait);
+        }
+        let changes = self.encoded(after)?;
+        Ok(changes.map_or(Attempt::Refuse, |changes| {
+            let timing = Timing { waited, age };
+            Attempt::Respond(Response { changes, timing })
+        }))
+    }
+
+    /// The earliest changes after `after` that fit into a response; `None` if they cannot be split.
+    fn encoded(&mut self, after: u64) -> Result<Option<Arc<Encoded>>, Error> {
+        if let Some(known) = self.encoded.get(&after) {
+            return Ok(known.clone());
+        }
+        let Self {
+            mirror, history, ..
+        } = self;
+        let part = mirror.part_since(after, MAX_RESPONSE_BYTES, |key, value| {
+            let delta = delta(mirror, history, key, after);
+            feed::encoded_bytes(key, value, delta.as_deref())
+        });
+        let encoded = match part {
+            Some(part) => {
+                let delta_of = |key: &str| delta(mirror, history, key, after);
+                Some(Arc::new(Encoded::new(&part, delta_of)?))
+            }
+            None => None,
+        };
+        if self.encoded.len() >= MAX_ENCODED {
+            self.encoded.clear();
+        }
+        self.encoded.insert(after, encoded.clone());
+        Ok(encoded)
+    }
+
     /// Keeps the large values that an update replaces, as the base of deltas.
     fn record_history(&mut self, update: &Update<Value>) {
         for change in &update.changes {
@@ -223,3 +267,24 @@
         }
     }
 }
+
+/// The delta to a key's current value from the version that a follower at revision `reached` has.
+/// `None` if that version is not kept, as for small values.
+fn delta(
+    mirror: &Mirror<Value>,
+    history: &mut Map<String, History>,
+    key: &str,
+    reached: u64,
+) -> Option<Arc<Delta>> {
+    let history = history.get_mut(key)?;
+    let (base, old) = history.versions.iter().rfind(|(at, _)| *at <= reached)?;
+    let (to, value) = mirror.get(key)?;
+    match &history.last_delta {
+        Some((at, last)) if *at == to && last.base_revision == *base => Some(last.clone()),
+        _ => {
+            let delta = Arc::new(Delta::new(*base, old, value));
+            history.last_delta = Some((to, delta.clone()));
+            Some(delta)
+        }
+    }
+}
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use dandelionpitch_engine::{account::Directory, isolation::Isolation, ownership::Plan};
+use dandelionpitch_engine::{
+    account::Directory, isolation::Isolation, ownership::Plan, planner::Planner, registry::Entry,
+};
 use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
 use tokio::sync::{oneshot, watch};
@@ -80,7 +82,9 @@
 #[get("/status")]
 fn status(context: &State<Context>) -> Json<Report> {
     let view = context.view.borrow().clone();
-    let servers = view.servers.values().flatten().map(|entry| ServerReport {
+    let entries = view.servers.values().flat_map(|entries| entries.iter());
+    let is_configured = |entry: &&Entry| view.limits(&entry.server.service).is_some();
+    let servers = entries.filter(is_configured).map(|entry| ServerReport {
         id: entry.server.incarnation.id.clone(),
         born: entry.server.incarnation.born,
         service: entry.server.service.clone(),
@@ -93,7 +97,7 @@
         dc: context.dc.clone(),
         version: view.version(),
         members: view.proxy_count,
-        owns: owned_groups(&view),
+        owns: owned_groups(&view, context),
         servers: servers.collect(),
         accounts: accounts(&view),
         changes: context.mirror.report(),
@@ -116,10 +120,15 @@
     reports
 }
 
-fn owned_groups(view: &View) -> Vec<String> {
-    let owned = view.ownership.iter();
-    let owned = owned.filter(|(_, ownership)| ownership.plan == Plan::Run);
-    let mut names: Vec<String> = owned.map(|(name, _)| name.clone()).collect();
+fn owned_groups(view: &View, context: &Context) -> Vec<String> {
+    let mut planner = Planner::new(&context.id, &context.dc);
+    planner.update(&view.peers, view.proxy_count, |name| view.limits(name));
+    let services = view.catalog.iter().flat_map(|c| c.services.keys());
+    let mut names: Vec<String> = services.cloned().collect();
+    names.retain(|name| {
+        let limits = view.limits(name);
+        limits.is_some_and(|limits| planner.ownership(name, limits).plan == Plan::Run)
+    });
     names.sort_unstable();
     names
 }
--- a/crates/proxy/src/line/peers.rs
+++ b/crates/proxy/src/line/peers.rs
@@ -16,7 +16,7 @@
 use dandelionpitch_platform::peer;
 
 use crate::{
-    line::{backend::Backend, clock, view::View},
+    line::{backend::Backend, clock},
     metrics::Metrics,
 };
 
@@ -39,7 +39,7 @@
     /// Proxies that have left the list, most of them to stop, and when. They have quota permits until the
     /// loans to them end.
     departed: RefCell<Map<String, (Moment, Rc<Backend>)>>,
-    /// The forwarding plan of each group.
+    /// The forwarding plan of each group for which there was a statement.
     plans: RefCell<Map<String, Plan>>,
     /// Incremented with each choice, to spread the load over equal proxies.
     rotation: Cell<usize>,
@@ -54,12 +54,16 @@
 const MAX_CHECKED: usize = 32;
 
 impl Peers {
-    /// Applies the live proxies and the forwarding plans of a new view. `own` is the id of this proxy.
-    pub fn update(&self, view: &View, own: &str, metrics: &Metrics) {
-        let plans = view.ownership.iter();
-        let plans = plans.map(|(name, ownership)| (name.clone(), ownership.plan.clone()));
-        *self.plans.borrow_mut() = plans.collect();
-        let peers = &view.peers;
+    /// Sets the forwarding plan of a group.
+    pub fn set_plan(&self, name: &str, plan: &Plan) {
+        let mut plans = self.plans.borrow_mut();
+        if plans.get(name) != Some(plan) {
+            plans.insert(name.to_owned(), plan.clone());
+        }
+    }
+
+    /// Applies the live proxies. `own` is the id of this proxy.
+    pub fn update(&self, peers: &[Peer], own: &str, metrics: &Metrics) {
         let mut backends = self.backends.borrow_mut();
         let live: Set<&str> = peers.iter().map(|peer| peer.id.as_str()).collect();
         let mut departed = self.departed.borrow_mut();
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -14,6 +14,7 @@
 use dandelionpitch_engine::{
     account::Account,
     catalog::Catalog,
+    ownership::Peer,
     quota::{loan_term, Decision, Ledger, Tolerance},
     session::Variables,
     time::Moment,
@@ -53,6 +54,9 @@
 /// The interval at which a proxy checks whether it is a collector.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The same interval while there are no accounts.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// How long a proxy that was not registered before waits until it issues permits: by then the others
 /// have received its registration, and issue fewer.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -68,6 +72,8 @@
     /// One draw at a time for each account.
     draws: RefCell<Map<String, Rc<Mutex<()>>>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
+    /// The proxies among which the collectors were chosen.
+    peers: RefCell<Arc<[Peer]>>,
     /// When this proxy found its own registration.
     registered_at: Cell<Option<Moment>>,
     logged: Cell<(Moment, u32)>,
@@ -84,6 +90,7 @@
             ledger: RefCell::new(Ledger::new(own, tolerance, clock::now())),
             draws: RefCell::default(),
             catalog: RefCell::default(),
+            peers: RefCell::default(),
             registered_at: Cell::default(),
             logged: Cell::default(),
         }
@@ -92,7 +99,7 @@
     /// Applies a new view; `own` is the id of this proxy.
     pub fn update(&self, view: &View, own: &str) {
         let now = clock::now();
-        let is_registered = view.peers.iter().any(|peer| peer.id == own);
+        let is_registered = view.peer(own).is_some();
         if is_registered && self.registered_at.get().is_none() {
             let settled = match view.has_predecessor {
                 true => now,
@@ -102,7 +109,11 @@
         }
         let issues = self.registered_at.get().is_some_and(|at| now >= at);
         let mut ledger = self.ledger.borrow_mut();
-        ledger.set_members(issues.then_some(view.quota_members), &view.peers, now);
+        if !Arc::ptr_eq(&self.peers.borrow(), &view.peers) {
+            *self.peers.borrow_mut() = view.peers.clone();
+            ledger.set_peers(&view.peers);
+        }
+        ledger.set_members(issues.then_some(view.quota_members), now);
         let Some(catalog) = &view.catalog else {
             return;
         };
@@ -226,18 +237,26 @@
 /// Gathers all proxies' rights to issue permits while this one is a collector, until the process ends.
 pub async fn run(shared: Rc<Shared>) {
     let mut since = None;
+    let mut changed = shared.view.clone();
     loop {
-        let view = shared.view.borrow().clone();
+        let view = changed.borrow_and_update().clone();
         // Applied regularly, as a proxy starts to issue permits some time after it was registered.
         shared.quota.update(&view, &shared.id);
         let interval = match shared.quota.collects() {
             true => collect_from_all(&shared, *since.get_or_insert_with(clock::now)).await,
             false => {
                 since = None;
-                CHECK_INTERVAL
+                match shared.quota.ledger.borrow().is_empty() {
+                    true => IDLE_CHECK_INTERVAL,
+                    false => CHECK_INTERVAL,
+                }
             }
         };
-        tokio::time::sleep(interval).await;
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            // Without accounts there is nothing to do until a configuration has some.
+            Ok(()) = changed.changed(), if shared.quota.ledger.borrow().is_empty() => {}
+        }
     }
 }
 
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -2,19 +2,22 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
-use dandelionpitch_engine::{catalog::Catalog, isolation::Isolation};
+use dandelionpitch_engine::{
+    catalog::Catalog, isolation::Isolation, ownership::Peer, planner::Planner,
+};
 use tokio::sync::watch;
 
 use crate::{
     line::{
         backend::Backend,
         clock,
-        group::{Group, Groups},
+        group::{Group, Groups, Inputs},
         mirror::Handle,
         peers::Peers,
         quota::Quota,
@@ -36,8 +39,12 @@
     pub dc: String,
     pub view: watch::Receiver<Arc<View>>,
     pub groups: RefCell<Groups>,
-    /// The other proxies, and which groups' statements are forwarded to them.
+    /// The other proxies, and the plans by which statements are forwarded to them.
     pub peers: Peers,
+    /// Which groups' statements are forwarded.
+    pub planner: RefCell<Planner>,
+    /// The proxies that [`Self::peers`] was last updated with.
+    pub applied_peers: RefCell<Arc<[Peer]>>,
     pub metrics: Metrics,
     pub stop: Stop,
     pub isolation: watch::Receiver<Isolation>,
@@ -52,12 +59,14 @@
 }
 
 impl Shared {
-    /// The servers of all groups in other data centres.
-    pub fn servers_in_other_dcs(&self) -> Vec<Rc<Backend>> {
-        let groups = self.groups.borrow();
-        let servers = groups.values().flat_map(|group| group.servers());
-        servers
-            .filter(|backend| backend.server.dc != self.dc)
+    /// The addresses of up to `limit` servers in other data centres, of any group.
+    pub fn servers_in_other_dcs(&self, limit: usize) -> Vec<SocketAddr> {
+        let view = self.view.borrow().clone();
+        let servers = view.servers.values().flat_map(|entries| entries.iter());
+        let remote = servers.filter(|entry| entry.server.dc != self.dc);
+        remote
+            .take(limit)
+            .map(|entry| entry.server.address)
             .collect()
     }
 
@@ -111,38 +120,69 @@
     }
 
     fn update(&self, view: &View) {
-        self.peers.update(view, &self.id, &self.metrics);
+        let peers_changed = {
+            let mut applied = self.applied_peers.borrow_mut();
+            !Arc::ptr_eq(
+                &std::mem::replace(&mut *applied, view.peers.clone()),
+                &view.peers,
+            )
+        };
+        if peers_changed {
+            self.peers.update(&view.peers, &self.id, &self.metrics);
+        }
         self.quota.update(view, &self.id);
-        let has_accounts = view.catalog.as_ref().is_some_and(|c| c.accounts.is_some());
-        let is_announced = view.peers.iter().any(|peer| peer.id == self.id);
-        let mut groups = self.groups.borrow_mut();
-        for (name, entries) in &view.servers {
-            let group = groups
-                .entry(name.clone())
-                .or_insert_with(|| self.new_group(name));
-            let catalog = view.catalog.as_ref();
-            let service = catalog.and_then(|catalog| catalog.services.get(name));
-            let ownership = view.ownership.get(name);
-            if let (Some(service), Some(ownership)) = (service, ownership) {
-                let voters = view.voters.get(name).map(Vec::as_slice);
-                group.set_owned(self.peers.owns(name), is_announced);
-                let share = (ownership.allocation, has_accounts);
-                group.update(entries, service, share, voters);
-            }
+        self.planner
+            .borrow_mut()
+            .update(&view.peers, view.proxy_count, |name| view.limits(name));
+        for group in self.groups.borrow().values() {
+            self.update_group(group, view);
         }
     }
 
+    /// Applies a view to one group, if the group is configured.
+    fn update_group(&self, group: &Rc<Group>, view: &View) {
+        let name = group.name.as_str();
+        let service = view.catalog.as_ref().and_then(|c| c.services.get(name));
+        let (Some(service), Some(limits)) = (service, view.limits(name)) else {
+            return;
+        };
+        let mut planner = self.planner.borrow_mut();
+        let ownership = planner.ownership(name, limits);
+        self.peers.set_plan(name, &ownership.plan);
+        group.update(&Inputs {
+            entries: view.servers_of(name),
+            voters: view.voters.get(name).cloned(),
+            service: service.clone(),
+            allocation: ownership.allocation,
+            has_accounts: view.has_accounts(),
+            is_owned: self.peers.owns(name),
+            is_announced: view.peer(&self.id).is_some(),
+        });
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.view.borrow().catalog.clone()
     }
 
-    /// The group with this name, created if it is not known yet.
+    /// The group with this name, created with the current view if there was no statement for it yet.
     pub fn group(&self, name: &str) -> Rc<Group> {
-        let mut groups = self.groups.borrow_mut();
-        groups
-            .entry(name.to_owned())
-            .or_insert_with(|| self.new_group(name))
-            .clone()
+        let known = self.groups.borrow().get(name).cloned();
+        known.unwrap_or_else(|| {
+            let group = self.new_group(name);
+            let view = self.view.borrow().clone();
+            self.update_group(&group, &view);
+            let mut groups = self.groups.borrow_mut();
+            groups.insert(name.to_owned(), group.clone());
+            group
+        })
+    }
+
+    /// The proxies to which a statement of the group is forwarded; `None` if this proxy runs it. See
+    /// [`Peers::forwarding_targets`].
+    pub fn forwarding_targets(&self, service: &str) -> Option<Vec<Rc<Backend>>> {
+        // The first statement of a group plans it.
+        self.group(service);
+        self.peers.forwarding_targets(service)
     }
 }
--- a/crates/proxy/src/line/traffic/feed.rs
+++ b/crates/proxy/src/line/traffic/feed.rs
@@ -9,11 +9,6 @@
 
 use crate::line::{journal, mirror::Handle};
 
-/// The maximum size of a response. A proxy that is further behind reads the store instead: larger
-/// responses to dozens of proxies at once would saturate this VM's network link for longer than the
-/// proxies wait.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024;
-
 /// Appends the response to a request for changes. `ready` is the state of the connection.
 pub async fn respond(mirror: &Handle, message: &[u8], ready: Ready, out: &mut Vec<u8>) {
     let start = out.len();
@@ -22,11 +17,8 @@
         Err(error) => Err(error),
     };
     match written {
-        Ok(true) if out.len() - start <= MAX_RESPONSE_BYTES => caller::write_done(out, ready),
-        Ok(_) => {
-            out.truncate(start);
-            caller::write_refusal(out, &unavailable(), ready);
-        }
+        Ok(true) => caller::write_done(out, ready),
+        Ok(false) => caller::write_refusal(out, &unavailable(), ready),
         Err(error) => {
             out.truncate(start);
             journal::trouble("feed", &error.to_string());
@@ -35,16 +27,16 @@
     }
 }
 
-/// Appends the rows of a response; returns `false` if this proxy cannot serve changes.
+/// Appends the rows of a response; returns `false` if this proxy cannot serve the request.
 async fn write_response(
     mirror: &Handle,
     request: Request,
     out: &mut Vec<u8>,
 ) -> Result<bool, Error> {
-    let Some(response) = mirror.respond(request).await else {
+    let Some(response) = mirror.respond(request).await? else {
         return Ok(false);
     };
-    response.write(out, |key| mirror.delta(key, request.after))?;
+    response.changes.write(response.timing, out)?;
     Ok(true)
 }
 
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -349,7 +349,7 @@
     fn forwarding_targets(&self, route: &Route) -> Option<Vec<Rc<Backend>>> {
         match (&self.pinned, self.origin) {
             (Some(pinned), _) if pinned.endpoint == Endpoint::Peer => Some(Vec::new()),
-            (None, Origin::Caller) => self.shared.peers.forwarding_targets(&route.service),
+            (None, Origin::Caller) => self.shared.forwarding_targets(&route.service),
             _ => None,
         }
     }
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -12,7 +12,7 @@
 };
 
 use dandelionpitch_engine::{
-    ownership::{Allocation, Peer, Plan},
+    ownership::{Peer, Plan},
     session::Variables,
 };
 use dandelionpitch_proxy::{
@@ -23,7 +23,6 @@
         },
         clock,
         peers::Peers,
-        view::{Ownership, View},
     },
     metrics::Metrics,
 };
@@ -82,18 +81,11 @@
         local: vec![near.id.clone()],
         fallback: far.iter().map(|peer| peer.id.clone()).collect(),
     };
-    let allocation = Allocation::Owners { per_dc: 1, dcs: 2 };
-    let ownership = Ownership { allocation, plan };
-    let view = View {
-        peers: std::iter::once(near)
-            .chain(far.iter().copied())
-            .cloned()
-            .collect(),
-        ownership: [(GROUP.to_owned(), ownership)].into_iter().collect(),
-        ..View::default()
-    };
+    let live = std::iter::once(near).chain(far.iter().copied());
+    let live: Vec<Peer> = live.cloned().collect();
     let peers = Peers::default();
-    peers.update(&Arc::new(view), "own", &Metrics::default());
+    peers.update(&live, "own", &Metrics::default());
+    peers.set_plan(GROUP, &plan);
     peers
 }
 
