Few proxies list the store when all start; only relays are announced

No relay is announced when a whole deployment starts, so all listed the store together, none finished a page in time and each began again. As long as a proxy knows of no others it takes itself for a relay, so all 984 announced themselves; after the power loss each found itself among the relays and listed the store again. Each of them also tried to claim the failover leadership before it knew whether there was a leader.

Change: feed::Start decides from the announced relays: copy, list (a relay that restarted), or wait for a time that falls with the VM's capacity, look again, and become a relay only if its data centre still has none. A proxy announces itself otherwise only once it is in its own list. Nobody claims the leadership before its first list.

--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -90,6 +90,44 @@
     sources
 }
 
+/// What a proxy that starts does to get the store's content.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Start {
+    /// Copy it from the first of these relays that serves it.
+    Copy(Vec<Peer>),
+    /// List the store, as the others wait for this proxy's content: it was a relay before it restarted.
+    List,
+    /// Wait, look for relays again, and become one if there is still none in its data centre.
+    Wait(Duration),
+}
+
+impl Start {
+    /// The start of the proxy with the id `own` in `dc`, given the announced `relays`.
+    ///
+    /// When a whole deployment starts, no relay is announced, and hundreds of proxies that list the
+    /// store together take longer than its calls may last: none of them would ever finish. So each
+    /// waits for a different time, those with the highest capacity for the shortest.
+    pub fn new(mut relays: Vec<Peer>, own: &str, dc: &str, capacity: f64) -> Self {
+        if relays.iter().any(|peer| peer.id == own) {
+            return Self::List;
+        }
+        let is_local = |peer: &Peer| peer.dc == dc;
+        if !relays.iter().any(is_local) {
+            let part = hash::stable_fraction(&own).max(MIN_START_DELAY_PART);
+            let delay = START_DELAY_PER_CAPACITY.div_f64(capacity.max(1.0));
+            return Self::Wait(delay.min(MAX_START_DELAY).mul_f64(part));
+        }
+        relays.sort_by_cached_key(|peer| (!is_local(peer), hash::stable_hash(&(own, &peer.id))));
+        Self::Copy(relays)
+    }
+}
+
+/// The longest delay of [`Start::Wait`] times the capacity. With it, a proxy of average capacity waits for
+/// some hundred round trips to the store, within which one of a higher capacity announces itself.
+const START_DELAY_PER_CAPACITY: Duration = Duration::from_secs(300);
+const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
+const MIN_START_DELAY_PART: f64 = 0.1;
+
 /// Orders the proxies differently for each follower, which spreads followers over relays.
 fn order_by_hash(mut peers: Vec<&Peer>, own: &str) -> Vec<Source> {
     peers.sort_by_cached_key(|peer| hash::stable_hash(&(own, &peer.id)));
--- a/crates/engine/tests/feed.rs
+++ b/crates/engine/tests/feed.rs
@@ -3,11 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dandelionpitch_engine::{
-    feed::{self, Failures, Source, Subscription, MAX_RELAY_AGE, POLL_TIMEOUT},
+    feed::{self, Failures, Source, Start, Subscription, MAX_RELAY_AGE, POLL_TIMEOUT},
     ownership::Peer,
     roster::LIST_VALIDITY,
     time::Moment,
 };
+use yare::parameterized;
 
 fn at(millis: u64) -> Moment {
     Moment::from_boot(Duration::from_millis(millis))
@@ -170,3 +171,61 @@
     assert!(relay_age < MAX_RELAY_AGE);
     assert!(follower_age + millis(500) < LIST_VALIDITY);
 }
+
+/// All proxies of a deployment start at once, and no relay is announced. Guards against hundreds that list
+/// the store together: at twice the size, as few may find no relay when their wait has passed.
+#[parameterized(
+    fleet = { 200, 10 },
+    twice_the_fleet = { 400, 20 },
+)]
+fn few_proxies_list_the_store_when_all_start(weak: usize, strong: usize) {
+    const CALL: Duration = Duration::from_millis(12);
+    let proxy = |index: usize| Peer {
+        id: format!("proxy-{index:03}"),
+        dc: "a".to_owned(),
+        address: ([127, 0, 0, 1], 5000).into(),
+        capacity: match index < strong {
+            true => 2_500.0,
+            false => 300.0,
+        },
+    };
+    let wait = |peer: &Peer| match Start::new(Vec::new(), &peer.id, "a", peer.capacity) {
+        Start::Wait(delay) => delay,
+        other => panic!("{other:?}"),
+    };
+
+    let waits: Vec<Duration> = (0..weak + strong)
+        .map(|index| wait(&proxy(index)))
+        .collect();
+    let first = waits.iter().min().expect("there are proxies");
+    let listing = waits.iter().filter(|delay| **delay < *first + CALL).count();
+
+    assert!(listing <= 6, "{listing} proxies list the store");
+    assert!(waits
+        .iter()
+        .all(|delay| *delay <= Duration::from_millis(1_500)));
+}
+
+/// A relay restarted, and the others wait for its content. Guards against a relay that waits for itself, and
+/// against followers that copy from a far data centre while there is a relay in their own.
+#[test]
+fn restarted_relay_lists_the_store_and_others_copy_from_the_nearest() {
+    let relay = |id: &str, dc: &str| Peer {
+        id: id.to_owned(),
+        dc: dc.to_owned(),
+        address: ([127, 0, 0, 1], 5000).into(),
+        capacity: 600.0,
+    };
+    let relays = vec![relay("far", "b"), relay("near", "a")];
+
+    let own = Start::new(relays.clone(), "near", "a", 600.0);
+    let other = Start::new(relays.clone(), "other", "a", 600.0);
+    let without_local = Start::new(relays, "other", "c", 600.0);
+
+    assert_eq!(own, Start::List);
+    assert_eq!(
+        other,
+        Start::Copy(vec![relay("near", "a"), relay("far", "b")])
+    );
+    assert!(matches!(without_local, Start::Wait(_)));
+}
--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -6,13 +6,22 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dandelionpitch_core::hash;
-use dandelionpitch_engine::{feed::Source, mirror::Update, ownership::Peer, time::Moment};
-use dandelionpitch_platform::{feed::Request, store::WatchResult, Error};
+use dandelionpitch_engine::{
+    feed::{Source, Start},
+    mirror::Update,
+    ownership::Peer,
+    time::Moment,
+};
+use dandelionpitch_platform::{
+    feed::Request,
+    store::{Item, WatchResult},
+    Error,
+};
 
 use crate::line::{
     clock,
     control::{
+        heartbeat,
         keys::{self, RELAY_PREFIX},
         relay::Relay,
         state::Control,
@@ -20,20 +29,20 @@
     journal,
 };
 
-/// How long a relay that has no content yet is asked again. When all proxies start at once, the relays
-/// need about this long to list the store.
-const MAX_WAIT: Duration = Duration::from_millis(2_000);
+/// How long relays that have no content yet are asked again: longer than they need to list the store when
+/// all proxies start at once. Listing the store instead would delay them.
+const MAX_WAIT: Duration = Duration::from_millis(5_000);
 
 /// The delay until a relay without content is asked again.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// The number of relays that are tried.
 const MAX_RELAYS_TRIED: usize = 3;
 
-/// Fills the mirror from a relay and brings it up to date with the store. Returns `false` if that fails,
-/// so that the store has to be listed.
+/// Fills the mirror from a relay and brings it up to date with the store. Returns `false` if the store has
+/// to be listed instead.
 pub async fn run(control: &Rc<Control>) -> bool {
-    let relays = match find_relays(control).await {
+    let relays = match choose_relays(control).await {
         Ok(relays) => relays,
         Err(error) => {
             journal::trouble("bootstrap", &error.to_string());
@@ -54,6 +63,40 @@
     false
 }
 
+/// The relays from which to copy the content, in order; empty if this proxy has to list the store. In that
+/// case it is announced as a relay, so that the proxies of its data centre wait for its content.
+async fn choose_relays(control: &Control) -> Result<Vec<Peer>, Error> {
+    let start = |relays| {
+        let (id, dc) = (&control.id, &control.dc);
+        Start::new(relays, id, dc, control.peer.capacity)
+    };
+    let delay = match start(decode_relays(
+        &control.store().list_stale(RELAY_PREFIX).await?,
+    )) {
+        Start::Copy(relays) => return Ok(relays),
+        Start::List => return Ok(Vec::new()),
+        Start::Wait(delay) => delay,
+    };
+    tokio::time::sleep(delay).await;
+    let (items, _) = control.store().list(RELAY_PREFIX).await?;
+    match start(decode_relays(&items)) {
+        Start::Copy(relays) => Ok(relays),
+        Start::List => Ok(Vec::new()),
+        Start::Wait(_) => {
+            heartbeat::announce_relay(control).await?;
+            Ok(Vec::new())
+        }
+    }
+}
+
+fn decode_relays(items: &[Item]) -> Vec<Peer> {
+    let relays = items.iter().filter_map(|item| {
+        let id = item.key.strip_prefix(RELAY_PREFIX)?;
+        keys::decode_member(id, &item.value).ok().flatten()
+    });
+    relays.collect()
+}
+
 /// Copies a relay's content into the mirror.
 async fn copy_content(control: &Control, peer: &Peer, until: Moment) -> Result<(), Error> {
     let source = Source::Peer(peer.id.clone());
@@ -80,25 +123,6 @@
     }
 }
 
-/// The relays, those of this proxy's data centre first. None if this proxy was a relay itself before it
-/// restarted: the others wait for its content.
-async fn find_relays(control: &Control) -> Result<Vec<Peer>, Error> {
-    let entries = control.store().list_stale(RELAY_PREFIX).await?;
-    let relays = entries.iter().filter_map(|item| {
-        let id = item.key.strip_prefix(RELAY_PREFIX)?;
-        keys::decode_member(id, &item.value).ok().flatten()
-    });
-    let mut relays: Vec<Peer> = relays.collect();
-    if relays.iter().any(|peer| peer.id == control.id) {
-        return Ok(Vec::new());
-    }
-    relays.sort_by_cached_key(|peer| {
-        let is_remote = peer.dc != control.dc;
-        (is_remote, hash::stable_hash(&(&control.name, &peer.id)))
-    });
-    Ok(relays)
-}
-
 /// Applies what has changed in the store since the relay's copy.
 async fn catch_up(control: &Control) -> Result<bool, Error> {
     let asked = clock::now();
--- a/crates/proxy/src/line/control/election.rs
+++ b/crates/proxy/src/line/control/election.rs
@@ -93,7 +93,9 @@
             }
             Ok(())
         }
-        None if control.election.borrow().may_claim(clock::now())
+        // Before the first list, it is unknown whether there is a leader.
+        None if control.is_following.get()
+            && control.election.borrow().may_claim(clock::now())
             && !control.stopping.is_cancelled() =>
         {
             let fraction = backoff::stable_fraction(&(&control.name, clock::now().millis()));
--- a/crates/proxy/src/line/control/heartbeat.rs
+++ b/crates/proxy/src/line/control/heartbeat.rs
@@ -29,20 +29,14 @@
 
 /// Renews the entry until the process stops.
 pub async fn run(control: Rc<Control>) {
-    let mut lease = None;
-    let mut is_announced = false;
     let mut backoff = Backoff::new(
         RETRY_DELAYS.0,
         RETRY_DELAYS.1,
         backoff::stable_hash(&control.name),
     );
     while !control.stopping.is_cancelled() {
-        let renewed = match renew(&control, &mut lease).await {
-            Ok(true) => announce_relay(&control, lease, &mut is_announced).await,
-            Ok(false) => {
-                is_announced = false;
-                Ok(())
-            }
+        let renewed = match renew(&control).await {
+            Ok(()) => update_relay_key(&control).await,
             Err(error) => Err(error),
         };
         let delay = match renewed {
@@ -61,7 +55,7 @@
             () = control.stopping.cancelled() => {}
         }
     }
-    if let Some(lease) = lease {
+    if let Some(lease) = control.lease.get() {
         if let Err(error) = withdraw_entry(&control, lease).await {
             journal::trouble("lease", &error.to_string());
         }
@@ -101,15 +95,23 @@
     Ok(())
 }
 
-/// Writes or removes the key by which starting proxies find relays, if this proxy has become one or is
-/// one no longer.
-async fn announce_relay(
-    control: &Control,
-    lease: Option<Lease>,
-    is_announced: &mut bool,
-) -> Result<(), Error> {
+/// Announces this proxy to starting ones if it has become a relay, or withdraws that if it is one no
+/// longer. Nothing is known before the first list of proxies.
+async fn update_relay_key(control: &Control) -> Result<(), Error> {
+    let is_registered = control.is_registered();
     let is_relay = control.subscription.borrow().is_relay;
-    if is_relay == *is_announced {
+    match (is_registered, is_relay, control.is_announced.get()) {
+        (true, true, false) => announce_relay(control).await,
+        (true, false, true) => withdraw_relay(control).await,
+        _ => Ok(()),
+    }
+}
+
+/// Writes the key by which starting proxies find this one as a relay. Does nothing without a lease, which
+/// removes the key when the process ends.
+pub async fn announce_relay(control: &Control) -> Result<(), Error> {
+    let lease = control.lease.get();
+    if lease.is_none() {
         return Ok(());
     }
     let key = keys::relay_key(&control.id);
@@ -119,26 +121,31 @@
         value: &value,
         lease,
     };
-    match is_relay {
-        true => control.store().change(&[], &[write], &[]).await?,
-        false => control.store().change(&[], &[], &[&key]).await?,
-    };
-    *is_announced = is_relay;
+    control.store().change(&[], &[write], &[]).await?;
+    control.is_announced.set(true);
+    Ok(())
+}
+
+async fn withdraw_relay(control: &Control) -> Result<(), Error> {
+    let key = keys::relay_key(&control.id);
+    control.store().change(&[], &[], &[&key]).await?;
+    control.is_announced.set(false);
     Ok(())
 }
 
-/// Renews the lease; returns `false` if it was granted anew.
-async fn renew(control: &Control, lease: &mut Option<Lease>) -> Result<bool, Error> {
+/// Renews the lease, or writes the entry under a new one.
+async fn renew(control: &Control) -> Result<(), Error> {
     let store = control.store();
-    if let Some(held) = *lease {
+    if let Some(held) = control.lease.get() {
         if store.renew(held, CALL_TIMEOUT).await? {
-            return Ok(true);
+            return Ok(());
         }
         journal::write("lease", json!({ "lapsed": held.id() }));
-        *lease = None;
+        control.lease.set(None);
+        control.is_announced.set(false);
     }
     let granted = store.grant(LEASE_TTL).await?;
     write_entry(control, granted, control.peer.address).await?;
-    *lease = Some(granted);
-    Ok(false)
+    control.lease.set(Some(granted));
+    Ok(())
 }
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -22,7 +22,7 @@
 };
 use dandelionpitch_platform::{
     registration,
-    store::{self, Event, Item, Store, Subject, Value},
+    store::{self, Event, Item, Lease, Store, Subject, Value},
 };
 use serde_json::json;
 use tokio::sync::{watch, Notify};
@@ -82,6 +82,10 @@
     pub(super) has_predecessor: Cell<bool>,
     /// The ids of servers whose registrations cannot be decoded.
     pub(super) invalid_registrations: RefCell<Set<String>>,
+    /// The lease of this proxy's entry.
+    pub lease: Cell<Option<Lease>>,
+    /// Whether this proxy is announced as a relay to starting ones.
+    pub is_announced: Cell<bool>,
     /// Whether any source of changes responds.
     pub is_following: Cell<bool>,
     /// The sources of changes of the store.
@@ -119,6 +123,11 @@
         service.map_or(0, |service| service.sync_replicas)
     }
 
+    /// Whether this proxy is in its own list of live proxies.
+    pub fn is_registered(&self) -> bool {
+        self.publish.borrow().peer(&self.id).is_some()
+    }
+
     /// Where another proxy accepts connections from this one, if it is known.
     pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
         let view = self.publish.borrow();
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -88,6 +88,8 @@
             members: RefCell::default(),
             has_predecessor: Cell::default(),
             invalid_registrations: RefCell::default(),
+            lease: Cell::default(),
+            is_announced: Cell::default(),
             is_following: Cell::new(false),
             subscription,
             mirror,
