A starting proxy goes on following the relay that it copied from

Change: a proxy that is not in the list is a relay only if its data centre has no proxy at all, and until it finds itself in the list it follows the relay that it copied from, before the store.

--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -63,10 +63,11 @@
 
 impl Subscription {
     /// The subscription of the proxy with the id `own` in `dc`. A proxy that is not in `peers` yet is a
-    /// relay only if its data centre has too few without it.
+    /// relay only if its data centre has none: while a whole deployment starts, every proxy sees few others
+    /// and would watch the store.
     pub fn new(peers: &[Peer], own: &str, dc: &str) -> Self {
         let local = relays(peers, dc);
-        let is_relay = local.len() < RELAYS_PER_DC || local.iter().any(|peer| peer.id == own);
+        let is_relay = local.is_empty() || local.iter().any(|peer| peer.id == own);
         let others = local.into_iter().filter(|peer| peer.id != own);
         let mut sources = order_by_hash(others.collect(), own);
         sources.extend(remote_relays(peers, own, dc));
--- a/crates/engine/tests/feed.rs
+++ b/crates/engine/tests/feed.rs
@@ -92,6 +92,7 @@
     let peers = fleet(&["a", "b"], 10);
 
     assert!(!Subscription::new(&peers, "a-new", "a").is_relay);
+    assert!(!Subscription::new(&peers[..1], "a-new", "a").is_relay);
     assert!(Subscription::new(&[], "a-new", "a").is_relay);
 }
 
--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -35,24 +35,23 @@
 /// The number of relays that are tried.
 const MAX_RELAYS_TRIED: usize = 3;
 
-/// Fills the mirror from a relay. Returns `false` if the store has
-/// to be listed instead.
-pub async fn run(control: &Rc<Control>) -> bool {
+/// Fills the mirror from a relay and returns it; `None` if the store has to be listed instead.
+pub async fn run(control: &Rc<Control>) -> Option<Peer> {
     let relays = match choose_relays(control).await {
         Ok(relays) => relays,
         Err(error) => {
             journal::trouble("bootstrap", &error.to_string());
-            return false;
+            return None;
         }
     };
     let until = clock::now() + MAX_WAIT;
     for peer in relays.iter().take(MAX_RELAYS_TRIED) {
         match copy_content(control, peer, until).await {
-            Ok(()) => return true,
+            Ok(()) => return Some(peer.clone()),
             Err(error) => journal::trouble("bootstrap", &format!("{}: {error}", peer.id)),
         }
     }
-    false
+    None
 }
 
 /// The relays from which to copy the content, in order; empty if this proxy has to list the store. In that
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -9,6 +9,7 @@
     era,
     feed::{self, Failures, Source},
     mirror::{Change, Update},
+    ownership::Peer,
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -65,6 +66,8 @@
     /// The source that answered the last poll, if it succeeded.
     source: Option<Source>,
     relay: Option<Relay>,
+    /// The relay from which the first list was copied, if it was.
+    copied_from: Option<Peer>,
     /// Whether the store must be listed before it is watched.
     needs_list: bool,
     /// When changes from the store were last processed.
@@ -80,6 +83,7 @@
             failures: Failures::default(),
             source: None,
             relay: None,
+            copied_from: None,
             needs_list: true,
             changed_at: Moment::default(),
         }
@@ -88,11 +92,25 @@
     /// The source of the next poll. A process that has just started asks the store itself, as a relay
     /// may not have the latest configuration.
     fn choose_source(&self) -> Source {
-        match self.control.mirror.revision() {
-            0 => Source::Store,
-            _ => self
-                .failures
-                .choose(&self.control.subscription.borrow(), clock::now()),
+        if self.control.mirror.revision() == 0 {
+            return Source::Store;
+        }
+        let subscription = self.control.subscription.borrow();
+        let chosen = self.failures.choose(&subscription, clock::now());
+        match (&self.copied_from, &chosen) {
+            // While all proxies start, the list may not name a relay yet.
+            (Some(peer), Source::Store) if !self.control.is_registered() => {
+                let copied_from = Source::Peer(peer.id.clone());
+                let now = clock::now();
+                match self
+                    .failures
+                    .is_backing_off(&copied_from, &subscription, now)
+                {
+                    true => chosen,
+                    false => copied_from,
+                }
+            }
+            _ => chosen,
         }
     }
 
@@ -106,9 +124,12 @@
     }
 
     async fn list_store(&mut self) -> Result<bool, Error> {
-        if self.control.mirror.revision() == 0 && bootstrap::run(&self.control).await {
-            self.needs_list = false;
-            return Ok(true);
+        if self.control.mirror.revision() == 0 {
+            self.copied_from = bootstrap::run(&self.control).await;
+            if self.copied_from.is_some() {
+                self.needs_list = false;
+                return Ok(true);
+            }
         }
         let asked = clock::now();
         let (items, revision) = self.control.store().list(ALL_KEYS).await?;
@@ -138,12 +159,19 @@
         Ok(self.apply(&Source::Store, &update, asked))
     }
 
+    fn connect_relay(&self, id: &str) -> Result<Relay, Error> {
+        match &self.copied_from {
+            Some(peer) if peer.id == id => Ok(Relay::at(id, peer.address)),
+            _ => Relay::new(&self.control, id),
+        }
+    }
+
     async fn poll_relay(&mut self, source: &Source, id: &str) -> Result<bool, Error> {
         let connected = self.relay.take().filter(|relay| relay.id() == id);
         let (mut relay, wait) = match connected {
             Some(relay) => (relay, self.poll_timeout()),
             // A new relay has to answer at once, so that an unresponsive one is noticed early.
-            None => (Relay::new(&self.control, id)?, Duration::ZERO),
+            None => (self.connect_relay(id)?, Duration::ZERO),
         };
         let after = self.control.mirror.revision();
         let asked = clock::now();
