A starting proxy waits for its lease before it announces itself as a relay

Cause: on the commit before, the strongest VMs listed the store 36 ms after their start and were not announced, as they had no lease yet, so those that waited for up to a second found no relay and listed the store, too (their first list 1.13 s after the start, in the logs of the first seconds; 19 of 984 ready).

--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -32,6 +32,10 @@
 /// The delay until a relay without content is asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// How long a proxy waits for its lease, which takes two calls, before it lists the store unannounced.
+const MAX_LEASE_WAIT: Duration = Duration::from_millis(1_000);
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The number of relays that are tried.
 const MAX_RELAYS_TRIED: usize = 3;
 
@@ -69,6 +73,7 @@
         Start::Wait(delay) => delay,
     };
     tokio::time::sleep(delay).await;
+    wait_for_lease(control).await;
     let (items, _) = control.store().list(RELAY_PREFIX).await?;
     match start(decode_relays(&items)) {
         Start::Copy(relays) => Ok(relays),
@@ -80,6 +85,14 @@
     }
 }
 
+/// Waits until this proxy can be announced, as the proxies that wait longer would list the store as well.
+async fn wait_for_lease(control: &Control) {
+    let until = clock::now() + MAX_LEASE_WAIT;
+    while control.lease.get().is_none() && clock::now() < until {
+        tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
+    }
+}
+
 fn decode_relays(items: &[Item]) -> Vec<Peer> {
     let relays = items.iter().filter_map(|item| {
         let id = item.key.strip_prefix(RELAY_PREFIX)?;
