A relay sends the changes of one revision whole, also above 64 KB

The configuration alone is above the size of a response and has no base for a delta, so every relay refused every follower, and 984 proxies read 1.7 MB each from the store, whose link carries that in 13 s: the watches of the relays timed out and nobody recovered (18 of 984 ready when traffic began).

Change: a part holds at least one revision.

--- a/crates/engine/src/mirror.rs
+++ b/crates/engine/src/mirror.rs
@@ -169,9 +169,9 @@
         }
     }
 
-    /// Like [`Self::since`], but only the earliest changes that take up to `max_bytes`; `size` returns
-    /// the size of a key and its value. `None` if a snapshot, or the changes of one revision, exceed
-    /// that: neither can be split, as a follower must not apply a part of them.
+    /// Like [`Self::since`], but only the earliest changes that take up to `max_bytes`, or all changes of
+    /// one revision, which are never split; `size` returns the size of a key and its value. `None` if a
+    /// snapshot exceeds that, as a follower must not apply a part of it.
     ///
     /// Nothing is copied that is not returned: a relay has hundreds of followers, and after an outage
     /// each lacks most of the content.
@@ -187,9 +187,11 @@
         let mut has_more = false;
         for change in self.missed(after) {
             used += size(change.key, change.value);
-            if used > max_bytes {
-                // The changes of this revision follow in the next part.
-                taken.retain(|earlier| !is_snapshot && earlier.revision != change.revision);
+            if used > max_bytes && is_snapshot {
+                return None;
+            }
+            let begins_revision = taken.last().map(|last| last.revision) != Some(change.revision);
+            if used > max_bytes && begins_revision && !taken.is_empty() {
                 has_more = true;
                 break;
             }
