--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -9,10 +9,7 @@
 };
 
 use dandelionpitch_engine::{
-    catalog::Catalog,
-    isolation::Isolation,
-    ownership::{Peer, Plan},
-    planner::Planner,
+    catalog::Catalog, isolation::Isolation, ownership::Peer, planner::Planner,
 };
 use tokio::sync::watch;
 
@@ -36,10 +33,6 @@
 /// while the owners were unreachable, and surplus ones to other proxies.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_secs(3);
 
-/// The number of groups that are planned before their first statement. Bounded, as ranking all proxies for
-/// every group of a large deployment would occupy a weak VM for a second.
-const MAX_PREPARED_GROUPS: usize = 64;
-
 /// The state shared by all sessions on the traffic thread.
 pub struct Shared {
     pub id: String,
@@ -144,27 +137,6 @@
         for group in self.groups.borrow().values() {
             self.update_group(group, view);
         }
-        self.prepare_owned_groups(view);
-    }
-
-    /// Looks for the leaders of groups that this proxy owns before their first statements, up to
-    /// [`MAX_PREPARED_GROUPS`]. After all proxies have lost power, statements for every group wait.
-    fn prepare_owned_groups(&self, view: &View) {
-        if view.peer(&self.id).is_none() {
-            return;
-        }
-        let services = view.catalog.iter().flat_map(|c| c.services.keys());
-        for name in services.take(MAX_PREPARED_GROUPS) {
-            let is_known = self.groups.borrow().contains_key(name);
-            let limits = view.limits(name).filter(|_| !is_known);
-            let owns = limits.is_some_and(|limits| {
-                let mut planner = self.planner.borrow_mut();
-                planner.ownership(name, limits).plan == Plan::Run
-            });
-            if owns {
-                self.group(name);
-            }
-        }
     }
 
     /// Applies a view to one group, if the group is configured.
