--- a/crates/engine/src/planner.rs
+++ b/crates/engine/src/planner.rs
@@ -44,14 +44,15 @@
         }
     }
 
-    /// Applies the live proxies, and how many share the servers. `limits` returns those of a group's
-    /// servers, or `None` if the group is no longer configured.
+    /// Applies the live proxies, and how many share the servers; returns whether the list of proxies is
+    /// another one. `limits` returns those of a group's servers, or `None` if the group is no longer
+    /// configured.
     pub fn update(
         &mut self,
         peers: &Arc<[Peer]>,
         proxy_count: usize,
         limits: impl Fn(&str) -> Option<Limits>,
-    ) {
+    ) -> bool {
         let dcs: Set<&str> = peers.iter().map(|peer| peer.dc.as_str()).collect();
         let dcs = dcs.len();
         let change = Change::new(&self.peers, peers);
@@ -72,9 +73,11 @@
             known.allocation = allocation;
             true
         });
+        let is_other_list = !Arc::ptr_eq(&self.peers, peers);
         self.peers = peers.clone();
         self.dcs = dcs;
         self.proxy_count = proxy_count;
+        is_other_list
     }
 
     /// How the group is served, planned anew if it was not planned under the same allocation.
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -97,7 +97,6 @@
         groups: RefCell::default(),
         peers: peers::Peers::default(),
         planner: RefCell::new(Planner::new(&config.id, &config.dc)),
-        applied_peers: RefCell::default(),
         metrics,
         stop: stop.clone(),
         isolation,
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -8,9 +8,7 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::{
-    catalog::Catalog, isolation::Isolation, ownership::Peer, planner::Planner,
-};
+use dandelionpitch_engine::{catalog::Catalog, isolation::Isolation, planner::Planner};
 use tokio::sync::watch;
 
 use crate::{
@@ -43,8 +41,6 @@
     pub peers: Peers,
     /// Which groups' statements are forwarded.
     pub planner: RefCell<Planner>,
-    /// The proxies that [`Self::peers`] was last updated with.
-    pub applied_peers: RefCell<Arc<[Peer]>>,
     pub metrics: Metrics,
     pub stop: Stop,
     pub isolation: watch::Receiver<Isolation>,
@@ -121,19 +117,13 @@
 
     fn update(&self, view: &View) {
         let peers_changed = {
-            let mut applied = self.applied_peers.borrow_mut();
-            !Arc::ptr_eq(
-                &std::mem::replace(&mut *applied, view.peers.clone()),
-                &view.peers,
-            )
+            let mut planner = self.planner.borrow_mut();
+            planner.update(&view.peers, view.proxy_count, |name| view.limits(name))
         };
         if peers_changed {
             self.peers.update(&view.peers, &self.id, &self.metrics);
         }
         self.quota.update(view, &self.id);
-        self.planner
-            .borrow_mut()
-            .update(&view.peers, view.proxy_count, |name| view.limits(name));
         for group in self.groups.borrow().values() {
             self.update_group(group, view);
         }
