--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -233,7 +233,12 @@
         control.registry.borrow_mut().note_synced(synced_until);
         records::note_synced(&control.synced_until_ms, synced_until);
         if self.source.as_ref() != Some(source) {
-            journal::write("source", json!({ "of_changes": format!("{source:?}") }));
+            let report = control.mirror.report();
+            journal::write(
+                "source",
+                json!({ "of_changes": format!("{source:?}"), "revision": control.mirror.revision(),
+                    "age_ms": report.age_ms }),
+            );
             self.source = Some(source.clone());
         }
         // Relays already batch the changes for their followers.
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -160,7 +160,7 @@
                 continue;
             };
             match store::subject(&item.key) {
-                Subject::Config => self.apply_config(&item.value),
+                Subject::Config => self.apply_config(item),
                 Subject::Server(id) => servers.extend(self.decode_server(id, &item.value)),
                 Subject::Proxy(key) => {
                     if key == LEADER {
@@ -202,7 +202,7 @@
 
     fn apply_write(&self, item: &Item, now: Moment) {
         match store::subject(&item.key) {
-            Subject::Config => self.apply_config(&item.value),
+            Subject::Config => self.apply_config(item),
             Subject::Server(id) => {
                 let Some(server) = self.decode_server(id, &item.value) else {
                     return self.registry.borrow_mut().mark_missing(id, now);
@@ -316,8 +316,8 @@
         }
     }
 
-    fn apply_config(&self, value: &[u8]) {
-        let catalog = match dandelionpitch_platform::config::decode(value) {
+    fn apply_config(&self, item: &Item) {
+        let catalog = match dandelionpitch_platform::config::decode(&item.value) {
             Ok(catalog) => catalog,
             Err(error) => return journal::trouble("configuration", &error.to_string()),
         };
@@ -326,7 +326,8 @@
             let before = current.map_or(0, |current| current.version);
             journal::write(
                 "configuration",
-                json!({ "version": catalog.version, "before": before, "routes": catalog.routes.len() }),
+                json!({ "version": catalog.version, "before": before, "routes": catalog.routes.len(),
+                    "revision": item.revision, "age_ms": self.mirror.report().age_ms }),
             );
             self.metrics.version(catalog.version);
             *self.catalog.borrow_mut() = Some(Arc::new(catalog));
