Deltas are made only against the version that the follower is known to have

What callers saw: after an outage of the store one proxy refused a route that had been added for up to 3.7 s, as it left every relay in turn and then waited out the 4 s for which it avoids a store that failed.

Or the relay was behind the proxy that the follower followed before.

Why this works: a version is recorded with the revisions at which the copy had it; a follower at none of them gets the whole value.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fence;
 pub mod forwarding;
 pub mod freshness;
+pub mod history;
 pub mod isolation;
 pub mod lag;
 pub mod members;
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -2,7 +2,6 @@
 //! traffic thread serves it to other proxies.
 
 use std::{
-    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -12,6 +11,7 @@
     delta::Delta,
     era,
     feed::{Source, MAX_RELAY_AGE},
+    history,
     mirror::{Mirror, Update},
     time::Moment,
 };
@@ -28,10 +28,6 @@
 /// The size from which changes of a value are sent as deltas.
 const DELTA_MIN_BYTES: usize = 4 * 1024;
 
-/// The number of earlier versions kept per key. Followers may be several behind when configurations
-/// change in quick succession.
-const MAX_EARLIER_VERSIONS: usize = 8;
-
 /// The maximum size of a response. A follower that is further behind gets several: a larger one would
 /// occupy a slow network link for longer than the follower waits for it.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
@@ -79,8 +75,7 @@
 /// The earlier versions of a key.
 #[derive(Debug, Default)]
 struct History {
-    /// Oldest first.
-    versions: VecDeque<Version>,
+    versions: history::History<Value>,
     /// The delta computed last and the revision of the value that it produces. Cached, as most followers
     /// have the same version.
     last_delta: Option<(u64, Arc<Delta>)>,
@@ -257,6 +252,7 @@
 
     /// Keeps the large values that an update replaces, as the base of deltas.
     fn record_history(&mut self, update: &Update<Value>) {
+        let reached = self.mirror.revision();
         for change in &update.changes {
             let Some((at, old)) = self.mirror.get(change.key()) else {
                 continue;
@@ -265,16 +261,13 @@
                 continue;
             }
             let history = self.history.entry(change.key().to_owned()).or_default();
-            history.versions.push_back((at, old.clone()));
-            if history.versions.len() > MAX_EARLIER_VERSIONS {
-                history.versions.pop_front();
-            }
+            history.versions.record(at, reached, old.clone());
         }
     }
 }
 
 /// The delta to a key's current value from the version that a follower at revision `reached` has.
-/// `None` if that version is not kept, as for small values.
+/// `None` if that version is not known, as for small values.
 fn delta(
     mirror: &Mirror<Value>,
     history: &mut Map<String, History>,
@@ -282,12 +275,12 @@
     reached: u64,
 ) -> Option<Arc<Delta>> {
     let history = history.get_mut(key)?;
-    let (base, old) = history.versions.iter().rfind(|(at, _)| *at <= reached)?;
+    let (base, old) = history.versions.version_at(reached)?;
     let (to, value) = mirror.get(key)?;
     match &history.last_delta {
-        Some((at, last)) if *at == to && last.base_revision == *base => Some(last.clone()),
+        Some((at, last)) if *at == to && last.base_revision == base => Some(last.clone()),
         _ => {
-            let delta = Arc::new(Delta::new(*base, old, value));
+            let delta = Arc::new(Delta::new(base, old, value));
             history.last_delta = Some((to, delta.clone()));
             Some(delta)
         }
--- /dev/null
+++ b/crates/proxy/tests/mirror.rs
@@ -0,0 +1,134 @@
+//! The copy of the store's content that a proxy serves to its followers.
+
+use std::{sync::Arc, time::Duration};
+
+use dandelionpitch_engine::{
+    feed::Source,
+    mirror::{Change, Item, Update},
+};
+use dandelionpitch_platform::{
+    feed::{Request, Response},
+    store::Value,
+    Error,
+};
+use dandelionpitch_proxy::line::{clock, mirror::Handle};
+
+const CONFIG: &str = "op/config";
+
+/// A configuration of `routes` routes, of some 60 bytes each.
+fn configuration(version: u64, routes: usize) -> Value {
+    let route = |index| {
+        format!("{{\"name\":\"route-{index}\",\"service\":\"ledger\",\"timeout_ms\":{version}}}")
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    Arc::new(
+        format!(
+            "{{\"version\":{version},\"routes\":[{}]}}",
+            routes.join(",")
+        )
+        .into_bytes(),
+    )
+}
+
+/// Changes of the configuration, each with its revision and number of routes.
+fn changes(versions: &[(u64, usize)]) -> Update<Value> {
+    let written = |(revision, routes): &(u64, usize)| {
+        Change::Written(Item {
+            key: CONFIG.to_owned(),
+            value: configuration(*revision, *routes),
+            revision: *revision,
+        })
+    };
+    Update {
+        revision: versions.last().map_or(0, |(revision, _)| *revision),
+        is_snapshot: false,
+        changes: versions.iter().map(written).collect(),
+    }
+}
+
+/// A relay that has received these batches of changes from the store.
+fn relay(batches: &[&[(u64, usize)]]) -> Handle {
+    let relay = Handle::default();
+    for versions in batches {
+        relay.apply(&Source::Store, &changes(versions), clock::now());
+    }
+    relay
+}
+
+/// Brings the follower up to date with the relay.
+async fn follow(relay: &Handle, follower: &Handle) -> Result<(), Error> {
+    let request = Request {
+        after: follower.revision(),
+        wait: Duration::ZERO,
+    };
+    let sent = relay.respond(request).await?.expect("the relay serves");
+    let mut rows = Vec::new();
+    sent.changes.write(sent.timing, &mut rows)?;
+    let response = Response::read(&rows, |key| follower.current(key))?;
+    let source = Source::Peer("relay".to_owned());
+    follower.apply(&source, &response.part.update, clock::now());
+    Ok(())
+}
+
+/// Guards against a delta to a version that the follower does not have: the relay keeps no small versions
+/// for deltas, and took an earlier, larger one for the follower's.
+#[tokio::test]
+async fn follower_of_a_small_version_gets_the_large_one_after_it() {
+    let relay = relay(&[&[(10, 100)], &[(11, 100)], &[(12, 5)]]);
+    let follower = Handle::default();
+    follow(&relay, &follower).await.expect("the first copy");
+
+    relay.apply(&Source::Store, &changes(&[(13, 100)]), clock::now());
+    let followed = follow(&relay, &follower).await;
+
+    assert!(followed.is_ok(), "{followed:?}");
+    assert_eq!(follower.current(CONFIG), relay.current(CONFIG));
+}
+
+/// Guards against a delta to a version that the follower does not have: the relay was behind the proxy that
+/// the follower followed before, and received two versions at once.
+#[tokio::test]
+async fn follower_that_was_ahead_of_its_new_relay_gets_the_next_version() {
+    let former = relay(&[&[(10, 100)], &[(11, 101)]]);
+    let behind = relay(&[&[(10, 100)]]);
+    let follower = Handle::default();
+    follow(&former, &follower).await.expect("the first copy");
+
+    behind.apply(
+        &Source::Store,
+        &changes(&[(11, 101), (12, 102)]),
+        clock::now(),
+    );
+    let followed = follow(&behind, &follower).await;
+
+    assert!(followed.is_ok(), "{followed:?}");
+    assert_eq!(follower.current(CONFIG), behind.current(CONFIG));
+}
+
+/// A follower that has the version before gets a delta, even if the relay received later ones at once.
+#[tokio::test]
+async fn follower_of_a_known_version_gets_a_delta() {
+    let relay = relay(&[&[(10, 1_000)]]);
+    let follower = Handle::default();
+    follow(&relay, &follower).await.expect("the first copy");
+
+    relay.apply(
+        &Source::Store,
+        &changes(&[(11, 1_001), (12, 1_002)]),
+        clock::now(),
+    );
+    let request = Request {
+        after: follower.revision(),
+        wait: Duration::ZERO,
+    };
+    let sent = relay.respond(request).await.expect("the response encodes");
+    let mut rows = Vec::new();
+    let sent = sent.expect("the relay serves");
+    sent.changes
+        .write(sent.timing, &mut rows)
+        .expect("the response encodes");
+
+    assert!(rows.windows(8).any(|part| part == b"\"delta\":"));
+    follow(&relay, &follower).await.expect("the delta applies");
+    assert_eq!(follower.current(CONFIG), relay.current(CONFIG));
+}
