Copies are served and used only up to an age that leaves time to ask the store

What callers saw (CONFIG): 'refused with 404 as an older version says; version 21 was acked more than 3000 ms before', on a proxy that reached the store all the while.

Cause: the store rejects both relays of a data centre. Class: a bound on staleness that is not derived from the promise that depends on it, in a chain that may be a circle.

Why this works: the deadline is divided (feed::Budget). A relay serves a copy only up to an age at which a follower can still lose the relay, and ask the store. Ages grow in a circle, so it ends. A follower whose store failed since its copy was young asks the relays first, which keeps hundreds of them from a store that has just come back.

--- a/crates/e2e/tests/line_change_feed.rs
+++ b/crates/e2e/tests/line_change_feed.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fixture::line::{Site, LATEST, SESSION};
 
@@ -24,7 +24,7 @@
 /// The indexes of the proxies that get changes from the store itself.
 async fn relays(site: &Site) -> Vec<usize> {
     let mut relays = Vec::new();
-    for index in 0..PROXIES {
+    for index in 0..site.proxies.len() {
         if site.status(index).await["changes"]["from"] == "store" {
             relays.push(index);
         }
@@ -130,3 +130,60 @@
     });
     assert!(settled.await, "relays: {:?}", relays(&site).await);
 }
+
+/// The longest time that one of the `followers` takes to apply a configuration, of `count` that are put
+/// with `interval` between them.
+async fn longest_delay(
+    site: &Site,
+    followers: &[usize],
+    count: u64,
+    interval: Duration,
+) -> Duration {
+    let mut longest = Duration::ZERO;
+    let mut pending: Vec<(u64, Instant)> = Vec::new();
+    let mut next_put = Instant::now();
+    let mut version = 1;
+    while version <= count || !pending.is_empty() {
+        if version <= count && Instant::now() >= next_put {
+            version += 1;
+            site.configure(version, &[LATEST, SESSION]).await;
+            pending.push((version, Instant::now()));
+            next_put = Instant::now() + interval;
+        }
+        let mut applied = u64::MAX;
+        for index in followers {
+            let at = site.status(*index).await["version"].as_u64();
+            applied = applied.min(at.unwrap_or_default());
+        }
+        for (_, put) in pending.iter().filter(|(version, _)| *version <= applied) {
+            longest = longest.max(put.elapsed());
+        }
+        pending.retain(|(version, _)| *version > applied);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    longest
+}
+
+/// The store rejects both relays of a data centre. Guards against relays that follow each other and tell
+/// their followers that nothing has changed.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_reach_followers_of_relays_that_the_store_rejects() {
+    let dcs = ["dc-1", "dc-1", "dc-1", "dc-1", "dc-2", "dc-2"];
+    let site = Site::start_behind_gateways("feed-rejected", &dcs).await;
+    let settled = fixture::eventually(Duration::from_secs(10), || async {
+        relays(&site).await.len() == 2 * RELAYS
+    });
+    assert!(settled.await, "relays: {:?}", relays(&site).await);
+    let is_local = |index: &usize| dcs[*index] == "dc-1";
+    let rejected: Vec<usize> = relays(&site).await.into_iter().filter(is_local).collect();
+    let followers: Vec<usize> = (0..dcs.len())
+        .filter(|index| is_local(index) && !rejected.contains(index))
+        .collect();
+    for index in &rejected {
+        site.gateways[*index].set_open(false);
+    }
+
+    let longest = longest_delay(&site, &followers, 30, Duration::from_millis(400)).await;
+
+    assert!(longest < Duration::from_secs(3), "{longest:?}");
+}
--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -17,16 +17,64 @@
 /// The number of relays in other data centres that are tried before the store.
 const MAX_REMOTE_RELAYS: usize = 2;
 
-/// The timeout of a long poll, by a relay at the store or by a follower at a relay. Two polls of the relay
-/// and one of the follower must fit into the time for which a list of servers is used ([`LIST_VALIDITY`]).
+/// The longest timeout of a long poll, by a relay at the store or by a follower at a relay. Two polls of the
+/// relay and one of the follower must fit into the time for which a list of servers is used
+/// ([`LIST_VALIDITY`]).
 ///
 /// [`LIST_VALIDITY`]: crate::roster::LIST_VALIDITY
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// The maximum staleness at which a proxy still serves followers. Covers a relay's poll and the time until
-/// it notices that the store does not respond.
+/// The maximum age of a copy that is served to followers, whatever the deadline of configurations.
 pub const MAX_RELAY_AGE: Duration = Duration::from_millis(4_000);
 
+/// The shortest timeout of a long poll, which bounds the load if the deadline is very short.
+const MIN_POLL_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Additional time for the response to a poll, after its timeout has elapsed at the store or at a relay.
+pub const STORE_GRACE: Duration = Duration::from_millis(700);
+pub const RELAY_GRACE: Duration = Duration::from_millis(500);
+
+/// By how much the store's response to a poll may be late before a relay stops serving followers.
+const STORE_DELAY: Duration = Duration::from_millis(500);
+
+/// The time that a call to an available store may take.
+const STORE_CALL: Duration = Duration::from_millis(300);
+
+/// How the deadline of a configuration is divided among the proxies that pass it on
+/// (`docs/DESIGN.md`, "Changes of the store").
+///
+/// A relay may be suspended, partitioned from the store, or follow a relay that follows it. So a follower
+/// does not rely on it to notice: a copy is passed on only up to an age at which the follower can still ask
+/// the store before the deadline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    /// The timeout of a long poll at the store.
+    pub store_poll: Duration,
+    /// The timeout of a long poll at a relay. Shorter, as it does not load the store.
+    pub relay_poll: Duration,
+    /// The age up to which a copy is served to followers. It is twice a poll at the store while that answers
+    /// in time: a response proves nothing about the time after its request.
+    pub max_relay_age: Duration,
+    /// The age of its copy up to which a follower may try another relay before the store.
+    max_follower_age: Duration,
+}
+
+impl Budget {
+    /// The budget for a `deadline` within which configurations must be applied on every proxy that can reach
+    /// the store.
+    pub fn new(deadline: Duration) -> Self {
+        let polls = deadline.saturating_sub(STORE_DELAY + RELAY_GRACE + STORE_CALL);
+        let relay_poll = (polls / 5).clamp(MIN_POLL_TIMEOUT, POLL_TIMEOUT);
+        let store_poll = (2 * relay_poll).min(POLL_TIMEOUT);
+        Self {
+            store_poll,
+            relay_poll,
+            max_relay_age: (2 * store_poll + STORE_DELAY).min(MAX_RELAY_AGE),
+            max_follower_age: deadline.saturating_sub(RELAY_GRACE + STORE_CALL),
+        }
+    }
+}
+
 /// How long a proxy that failed is avoided as a source while there are others.
 const PEER_BACKOFF: Duration = Duration::from_millis(1_000);
 
@@ -153,6 +201,17 @@
         ready.or_else(first).cloned().unwrap_or(Source::Store)
     }
 
+    /// Whether a follower whose copy has all changes up to `synced_until` must ask the store now, as the
+    /// deadline would pass if the next relay did not answer either.
+    ///
+    /// Not if the store has failed since: relays notice first that it is available again, and the calls of
+    /// all followers would overload it.
+    pub fn is_store_due(&self, budget: &Budget, synced_until: Moment, now: Moment) -> bool {
+        let failed = self.failed.get(&Source::Store);
+        let failed_since = failed.is_some_and(|failed| *failed > synced_until);
+        now.since(synced_until) > budget.max_follower_age && !failed_since
+    }
+
     /// Whether a source failed recently and should not be asked yet.
     pub fn is_backing_off(
         &self,
@@ -167,7 +226,8 @@
     /// Records a failure of a source.
     pub fn record(&mut self, source: &Source, now: Moment) {
         let recent = |failed: &Moment| now.since(*failed) < FOLLOWER_STORE_BACKOFF;
-        self.failed.retain(|_, failed| recent(failed));
+        self.failed
+            .retain(|source, failed| *source == Source::Store || recent(failed));
         self.failed.insert(source.clone(), now);
     }
 
--- a/crates/engine/tests/feed.rs
+++ b/crates/engine/tests/feed.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use dandelionpitch_engine::{
-    feed::{self, Failures, Source, Start, Subscription, MAX_RELAY_AGE, POLL_TIMEOUT},
+    feed::{
+        self, Budget, Failures, Source, Start, Subscription, MAX_RELAY_AGE, POLL_TIMEOUT,
+        RELAY_GRACE,
+    },
     ownership::Peer,
     roster::LIST_VALIDITY,
     time::Moment,
@@ -173,6 +176,69 @@
     assert!(follower_age + millis(500) < LIST_VALIDITY);
 }
 
+/// A follower's relay answers with the oldest copy that it may serve and then falls silent. Guards against a
+/// configuration that is applied too late because the relay had lost the store before: the follower must be
+/// able to ask the store within the deadline.
+#[parameterized(
+    short = { 2_500 },
+    usual = { 3_000 },
+    grown = { 5_000 },
+    large = { 8_000 },
+)]
+fn follower_of_a_stale_relay_asks_the_store_within_the_deadline(deadline_ms: u64) {
+    let budget = Budget::new(millis(deadline_ms));
+    let answered = at(100_000);
+    let synced_until = answered - budget.max_relay_age;
+    let given_up = answered + budget.relay_poll + RELAY_GRACE;
+    let failures = Failures::default();
+
+    let mut asked = given_up;
+    while !failures.is_store_due(&budget, synced_until, asked) {
+        asked = asked + RELAY_GRACE;
+    }
+
+    let deadline = synced_until + millis(deadline_ms);
+    assert!(asked < deadline, "{:?} too late", asked.since(deadline));
+}
+
+/// While nothing fails, a relay's copy must not become too old to be served between its polls, nor a
+/// follower's so old that it asks the store.
+#[parameterized(
+    usual = { 3_000 },
+    grown = { 5_000 },
+    large = { 8_000 },
+)]
+fn copies_stay_current_while_nothing_fails(deadline_ms: u64) {
+    let budget = Budget::new(millis(deadline_ms));
+    let relay_age = 2 * budget.store_poll;
+    let follower_age = relay_age + budget.relay_poll;
+    let now = at(100_000);
+
+    let is_store_due = Failures::default().is_store_due(&budget, now - follower_age, now);
+
+    assert!(relay_age < budget.max_relay_age);
+    assert!(!is_store_due);
+}
+
+/// The store fails, and with it all relays. Guards against all followers that ask a store that has just
+/// become available again, which the relays notice first.
+#[test]
+fn followers_do_not_ask_a_failed_store_before_their_relays() {
+    let budget = Budget::new(millis(3_000));
+    let mut failures = Failures::default();
+    let synced_until = at(10_000);
+    failures.record(&Source::Store, at(12_600));
+
+    let in_outage = failures.is_store_due(&budget, synced_until, at(13_000));
+    failures.record(&Source::Peer("a-1".to_owned()), at(20_000));
+    let in_long_outage = failures.is_store_due(&budget, synced_until, at(20_000));
+    let once_followed_again = failures.is_store_due(&budget, at(21_000), at(24_000));
+
+    assert!(!in_outage);
+    assert!(!in_long_outage);
+    assert!(once_followed_again);
+}
+
 /// All proxies of a deployment start at once, and no relay is announced. Guards against hundreds that list
 /// the store together: at twice the size, as few may find no relay when their wait has passed.
 #[parameterized(
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -25,7 +25,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use dandelionpitch_engine::{isolation::Isolation, ownership, planner::Planner};
+use dandelionpitch_engine::{feed::Budget, isolation::Isolation, ownership, planner::Planner};
 use tokio::{net::TcpListener, sync::watch, task::LocalSet};
 
 use self::{
@@ -67,7 +67,8 @@
     let stop = stop::Stop::new(line.grace);
     let (publish_isolation, isolation) = watch::channel(Isolation::default());
     let (records, responder) = records::channel();
-    let mirror = mirror::Handle::default();
+    let budget = Budget::new(line.config_within);
+    let mirror = mirror::Handle::new(budget.max_relay_age);
     let endpoint = operator::Context {
         id: config.id.clone(),
         dc: config.dc.clone(),
--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -8,7 +8,7 @@
 use std::{rc::Rc, time::Duration};
 
 use dandelionpitch_engine::{
-    feed::{Source, Start, POLL_TIMEOUT},
+    feed::{Source, Start},
     ownership::Peer,
     time::Moment,
 };
@@ -119,7 +119,7 @@
                 wait = match answer.part.has_more {
                     true => Duration::ZERO,
                     // The relay has not received the latest changes itself.
-                    false => POLL_TIMEOUT,
+                    false => control.budget.relay_poll,
                 };
             }
             Err(Error::Refused(_)) if clock::now() < until => {
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -28,10 +28,6 @@
     },
 };
 
-/// The timeout of a long poll, as a fraction of the time within which a new configuration must take
-/// effect. The rest of that time is for noticing that a poll hangs and for listing the store again.
-const POLL_TIMEOUT_FRACTION: f64 = 0.66;
-
 /// The minimum interval between polls of the store that return changes, so that one poll returns
 /// the entries of many proxies that start at once; each entry ends the pending polls. The first
 /// change after an idle period is not delayed.
@@ -95,6 +91,9 @@
         if self.control.mirror.revision() == 0 {
             return Source::Store;
         }
+        if self.is_store_due() {
+            return Source::Store;
+        }
         let subscription = self.control.subscription.borrow();
         let chosen = self.failures.choose(&subscription, clock::now());
         match (&self.copied_from, &chosen) {
@@ -114,6 +113,17 @@
         }
     }
 
+    /// Whether the store must be asked before another relay. A proxy that is not registered has just
+    /// started, as others may have, and the calls of all of them would overload the store.
+    fn is_store_due(&self) -> bool {
+        let control = &self.control;
+        let synced_until = control.mirror.synced_until();
+        let is_due = self
+            .failures
+            .is_store_due(&control.budget, synced_until, clock::now());
+        is_due && control.is_registered()
+    }
+
     /// Polls the source once; returns whether anything has changed.
     async fn poll(&mut self, source: &Source) -> Result<bool, Error> {
         match source {
@@ -145,7 +155,12 @@
 
     async fn watch_store(&mut self) -> Result<bool, Error> {
         let asked = clock::now();
-        let (after, wait) = (self.control.mirror.revision(), self.poll_timeout());
+        let after = self.control.mirror.revision();
+        let wait = match self.source {
+            Some(Source::Store) => self.poll_timeout(self.control.budget.store_poll),
+            // A store that does not answer is noticed early.
+            _ => Duration::ZERO,
+        };
         let result = self.control.store().watch(ALL_KEYS, after, wait).await?;
         let WatchResult::Changes { events, next } = result else {
             self.needs_list = true;
@@ -169,7 +184,7 @@
     async fn poll_relay(&mut self, source: &Source, id: &str) -> Result<bool, Error> {
         let connected = self.relay.take().filter(|relay| relay.id() == id);
         let (mut relay, wait) = match connected {
-            Some(relay) => (relay, self.poll_timeout()),
+            Some(relay) => (relay, self.poll_timeout(self.control.budget.relay_poll)),
             // A new relay has to answer at once, so that an unresponsive one is noticed early.
             None => (self.connect_relay(id)?, Duration::ZERO),
         };
@@ -207,13 +222,8 @@
         !update.changes.is_empty()
     }
 
-    /// How long a poll waits for changes.
-    fn poll_timeout(&self) -> Duration {
-        let wait = self
-            .control
-            .config_deadline
-            .mul_f64(POLL_TIMEOUT_FRACTION)
-            .min(feed::POLL_TIMEOUT);
+    /// How long a poll waits for changes: up to `wait`, less if a missing server is due to be dropped.
+    fn poll_timeout(&self, wait: Duration) -> Duration {
         match self.control.registry.borrow().next_expiry() {
             Some(expiry) => wait.min(clock::now().until(expiry).max(MIN_POLL_TIMEOUT)),
             None => wait,
--- a/crates/proxy/src/line/control/relay.rs
+++ b/crates/proxy/src/line/control/relay.rs
@@ -1,7 +1,8 @@
 //! Client of another proxy that relays changes of the store.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
+use dandelionpitch_engine::feed::RELAY_GRACE;
 use dandelionpitch_platform::{
     backend::{Link, Query},
     feed::{self, Request, Response},
@@ -10,9 +11,6 @@
 
 use crate::line::{control::state::Control, mirror::Handle};
 
-/// Additional time for the response of a busy VM, after the request's wait has elapsed.
-const RESPONSE_GRACE: Duration = Duration::from_millis(500);
-
 /// A relay and the connection to it.
 pub struct Relay {
     id: String,
@@ -47,7 +45,7 @@
 
     /// Requests changes. A connection on which a request failed or timed out is closed.
     pub async fn poll(&mut self, mirror: &Handle, request: Request) -> Result<Response, Error> {
-        let limit = request.wait + RESPONSE_GRACE;
+        let limit = request.wait + RELAY_GRACE;
         match tokio::time::timeout(limit, self.exchange(mirror, request)).await {
             Ok(answer) => answer,
             Err(_) => Err(Error::Timeout),
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -5,7 +5,6 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     sync::{atomic::AtomicU64, Arc},
-    time::Duration,
 };
 
 use dandelionpitch_core::hash::Set;
@@ -13,7 +12,7 @@
     catalog::Catalog,
     election::Election,
     era,
-    feed::Subscription,
+    feed::{Budget, Subscription},
     members::Members,
     mirror::Update,
     ownership::Peer,
@@ -60,8 +59,8 @@
     pub id: String,
     pub dc: String,
     pub peer: PeerEndpoint,
-    /// The time within which a new configuration must take effect.
-    pub config_deadline: Duration,
+    /// How the time within which a new configuration must take effect is divided.
+    pub budget: Budget,
     pub metrics: Metrics,
     pub stopping: CancellationToken,
     pub store: RefCell<Store>,
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -7,7 +7,11 @@
     sync::Arc,
 };
 
-use dandelionpitch_engine::{feed::Subscription, registry::Registry, time::Moment};
+use dandelionpitch_engine::{
+    feed::{Budget, Subscription},
+    registry::Registry,
+    time::Moment,
+};
 use dandelionpitch_platform::{promoter::Promoter, store::Store};
 use tokio::{
     sync::{mpsc, oneshot, watch, Notify},
@@ -62,7 +66,8 @@
         .map(|address| operator::metrics_only(address, metrics.clone()));
     let promoter = Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
-    let (config_deadline, promotions_per_second) = (line.config_within, line.promotions_per_second);
+    let (budget, promotions_per_second) =
+        (Budget::new(line.config_within), line.promotions_per_second);
     let start = move || {
         let mut registry = Registry::default();
         registry.note_synced(Moment::default());
@@ -73,7 +78,7 @@
             id,
             dc,
             peer,
-            config_deadline,
+            budget,
             metrics,
             stopping,
             store: RefCell::new(store),
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -10,7 +10,7 @@
 use dandelionpitch_engine::{
     delta::Delta,
     era,
-    feed::{Source, MAX_RELAY_AGE},
+    feed::Source,
     history,
     mirror::{Mirror, Update},
     time::Moment,
@@ -47,6 +47,8 @@
 #[derive(Debug, Default)]
 struct Content {
     mirror: Mirror<Value>,
+    /// The age up to which followers are served.
+    max_age: Duration,
     /// Earlier versions of large values, by key.
     history: Map<String, History>,
     /// The time up to which every change of the store has been applied.
@@ -93,16 +95,19 @@
     pub age_ms: u64,
 }
 
-impl Default for Handle {
-    fn default() -> Self {
+impl Handle {
+    /// An empty mirror, which serves followers while it is at most `max_age` old.
+    pub fn new(max_age: Duration) -> Self {
+        let content = Content {
+            max_age,
+            ..Content::default()
+        };
         Self {
-            content: Arc::default(),
+            content: Arc::new(Mutex::new(content)),
             changed: watch::channel(()).0,
         }
     }
-}
 
-impl Handle {
     /// Applies an update from `source` that has every change up to `synced_until`. Returns whether
     /// it was applied; see [`Mirror::apply`].
     pub fn apply(&self, source: &Source, update: &Update<Value>, synced_until: Moment) -> bool {
@@ -158,7 +163,7 @@
     }
 
     /// Responds to a long poll as soon as there are changes, or when its wait has passed. `None` if the
-    /// mirror has no source, is older than [`MAX_RELAY_AGE`] or has changes that cannot be sent in parts.
+    /// mirror has no source, is too old or has changes that cannot be sent in parts.
     pub async fn respond(&self, request: Request) -> Result<Option<Response>, Error> {
         let requested_at = clock::now();
         let mut changed = self.changed.subscribe();
@@ -211,7 +216,7 @@
         left: Duration,
     ) -> Result<Attempt, Error> {
         let age = clock::now().since(self.synced_until);
-        if self.source.is_none() || age > MAX_RELAY_AGE {
+        if self.source.is_none() || age > self.max_age {
             return Ok(Attempt::Refuse);
         }
         if self.mirror.revision() <= after && !left.is_zero() {
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
-    feed::Source,
+    feed::{Budget, Source},
     mirror::{Change, Item, Update},
 };
 use dandelionpitch_platform::{
@@ -46,9 +46,14 @@
     }
 }
 
+/// An empty copy of the store's content.
+fn handle() -> Handle {
+    Handle::new(Budget::new(Duration::from_secs(3)).max_relay_age)
+}
+
 /// A relay that has received these batches of changes from the store.
 fn relay(batches: &[&[(u64, usize)]]) -> Handle {
-    let relay = Handle::default();
+    let relay = handle();
     for versions in batches {
         relay.apply(&Source::Store, &changes(versions), clock::now());
     }
@@ -75,7 +80,7 @@
 #[tokio::test]
 async fn follower_of_a_small_version_gets_the_large_one_after_it() {
     let relay = relay(&[&[(10, 100)], &[(11, 100)], &[(12, 5)]]);
-    let follower = Handle::default();
+    let follower = handle();
     follow(&relay, &follower).await.expect("the first copy");
 
     relay.apply(&Source::Store, &changes(&[(13, 100)]), clock::now());
@@ -91,7 +96,7 @@
 async fn follower_that_was_ahead_of_its_new_relay_gets_the_next_version() {
     let former = relay(&[&[(10, 100)], &[(11, 101)]]);
     let behind = relay(&[&[(10, 100)]]);
-    let follower = Handle::default();
+    let follower = handle();
     follow(&former, &follower).await.expect("the first copy");
 
     behind.apply(
@@ -109,7 +114,7 @@
 #[tokio::test]
 async fn follower_of_a_known_version_gets_a_delta() {
     let relay = relay(&[&[(10, 1_000)]]);
-    let follower = Handle::default();
+    let follower = handle();
     follow(&relay, &follower).await.expect("the first copy");
 
     relay.apply(
