--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -7,7 +7,7 @@
 
 use dandelionpitch_engine::{
     era,
-    feed::{self, Failures, Source},
+    feed::{self, Failures, Source, STORE_GRACE},
     mirror::{Change, Update},
     ownership::Peer,
     time::Moment,
@@ -155,13 +155,15 @@
 
     async fn watch_store(&mut self) -> Result<bool, Error> {
         let asked = clock::now();
-        let after = self.control.mirror.revision();
+        let (store, after) = (self.control.store(), self.control.mirror.revision());
+        let store_poll = self.control.budget.store_poll;
         let wait = match self.source {
-            Some(Source::Store) => self.poll_timeout(self.control.budget.store_poll),
-            // A store that does not answer is noticed early.
+            Some(Source::Store) => self.poll_timeout(store_poll),
+            // A response at once proves that the copy is current.
             _ => Duration::ZERO,
         };
-        let result = self.control.store().watch(ALL_KEYS, after, wait).await?;
+        let limit = store_poll + STORE_GRACE;
+        let result = store.watch(ALL_KEYS, after, wait, limit).await?;
         let WatchResult::Changes { events, next } = result else {
             self.needs_list = true;
             return Ok(true);
