A relay that has just started batches changes for 0.1 s

Cause: a starting proxy waits until a relay's copy has reached the revision that the store had at its start. All register at once, so that lies after the relay's list, and a relay polls the store again 0.5 s after a change.

Ruled out: that proxies wait for relays to list the store (they had after 20 ms).

Change: 0.1 s in the first 3 s of a process; decided in engine::feed, with a unit test of the interval (new interface, not seen red).

--- a/crates/engine/src/feed.rs
+++ b/crates/engine/src/feed.rs
@@ -75,6 +75,25 @@
     }
 }
 
+/// The minimum interval between polls of the store that return changes, so that one poll returns the
+/// entries of many proxies that start at once; each entry ends the pending polls. The first change after an
+/// idle period is not delayed.
+const BATCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The same for a process that has just started: others may have started with it, and they wait for its
+/// copy to have their entries.
+const START_BATCH_INTERVAL: Duration = Duration::from_millis(100);
+const START_PERIOD: Duration = Duration::from_secs(3);
+
+/// The minimum interval between polls of the store that return changes, of a process that has been
+/// `running` for this long.
+pub fn batch_interval(running: Duration) -> Duration {
+    match running < START_PERIOD {
+        true => START_BATCH_INTERVAL,
+        false => BATCH_INTERVAL,
+    }
+}
+
 /// How long a proxy that failed is avoided as a source while there are others.
 const PEER_BACKOFF: Duration = Duration::from_millis(1_000);
 
--- a/crates/engine/tests/feed.rs
+++ b/crates/engine/tests/feed.rs
@@ -239,6 +239,17 @@
     assert!(once_followed_again);
 }
 
+/// All proxies start at once and wait until a relay's copy has the entries written meanwhile. Guards against
+/// callers that are refused for as long as a relay of a running deployment batches changes.
+#[test]
+fn relay_that_has_just_started_does_not_delay_the_others() {
+    let at_start = feed::batch_interval(millis(50));
+    let later = feed::batch_interval(millis(10_000));
+
+    assert!(at_start <= millis(100), "{at_start:?}");
+    assert!(later >= millis(500), "{later:?}");
+}
+
 /// All proxies of a deployment start at once, and no relay is announced. Guards against hundreds that list
 /// the store together: at twice the size, as few may find no relay when their wait has passed.
 #[parameterized(
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -28,11 +28,6 @@
     },
 };
 
-/// The minimum interval between polls of the store that return changes, so that one poll returns
-/// the entries of many proxies that start at once; each entry ends the pending polls. The first
-/// change after an idle period is not delayed.
-const BATCH_INTERVAL: Duration = Duration::from_millis(500);
-
 /// The minimum timeout of a poll that is shortened because a missing server is due to be dropped.
 const MIN_POLL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -255,7 +250,9 @@
         }
         // Relays already batch the changes for their followers.
         if changed && *source == Source::Store {
-            tokio::time::sleep(clock::now().until(self.changed_at + BATCH_INTERVAL)).await;
+            let now = clock::now();
+            let interval = feed::batch_interval(now.since(control.started_at));
+            tokio::time::sleep(now.until(self.changed_at + interval)).await;
             self.changed_at = clock::now();
         }
     }
