Relays that have just listed the store serve copies in parts

Cause: a relay that has listed the store does not know what was removed before.

Change: a request names the revision that the relay had reached at the first part. A follower that began its copy then has no key that was removed before. Relays tell that revision in their responses; followers of earlier relays do not send it.

Test relay_that_has_just_listed_the_store_serves_a_copy_in_parts: red with the revision ignored ('FAILED. 3 passed; 1 failed'), green with it.

--- a/crates/engine/benches/sizes.rs
+++ b/crates/engine/benches/sizes.rs
@@ -170,7 +170,7 @@
 fn first_part(size: &Size) -> Duration {
     let mirror = mirror(size);
     let bytes = |key: &str, value: Option<&Vec<u8>>| key.len() + value.map_or(0, Vec::len);
-    median(|| drop(black_box(mirror.part_since(0, PART_BYTES, bytes))))
+    median(|| drop(black_box(mirror.part_since(0.into(), PART_BYTES, bytes))))
 }
 
 type Cost = (&'static str, fn(&Size) -> Duration);
--- a/crates/engine/src/mirror.rs
+++ b/crates/engine/src/mirror.rs
@@ -54,10 +54,45 @@
     pub changes: Vec<Change<V>>,
 }
 
+/// How much of the content a follower has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Progress {
+    /// It has the changes up to this revision; 0 if it has nothing.
+    pub after: u64,
+    /// While it copies the content in parts: the revision that the relay had reached when it sent the first
+    /// part. No key that was removed before is in any part.
+    pub copy_start: Option<u64>,
+}
+
+impl From<u64> for Progress {
+    /// The progress of a follower that has everything up to the revision `after`.
+    fn from(after: u64) -> Self {
+        Self {
+            after,
+            copy_start: None,
+        }
+    }
+}
+
+impl Progress {
+    /// The progress after a part was applied.
+    pub fn advance<V>(&mut self, part: &Part<V>) {
+        let start = match self.after {
+            // Relays of earlier versions do not tell the revision, and do not accept it.
+            0 => Some(part.reached).filter(|reached| *reached != 0),
+            _ => self.copy_start,
+        };
+        self.copy_start = start.filter(|_| part.has_more);
+        self.after = self.after.max(part.update.revision);
+    }
+}
+
 /// The changes that a follower has missed, or as many of the earliest ones as fit into a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part<V> {
     pub update: Update<V>,
+    /// The revision that the mirror has reached.
+    pub reached: u64,
     /// Whether later changes follow in another part, so that the follower is not up to date yet.
     pub has_more: bool,
 }
@@ -161,31 +196,32 @@
     pub fn since(&self, after: u64) -> Update<V> {
         Update {
             revision: self.revision,
-            is_snapshot: self.needs_snapshot(after),
+            is_snapshot: self.needs_snapshot(after.into()),
             changes: self
-                .missed(after)
+                .missed(after.into())
                 .map(|change| change.to_change())
                 .collect(),
         }
     }
 
-    /// Like [`Self::since`], but only the earliest changes that take up to `max_bytes`, or all changes of
-    /// one revision, which are never split; `size` returns the size of a key and its value. `None` if a
-    /// snapshot exceeds that, as a follower must not apply a part of it.
+    /// Like [`Self::since`], but for a follower that may be copying the content in parts, and only the
+    /// earliest changes that take up to `max_bytes`, or all changes of one revision, which are never split;
+    /// `size` returns the size of a key and its value. `None` if a snapshot exceeds that, as a follower must
+    /// not apply a part of it.
     ///
     /// Nothing is copied that is not returned: a relay has hundreds of followers, and after an outage
     /// each lacks most of the content.
     pub fn part_since(
         &self,
-        after: u64,
+        progress: Progress,
         max_bytes: usize,
         mut size: impl FnMut(&str, Option<&V>) -> usize,
     ) -> Option<Part<V>> {
-        let is_snapshot = self.needs_snapshot(after);
+        let is_snapshot = self.needs_snapshot(progress);
         let mut used = 0;
         let mut taken: Vec<Missed<'_, V>> = Vec::new();
         let mut has_more = false;
-        for change in self.missed(after) {
+        for change in self.missed(progress) {
             used += size(change.key, change.value);
             if used > max_bytes && is_snapshot {
                 return None;
@@ -206,18 +242,24 @@
             is_snapshot,
             changes: taken.iter().map(Missed::to_change).collect(),
         };
-        Some(Part { update, has_more })
+        Some(Part {
+            update,
+            reached: self.revision,
+            has_more,
+        })
     }
 
-    /// Whether a follower at the revision `after` may have missed removals that have been discarded. An
-    /// empty follower has nothing to remove.
-    fn needs_snapshot(&self, after: u64) -> bool {
-        after < self.compacted_revision && after != 0
+    /// Whether a follower may have missed removals that have been discarded. An empty follower has nothing
+    /// to remove, and one that copies the content has nothing that was removed before it began.
+    fn needs_snapshot(&self, progress: Progress) -> bool {
+        let known = progress.copy_start.unwrap_or(progress.after);
+        known < self.compacted_revision && progress.after != 0
     }
 
-    /// The changes after the revision `after`, by revision.
-    fn missed(&self, after: u64) -> impl Iterator<Item = Missed<'_, V>> {
-        let (from, known_removals) = match self.needs_snapshot(after) || after == 0 {
+    /// The changes that a follower has missed, by revision.
+    fn missed(&self, progress: Progress) -> impl Iterator<Item = Missed<'_, V>> {
+        let after = progress.after;
+        let (from, known_removals) = match self.needs_snapshot(progress) || after == 0 {
             true => (0, self.tombstones.len()),
             false => {
                 let seen = |(revision, _): &(u64, String)| *revision <= after;
--- a/crates/engine/tests/mirror.rs
+++ b/crates/engine/tests/mirror.rs
@@ -175,7 +175,7 @@
 
     loop {
         let part = mirror
-            .part_since(follower.revision(), 5, |_, _| 1)
+            .part_since(follower.revision().into(), 5, |_, _| 1)
             .expect("five changes are never of one revision");
         assert!(part.update.changes.len() <= 6 && !part.update.is_snapshot);
         follower.apply(&part.update);
@@ -200,9 +200,9 @@
 fn snapshot_that_is_too_large_is_not_split() {
     let mirror = mirror();
 
-    assert!(mirror.part_since(3, 0, |_, _| 1).is_none());
+    assert!(mirror.part_since(3.into(), 0, |_, _| 1).is_none());
     assert!(mirror
-        .part_since(3, 1, |_, _| 1)
+        .part_since(3.into(), 1, |_, _| 1)
         .is_some_and(|part| part.update.is_snapshot));
 }
 
@@ -216,7 +216,7 @@
     mirror.apply(&update(15, false, &[written("c", 15, "x")]));
 
     let part = mirror
-        .part_since(13, 1, |_, _| 1)
+        .part_since(13.into(), 1, |_, _| 1)
         .expect("it is no snapshot");
 
     assert_eq!(part.update, update(14, false, &both));
--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -9,6 +9,7 @@
 
 use dandelionpitch_engine::{
     feed::{Source, Start},
+    mirror::Progress,
     ownership::Peer,
     time::Moment,
 };
@@ -49,8 +50,9 @@
         }
     };
     let until = clock::now() + MAX_WAIT;
+    let mut progress = Progress::default();
     for peer in relays.iter().take(MAX_RELAYS_TRIED) {
-        match copy_content(control, peer, until).await {
+        match copy_content(control, peer, &mut progress, until).await {
             Ok(()) => return Some(peer.clone()),
             Err(error) => journal::trouble("bootstrap", &format!("{}: {error}", peer.id)),
         }
@@ -102,20 +104,29 @@
 }
 
 /// Copies a relay's content into the mirror until it has everything that the store had when the copy
-/// began, and publishes it.
-async fn copy_content(control: &Control, peer: &Peer, until: Moment) -> Result<(), Error> {
+/// began, and publishes it. Continues from `progress` if another relay sent the first parts.
+async fn copy_content(
+    control: &Control,
+    peer: &Peer,
+    progress: &mut Progress,
+    until: Moment,
+) -> Result<(), Error> {
     let source = Source::Peer(peer.id.clone());
     let mut relay = Relay::at(&peer.id, peer.address);
     let asked = clock::now();
     let target = control.store().revision().await?;
     let mut wait = Duration::ZERO;
     while control.mirror.revision() < target {
-        let after = control.mirror.revision();
-        match relay.poll(&control.mirror, Request { after, wait }).await {
+        let request = Request {
+            progress: *progress,
+            wait,
+        };
+        match relay.poll(&control.mirror, request).await {
             Ok(answer) => {
                 control
                     .mirror
                     .apply(&source, &answer.part.update, Moment::default());
+                progress.advance(&answer.part);
                 wait = match answer.part.has_more {
                     true => Duration::ZERO,
                     // The relay has not received the latest changes itself.
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -188,7 +188,13 @@
         let after = self.control.mirror.revision();
         let asked = clock::now();
         let answer = relay
-            .poll(&self.control.mirror, Request { after, wait })
+            .poll(
+                &self.control.mirror,
+                Request {
+                    progress: after.into(),
+                    wait,
+                },
+            )
             .await?;
         self.relay = Some(relay);
         let synced_until = match answer.part.has_more {
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -12,7 +12,7 @@
     era,
     feed::Source,
     history,
-    mirror::{Mirror, Update},
+    mirror::{Mirror, Progress, Update},
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -55,9 +55,9 @@
     synced_until: Moment,
     /// The source of the last update, until it fails.
     source: Option<Source>,
-    /// The changes after a revision as sent to followers, by that revision; `None` if they cannot be sent
-    /// in parts. Dropped when the content changes.
-    encoded: Map<u64, Option<Arc<Encoded>>>,
+    /// The missed changes as sent to followers, by their progress; `None` if they cannot be sent in parts.
+    /// Dropped when the content changes.
+    encoded: Map<Progress, Option<Arc<Encoded>>>,
 }
 
 /// A response to a follower.
@@ -170,7 +170,7 @@
         loop {
             let waited = clock::now().since(requested_at);
             let left = request.wait.saturating_sub(waited);
-            match self.lock().try_respond(request.after, waited, left)? {
+            match self.lock().try_respond(request.progress, waited, left)? {
                 Attempt::Respond(response) => return Ok(Some(response)),
                 Attempt::Refuse => return Ok(None),
                 Attempt::Wait => {}
@@ -208,10 +208,10 @@
 }
 
 impl Content {
-    /// The response to a request for the changes after `after`, which has `waited` and has time `left`.
+    /// The response to a request, which has `waited` and has time `left`.
     fn try_respond(
         &mut self,
-        after: u64,
+        progress: Progress,
         waited: Duration,
         left: Duration,
     ) -> Result<Attempt, Error> {
@@ -219,25 +219,26 @@
         if self.source.is_none() || age > self.max_age {
             return Ok(Attempt::Refuse);
         }
-        if self.mirror.revision() <= after && !left.is_zero() {
+        if self.mirror.revision() <= progress.after && !left.is_zero() {
             return Ok(Attempt::Wait);
         }
-        let changes = self.encoded(after)?;
+        let changes = self.encoded(progress)?;
         Ok(changes.map_or(Attempt::Refuse, |changes| {
             let timing = Timing { waited, age };
             Attempt::Respond(Response { changes, timing })
         }))
     }
 
-    /// The earliest changes after `after` that fit into a response; `None` if they cannot be split.
-    fn encoded(&mut self, after: u64) -> Result<Option<Arc<Encoded>>, Error> {
-        if let Some(known) = self.encoded.get(&after) {
+    /// The earliest missed changes that fit into a response; `None` if they cannot be split.
+    fn encoded(&mut self, progress: Progress) -> Result<Option<Arc<Encoded>>, Error> {
+        if let Some(known) = self.encoded.get(&progress) {
             return Ok(known.clone());
         }
+        let after = progress.after;
         let Self {
             mirror, history, ..
         } = self;
-        let part = mirror.part_since(after, MAX_RESPONSE_BYTES, |key, value| {
+        let part = mirror.part_since(progress, MAX_RESPONSE_BYTES, |key, value| {
             let delta = delta(mirror, history, key, after);
             feed::encoded_bytes(key, value, delta.as_deref())
         });
@@ -251,7 +252,7 @@
         if self.encoded.len() >= MAX_ENCODED {
             self.encoded.clear();
         }
-        self.encoded.insert(after, encoded.clone());
+        self.encoded.insert(progress, encoded.clone());
         Ok(encoded)
     }
 
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -4,7 +4,7 @@
 
 use dandelionpitch_engine::{
     feed::{Budget, Source},
-    mirror::{Change, Item, Update},
+    mirror::{Change, Item, Progress, Update},
 };
 use dandelionpitch_platform::{
     feed::{Request, Response},
@@ -60,10 +60,32 @@
     relay
 }
 
+/// Copies the relay's content from nothing; returns the number of parts, or `None` if the relay refuses one.
+async fn copy(relay: &Handle, follower: &Handle) -> Option<usize> {
+    let mut progress = Progress::default();
+    let source = Source::Peer("relay".to_owned());
+    for parts in 1.. {
+        let wait = Duration::ZERO;
+        let sent = relay.respond(Request { progress, wait }).await;
+        let sent = sent.expect("the response encodes")?;
+        let mut rows = Vec::new();
+        let written = sent.changes.write(sent.timing, &mut rows);
+        written.expect("the response encodes");
+        let response = Response::read(&rows, |key| follower.current(key));
+        let part = response.expect("the response parses").part;
+        follower.apply(&source, &part.update, clock::now());
+        progress.advance(&part);
+        if !part.has_more {
+            return Some(parts);
+        }
+    }
+    None
+}
+
 /// Brings the follower up to date with the relay.
 async fn follow(relay: &Handle, follower: &Handle) -> Result<(), Error> {
     let request = Request {
-        after: follower.revision(),
+        progress: follower.revision().into(),
         wait: Duration::ZERO,
     };
     let sent = relay.respond(request).await?.expect("the relay serves");
@@ -123,7 +145,7 @@
         clock::now(),
     );
     let request = Request {
-        after: follower.revision(),
+        progress: follower.revision().into(),
         wait: Duration::ZERO,
     };
     let sent = relay.respond(request).await.expect("the response encodes");
@@ -137,3 +159,29 @@
     follow(&relay, &follower).await.expect("the delta applies");
     assert_eq!(follower.current(CONFIG), relay.current(CONFIG));
 }
+
+/// Guards against a relay that has just listed the store and refuses the second part of a copy: it took the
+/// proxy that copies from nothing for one that missed removals, and all of them listed the store instead.
+#[tokio::test]
+async fn relay_that_has_just_listed_the_store_serves_a_copy_in_parts() {
+    let relay = handle();
+    let servers = (1..=300).map(|revision| {
+        Change::Written(Item {
+            key: format!("servers/i-{revision}"),
+            value: configuration(revision, 10),
+            revision,
+        })
+    });
+    let listed = Update {
+        revision: 400,
+        is_snapshot: true,
+        changes: servers.collect(),
+    };
+    relay.apply(&Source::Store, &listed, clock::now());
+    let follower = handle();
+
+    let parts = copy(&relay, &follower).await;
+
+    assert!(parts.is_some_and(|parts| parts > 1), "{parts:?}");
+    assert_eq!(follower.content(), relay.content());
+}
