A restarted proxy finds its earlier process in the store before it replaces the entry

Cause: a process that copies the store's content from a relay finds its own new entry there.

Change: where quotas are configured, the entry is read before it is written: one read of the store for each start.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -98,6 +98,11 @@
 }
 
 impl Line {
+    /// Whether the settings are those of a deployment with client accounts.
+    pub fn has_quotas(&self) -> bool {
+        self.quota_margin > 0.0 || self.quota_excess > 0.0
+    }
+
     /// What is tolerated above a client account's limit.
     pub fn tolerance(&self) -> Tolerance {
         Tolerance {
--- a/crates/proxy/src/line/control/heartbeat.rs
+++ b/crates/proxy/src/line/control/heartbeat.rs
@@ -145,7 +145,22 @@
         control.is_announced.set(false);
     }
     let granted = store.grant(LEASE_TTL).await?;
+    if control.has_quotas && control.predecessor.get().is_none() {
+        find_predecessor(control).await?;
+    }
     write_entry(control, granted, control.peer.address).await?;
     control.lease.set(Some(granted));
     Ok(())
 }
+
+/// Reads whether an earlier process of this proxy is registered, before its entry is replaced. The others
+/// count this proxy as one that issues quota permits then, so it need not wait until they do. The first list
+/// may not show it, as it can be copied from a relay that has this process's entry already.
+async fn find_predecessor(control: &Control) -> Result<(), Error> {
+    let found = control.store().get(&keys::member_key(&control.id)).await?;
+    let is_predecessor = found.is_some_and(|item| control.is_predecessor(&item.value));
+    if control.predecessor.get().is_none() {
+        control.predecessor.set(Some(is_predecessor));
+    }
+    Ok(())
+}
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -77,8 +77,12 @@
     pub records: RefCell<record::Records>,
     pub(super) catalog: RefCell<Option<Arc<Catalog>>>,
     pub(super) members: RefCell<Members>,
-    /// Whether an earlier process of this proxy was registered when this one read its first list.
-    pub(super) has_predecessor: Cell<bool>,
+    /// Whether operations of client accounts are limited, so that it matters whether this proxy was
+    /// registered before.
+    pub has_quotas: bool,
+    /// Whether an earlier process of this proxy was registered when this one started; `None` until that is
+    /// known.
+    pub predecessor: Cell<Option<bool>>,
     /// The ids of servers whose registrations cannot be decoded.
     pub(super) invalid_registrations: RefCell<Set<String>>,
     /// The lease of this proxy's entry.
@@ -289,12 +293,16 @@
     /// Records an entry in the first list that an earlier process of this proxy has written.
     fn note_predecessor(&self, id: &str, value: &[u8]) {
         let is_first_list = self.publish.borrow().peers.is_empty();
-        let is_other = keys::member_process(value).is_some_and(|name| name != self.name);
-        if is_first_list && id == self.id && is_other {
-            self.has_predecessor.set(true);
+        if is_first_list && id == self.id && self.is_predecessor(value) {
+            self.predecessor.set(Some(true));
         }
     }
 
+    /// Whether an entry of this proxy was written by an earlier process.
+    pub fn is_predecessor(&self, value: &[u8]) -> bool {
+        keys::member_process(value).is_some_and(|name| name != self.name)
+    }
+
     fn note_record(&self, item: &Item, now: Moment) {
         self.records.borrow_mut().insert_item(item, now);
     }
@@ -349,7 +357,7 @@
             voters: self.records.borrow().voters().clone(),
             proxy_count: count,
             quota_members: members.quota_count(now),
-            has_predecessor: self.has_predecessor.get(),
+            has_predecessor: self.predecessor.get() == Some(true),
             peers,
         };
         self.publish.send_replace(Arc::new(view));
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -66,6 +66,7 @@
         .map(|address| operator::metrics_only(address, metrics.clone()));
     let promoter = Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
+    let has_quotas = line.has_quotas();
     let (budget, promotions_per_second) =
         (Budget::new(line.config_within), line.promotions_per_second);
     let start = move || {
@@ -91,7 +92,8 @@
             records: RefCell::default(),
             catalog: RefCell::default(),
             members: RefCell::default(),
-            has_predecessor: Cell::default(),
+            has_quotas,
+            predecessor: Cell::default(),
             invalid_registrations: RefCell::default(),
             lease: Cell::default(),
             is_announced: Cell::default(),
