Forwarded statements are refused at once by a proxy without a configuration

Cause: while the store is down, a restarted proxy knows neither configuration nor servers, but the others still take it for an owner of groups. It searched for 150 ms for servers that it does not know; after that no time was left for another owner.

Change: such a proxy answers MOVED at once. The forwarding proxy avoids it and goes on with the next one without counting an attempt.

--- a/crates/engine/src/forwarding.rs
+++ b/crates/engine/src/forwarding.rs
@@ -8,7 +8,7 @@
 use crate::{
     admission,
     catalog::{Consistency, Route},
-    refusal::Code,
+    refusal::{Code, Refusal},
 };
 
 /// The requirements of a forwarded statement. They are sent with each statement, so that the receiving
@@ -59,6 +59,22 @@
     code.guarantees_not_run() && attempts < MAX_ATTEMPTS && admission::may_search(waited, target)
 }
 
+/// The reason of [`starting`], by which the forwarding proxy tells it from a server's refusal.
+const STARTING: &str = "this proxy has no configuration yet";
+
+/// The refusal of a forwarded statement by a proxy that has started but has read nothing of the store.
+///
+/// During an outage of the store a restarted proxy knows neither servers nor primaries, while the others
+/// still take it for an owner. If it searched for a server, no time would be left for another proxy.
+pub fn starting() -> Refusal {
+    Refusal::new(Code::Moved, STARTING)
+}
+
+/// Whether another proxy refused a statement as [`starting`]. This is no attempt: the next proxy is tried.
+pub fn is_starting(refusal: &Refusal) -> bool {
+    refusal.code == Code::Moved && refusal.reason == STARTING
+}
+
 impl From<Requirements> for Route {
     fn from(requirements: Requirements) -> Self {
         Self {
--- a/crates/proxy/src/line/traffic/forwarding.rs
+++ b/crates/proxy/src/line/traffic/forwarding.rs
@@ -55,6 +55,7 @@
                 let why = format!("outcome unknown: {why}");
                 return Outcome::Answered(Err(Refusal::new(Code::Unknown, why)));
             }
+            Err(Failure::Failed(refusal)) if forwarding::is_starting(&refusal) => peer.avoid(),
             Err(Failure::Failed(refusal)) => {
                 attempts += 1;
                 // The owner may be partitioned together with this data centre. This proxy has no
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -11,7 +11,7 @@
 use dandelionpitch_engine::{
     account::Account,
     catalog::Route,
-    forwarding::Requirements,
+    forwarding::{self as rules, Requirements},
     refusal::{Code, Refusal},
     session::{self as engine, Phase, Step},
     statement::Statement,
@@ -282,7 +282,7 @@
     ) -> Result<Option<Success>, Refusal> {
         match self.origin {
             Origin::Caller => self.authorize()?,
-            Origin::Peer => self.apply_requirements(requirements),
+            Origin::Peer => self.accept_forwarded(requirements)?,
         }
         let permit = self.take_permit(id, statement).await?;
         let result = self.run(id, text, statement, arrived).await;
@@ -364,15 +364,23 @@
 
     /// Uses the requirements of a forwarded statement instead of a configured route. Outside a
     /// transaction each statement may be of another session, so its floor is replaced too.
-    fn apply_requirements(&mut self, requirements: Option<Requirements>) {
+    ///
+    /// # Errors
+    ///
+    /// If this process knows no servers yet.
+    fn accept_forwarded(&mut self, requirements: Option<Requirements>) -> Result<(), Refusal> {
         let Some(requirements) = requirements else {
-            return;
+            return Ok(());
         };
         if self.state.phase() == Phase::Idle {
+            if self.shared.catalog().is_none() {
+                return Err(rules::starting());
+            }
             self.state.set_floor(requirements.floor);
         }
         self.account_name = requirements.account.clone();
         self.route = Some(Arc::new(Route::from(requirements)));
+        Ok(())
     }
 
     /// Releases the connection of a failed transaction.
