Operations wait for a quota permit during a short spike

Cause: after a restart of all proxies callers return together and need the permits of a second within a fraction of it.

Change: with quota_shortage = "wait" an operation without a permit waits as long as it can still be run within its target, unless its account has lacked permits for more than a second: such an account presses above its limit, and is refused at once as before. Refused callers are told different times. A proxy that issues no permits yet says so. The default is "refuse", as before.

--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -11,6 +11,7 @@
 
 mod balance;
 mod permits;
+mod shortage;
 mod tolerance;
 
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use balance::{Balance, Loan, RETRY_AFTER};
 
 pub use permits::{Batch, Permits};
+pub use shortage::{Remedy, Shortage, Urgency};
 pub use tolerance::Tolerance;
 
 /// The number of collectors of a small fleet. More of them share the work, but each has to ask every proxy.
@@ -210,6 +212,26 @@
         balance.retry_after()
     }
 
+    /// Decides on an operation for which no permit was found, where operations may wait for one.
+    pub fn remedy(&mut self, account: &str, urgency: Urgency, now: Moment) -> Remedy {
+        match self.balances.get_mut(account) {
+            Some(balance) => {
+                balance.shortage.note_denied(now);
+                let remedy = balance.shortage.remedy(urgency, now);
+                if let Remedy::Wait(delay) = remedy {
+                    balance.denied_until = balance.denied_until.min(now + delay);
+                }
+                remedy
+            }
+            None => Remedy::Refuse(RETRY_AFTER.0),
+        }
+    }
+
+    /// Whether this proxy issues no permits yet, as it has just started or is not registered.
+    pub fn is_starting(&self) -> bool {
+        self.issuers.is_none()
+    }
+
     /// Takes up to `amount` permits of `account` for another proxy; the newest, as others could expire
     /// before they are used.
     pub fn grant(&mut self, account: &str, amount: f64, now: Moment) -> Vec<Batch> {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -95,6 +95,20 @@
     /// The number of operations that are tolerated above it.
     #[serde(default)]
     pub quota_margin: f64,
+    /// What happens to operations for which there is no permit.
+    #[serde(default)]
+    pub quota_shortage: QuotaShortage,
+}
+
+/// What happens to operations of client accounts for which there is no permit.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum QuotaShortage {
+    /// They are refused at once.
+    #[default]
+    Refuse,
+    /// They wait during a short spike, and callers are told different times to come back.
+    Wait,
 }
 
 impl Line {
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -103,7 +103,7 @@
         isolation,
         failure_signal: failure_signal.clone(),
         records,
-        quota: quota::Quota::new(&config.id, line.tolerance()),
+        quota: quota::Quota::new(&config.id, line.tolerance(), line.quota_shortage),
         mirror,
         open_count: Rc::default(),
     });
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -15,7 +15,7 @@
     account::Account,
     catalog::Catalog,
     ownership::Peer,
-    quota::{loan_term, Decision, Ledger, Tolerance},
+    quota::{loan_term, Decision, Ledger, Remedy, Tolerance, Urgency},
     session::Variables,
     time::Moment,
 };
@@ -27,14 +27,17 @@
 use serde_json::json;
 use tokio::sync::Mutex;
 
-use crate::line::{
-    backend::{
-        pool::{self, Client, Rank},
-        Backend,
+use crate::{
+    config::QuotaShortage,
+    line::{
+        backend::{
+            pool::{self, Client, Rank},
+            Backend,
+        },
+        clock, journal,
+        shared::Shared,
+        view::View,
     },
-    clock, journal,
-    shared::Shared,
-    view::View,
 };
 
 /// Timeout for another proxy to answer a request for permits.
@@ -61,14 +64,15 @@
 /// have received its registration, and issue fewer.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Accounts whose refusals are logged one by one within [`LOG_INTERVAL`], so that a caller far above its
-/// limit does not fill the log.
+/// The number of refusals, of all accounts, that are logged within [`LOG_INTERVAL`], so that a caller far above
+/// its limit does not fill the log.
 const MAX_LOGGED_REFUSALS: u32 = 5;
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The quotas as this proxy applies them.
 pub struct Quota {
     ledger: RefCell<Ledger>,
+    shortage: QuotaShortage,
     /// One draw at a time for each account.
     draws: RefCell<Map<String, Rc<Mutex<()>>>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
@@ -79,14 +83,17 @@
     logged: Cell<(Moment, u32)>,
 }
 
-/// An operation above its account's limit.
+/// An operation for which there is no permit.
 pub struct Exceeded {
+    /// Whether this proxy does not issue permits yet, so that the account may be within its limit.
+    pub is_starting: bool,
     pub retry_after: Duration,
 }
 
 impl Quota {
-    pub fn new(own: &str, tolerance: Tolerance) -> Self {
+    pub fn new(own: &str, tolerance: Tolerance, shortage: QuotaShortage) -> Self {
         Self {
+            shortage,
             ledger: RefCell::new(Ledger::new(own, tolerance, clock::now())),
             draws: RefCell::default(),
             catalog: RefCell::default(),
@@ -131,11 +138,43 @@
     }
 
     /// Takes a permit for an operation of `account`; returns when the permit was issued.
-    pub async fn admit(&self, shared: &Shared, account: &Account) -> Result<Moment, Exceeded> {
-        let decision = self.ledger.borrow_mut().admit(account, clock::now());
+    pub async fn admit(
+        &self,
+        shared: &Shared,
+        account: &Account,
+        urgency: Urgency,
+    ) -> Result<Moment, Exceeded> {
+        let mut decision = self.ledger.borrow_mut().admit(account, clock::now());
+        loop {
+            let retry_after = match self.take(shared, account, decision).await {
+                Ok(issued) => return Ok(issued),
+                Err(retry_after) => retry_after,
+            };
+            let delay = match self.remedy(account, urgency, retry_after) {
+                Remedy::Wait(delay) => delay,
+                Remedy::Refuse(retry_after) => {
+                    return Err(Exceeded {
+                        is_starting: self.ledger.borrow().is_starting(),
+                        retry_after,
+                    })
+                }
+            };
+            tokio::time::sleep(delay).await;
+            decision = self.ledger.borrow_mut().retry(account, clock::now());
+        }
+    }
+
+    /// Takes a permit after `decision`, drawing permits if that is needed. An error is the time until the
+    /// next permit may be issued.
+    async fn take(
+        &self,
+        shared: &Shared,
+        account: &Account,
+        decision: Decision,
+    ) -> Result<Moment, Duration> {
         match decision {
             Decision::Admitted { issued } => return Ok(issued),
-            Decision::Refused { retry_after } => return Err(Exceeded { retry_after }),
+            Decision::Refused { retry_after } => return Err(retry_after),
             Decision::Draw { .. } => {}
         }
         let draw = self.draw_lock(&account.name);
@@ -144,7 +183,7 @@
             let decision = self.ledger.borrow_mut().retry(account, clock::now());
             match decision {
                 Decision::Admitted { issued } => return Ok(issued),
-                Decision::Refused { retry_after } => return Err(Exceeded { retry_after }),
+                Decision::Refused { retry_after } => return Err(retry_after),
                 Decision::Draw { amount } => self.draw(shared, &source, account, amount).await,
             }
         }
@@ -152,9 +191,18 @@
         let mut ledger = self.ledger.borrow_mut();
         match ledger.retry(account, now) {
             Decision::Admitted { issued } => Ok(issued),
-            _ => Err(Exceeded {
-                retry_after: ledger.deny(&account.name, now),
-            }),
+            _ => Err(ledger.deny(&account.name, now)),
+        }
+    }
+
+    /// What to do with an operation for which there is no permit.
+    fn remedy(&self, account: &Account, urgency: Urgency, retry_after: Duration) -> Remedy {
+        match self.shortage {
+            QuotaShortage::Refuse => Remedy::Refuse(retry_after),
+            QuotaShortage::Wait => {
+                let mut ledger = self.ledger.borrow_mut();
+                ledger.remedy(&account.name, urgency, clock::now())
+            }
         }
     }
 
@@ -164,7 +212,7 @@
     }
 
     /// Logs a refusal, up to a number in each interval.
-    pub fn log_refusal(&self, id: &str, account: &Account, retry_after: Duration) {
+    pub fn log_refusal(&self, id: &str, account: &Account, exceeded: &Exceeded) {
         let now = clock::now();
         let (since, count) = match self.logged.get() {
             (since, count) if now.since(since) < LOG_INTERVAL => (since, count + 1),
@@ -172,10 +220,14 @@
         };
         self.logged.set((since, count));
         if count <= MAX_LOGGED_REFUSALS {
+            let kind = match exceeded.is_starting {
+                true => "quota not known",
+                false => "quota used up",
+            };
             journal::write(
-                "quota used up",
+                kind,
                 json!({ "id": id, "account": account.name, "rate": account.limit.rate,
-                    "retry_after_ms": retry_after.as_millis() as u64 }),
+                    "retry_after_ms": exceeded.retry_after.as_millis() as u64 }),
             );
         }
     }
--- a/crates/proxy/src/line/traffic/session/access.rs
+++ b/crates/proxy/src/line/traffic/session/access.rs
@@ -5,6 +5,7 @@
 use dandelionpitch_engine::{
     account::Account,
     catalog::Route,
+    quota::Urgency,
     refusal::{Code, Refusal},
     session::Phase,
     statement::Statement,
@@ -13,7 +14,6 @@
 use dandelionpitch_platform::{backend::Success, feed, peer};
 
 use super::{Origin, Session};
-use crate::line::quota::Exceeded;
 
 /// The permit that an operation uses.
 pub(super) struct Permit {
@@ -95,9 +95,10 @@
         &self,
         id: &str,
         statement: &Statement<'_>,
+        arrived: Moment,
     ) -> Result<Option<Permit>, Refusal> {
-        let (Origin::Caller, Phase::Idle, Some(account)) =
-            (self.origin, self.state.phase(), &self.account)
+        let (Origin::Caller, Phase::Idle, Some(account), Some(route)) =
+            (self.origin, self.state.phase(), &self.account, &self.route)
         else {
             return Ok(None);
         };
@@ -112,7 +113,11 @@
             return Ok(None);
         }
         let quota = &self.shared.quota;
-        let admitted = quota.admit(&self.shared, account).await;
+        let urgency = Urgency {
+            due: arrived + route.target,
+            timeout: route.timeout,
+        };
+        let admitted = quota.admit(&self.shared, account, urgency).await;
         let metrics = &self.shared.metrics;
         metrics.account_operation(&account.name, admitted.is_ok());
         match admitted {
@@ -120,11 +125,14 @@
                 account: account.clone(),
                 issued,
             })),
-            Err(Exceeded { retry_after }) => {
-                quota.log_refusal(id, account, retry_after);
-                let millis = retry_after.as_millis();
-                let why =
-                    format!("not run: the account's quota is used up; come back in {millis} ms");
+            Err(exceeded) => {
+                quota.log_refusal(id, account, &exceeded);
+                let millis = exceeded.retry_after.as_millis();
+                let why = match exceeded.is_starting {
+                    true => "this proxy has just started and knows of no quota yet",
+                    false => "the account's quota is used up",
+                };
+                let why = format!("not run: {why}; come back in {millis} ms");
                 Err(Refusal::new(Code::Busy, why))
             }
         }
