Sessions that begin just after a start wait for the configuration

Cause: callers that reconnect after a restart arrive some 100 ms before the configuration. All were refused with 'come back in 1000 ms' and returned together a second later.

Change: with start_wait (default 0) a session waits for the configuration during the first 1.5 s of the process. A caller that is refused is told a time between 0.5 and 1.5 s that differs from the others'.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -79,6 +79,9 @@
     /// The time within which a new configuration must be applied on every proxy.
     #[serde(default = "default_config_within", with = "humantime_serde")]
     pub config_within: Duration,
+    /// How long a session that begins just after the start of the process waits for a configuration.
+    #[serde(default, with = "humantime_serde")]
+    pub start_wait: Duration,
     /// The VM's CPU share, in cores. Proxies with more CPU and bandwidth run more forwarded
     /// statements.
     #[serde(default = "default_cores")]
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -50,6 +50,7 @@
 }
 
 async fn serve(config: Config, line: Line) -> Result<(), Error> {
+    let started_at = clock::now();
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(Error::Listen)?;
@@ -94,6 +95,8 @@
     let shared = Rc::new(Shared {
         id: config.id.clone(),
         dc: config.dc.clone(),
+        started_at,
+        start_wait: line.start_wait,
         view: view.clone(),
         groups: RefCell::default(),
         peers: peers::Peers::default(),
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -8,7 +8,9 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::{catalog::Catalog, isolation::Isolation, planner::Planner};
+use dandelionpitch_engine::{
+    catalog::Catalog, isolation::Isolation, planner::Planner, startup, time::Moment,
+};
 use tokio::sync::watch;
 
 use crate::{
@@ -35,6 +37,9 @@
 pub struct Shared {
     pub id: String,
     pub dc: String,
+    pub started_at: Moment,
+    /// How long a session that begins just after the start waits for a configuration.
+    pub start_wait: Duration,
     pub view: watch::Receiver<Arc<View>>,
     pub groups: RefCell<Groups>,
     /// The other proxies, and the plans by which statements are forwarded to them.
@@ -150,6 +155,18 @@
         });
     }
 
+    /// Waits until there is a configuration, for as long as [`startup`] allows.
+    pub async fn wait_for_configuration(&self) {
+        let limit = startup::session_wait(clock::now().since(self.started_at), self.start_wait);
+        if limit.is_zero() || self.catalog().is_some() {
+            return;
+        }
+        let mut view = self.view.clone();
+        let configured = view.wait_for(|view| view.catalog.is_some());
+        // Whether it arrived in time is seen from the view.
+        let _ = tokio::time::timeout(limit, configured).await;
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.view.borrow().catalog.clone()
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -146,6 +146,9 @@
             }
             _ => return false,
         }
+        if self.origin == Origin::Caller {
+            self.shared.wait_for_configuration().await;
+        }
         let known = self.check_start();
         let ready = self.ready();
         match &known {
--- a/crates/proxy/src/line/traffic/session/access.rs
+++ b/crates/proxy/src/line/traffic/session/access.rs
@@ -2,18 +2,21 @@
 
 use std::sync::Arc;
 
+use dandelionpitch_core::hash;
 use dandelionpitch_engine::{
     account::Account,
     catalog::Route,
     quota::Urgency,
     refusal::{Code, Refusal},
     session::Phase,
+    startup,
     statement::Statement,
     time::Moment,
 };
 use dandelionpitch_platform::{backend::Success, feed, peer};
 
 use super::{Origin, Session};
+use crate::line::clock;
 
 /// The permit that an operation uses.
 pub(super) struct Permit {
@@ -34,7 +37,11 @@
             };
         }
         let Some(catalog) = self.shared.catalog() else {
-            return Err(Refusal::new(Code::Busy, "starting; come back in 1000 ms"));
+            let open = self.shared.open_count.get();
+            let seed = (&self.shared.id, open, clock::now().millis());
+            let millis = startup::return_after(hash::stable_fraction(&seed)).as_millis();
+            let why = format!("starting; come back in {millis} ms");
+            return Err(Refusal::new(Code::Busy, why));
         };
         match catalog.routes.get(&self.database) {
             Some(route) => catalog.authorize(route, &self.key).map(drop),
