An owner that cannot reach the servers of a group leaves its statements to others

Cause: in a partition an owner may reach too few servers of a group to prove anything, while another owner reaches enough. Each statement searched there until its time was used up.

Change: a circuit breaker for each group and kind of need (reads within a staleness bound, linearizable reads, writes). The forwarding proxy asks such an owner last for 400 ms.

--- a/crates/engine/src/forwarding.rs
+++ b/crates/engine/src/forwarding.rs
@@ -70,11 +70,47 @@
     Refusal::new(Code::Moved, STARTING)
 }
 
-/// Whether another proxy refused a statement as [`starting`]. This is no attempt: the next proxy is tried.
-pub fn is_starting(refusal: &Refusal) -> bool {
-    refusal.code == Code::Moved && refusal.reason == STARTING
+/// The refusal of a forwarded statement by an owner that currently reaches no server for it.
+pub fn no_server() -> Refusal {
+    let why = "not run: this owner cannot reach the group's servers; come back in 500 ms";
+    Refusal::new(Code::Unavailable, why)
 }
 
+/// The refusal that the forwarding proxy is told: of [`Code::Moved`], which tells it to try another proxy, if
+/// this one cannot run the statement, but another may.
+pub fn to_forwarding_proxy(refusal: Refusal) -> Refusal {
+    match refusal.code {
+        Code::Unavailable => Refusal::new(Code::Moved, refusal.reason),
+        _ => refusal,
+    }
+}
+
+/// Why another proxy left a statement to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inability {
+    /// It has no configuration yet.
+    Starting,
+    /// It reaches too few servers of the group.
+    NoServer,
+}
+
+impl Inability {
+    /// The inability that a refusal by another proxy tells; `None` if the refusal is the statement's result.
+    pub fn new(refusal: &Refusal) -> Option<Self> {
+        match refusal.code {
+            Code::Moved if refusal.reason == STARTING => Some(Self::Starting),
+            Code::Moved => Some(Self::NoServer),
+            _ => None,
+        }
+    }
+}
+
+/// The number of proxies that may leave a statement to others. While a primary is replaced all of them do.
+pub const MAX_INABILITIES: usize = 3;
+
+/// How long a proxy that left a statement of a group to others is asked last for that group.
+pub const INABILITY_PERIOD: Duration = Duration::from_millis(400);
+
 impl From<Requirements> for Route {
     fn from(requirements: Requirements) -> Self {
         Self {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod account;
 pub mod admission;
+pub mod breaker;
 pub mod catalog;
 pub mod commit;
 pub mod delta;
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -149,8 +149,9 @@
 /// How a proxy serves the statements of a group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Plan {
-    /// Run them on this proxy's own connections.
-    Run,
+    /// Run them on this proxy's own connections, or forward them to `others`, the other owners, while it
+    /// cannot reach the servers.
+    Run { others: Vec<String> },
     /// Forward them to the first of these proxies that accepts them. `local` are the owners in the
     /// proxy's data centre. `fallback` are the owners in other data centres, followed by the proxies
     /// of its own data centre that rank next after the owners.
@@ -160,6 +161,13 @@
     },
 }
 
+impl Plan {
+    /// Whether the proxy runs the statements on its own connections.
+    pub fn runs(&self) -> bool {
+        matches!(self, Self::Run { .. })
+    }
+}
+
 /// The number of proxies listed in addition to the owners, in case all owners fail at once.
 const SPARE_PROXIES: usize = 2;
 
@@ -167,10 +175,10 @@
 /// is starting or stopping, owns no group unless `peers` is empty.
 pub fn plan(peers: &[Peer], own: &str, dc: &str, service: &str, allocation: Allocation) -> Plan {
     let Allocation::Owners { per_dc, .. } = allocation else {
-        return Plan::Run;
+        return Plan::Run { others: Vec::new() };
     };
     if peers.is_empty() {
-        return Plan::Run;
+        return Plan::Run { others: Vec::new() };
     }
     let ranked = rank(peers, service);
     let mut local = Vec::new();
@@ -185,10 +193,12 @@
             _ => {}
         }
     }
-    if local.iter().any(|id| id == own) {
-        return Plan::Run;
-    }
     let mut fallback: Vec<String> = fallback.into_iter().map(|peer| peer.id.clone()).collect();
+    if let Some(index) = local.iter().position(|id| id == own) {
+        local.remove(index);
+        local.extend(fallback);
+        return Plan::Run { others: local };
+    }
     fallback.extend(spare.into_iter().filter(|id| id != own));
     Plan::Forward { local, fallback }
 }
--- a/crates/engine/src/quota/shortage.rs
+++ b/crates/engine/src/quota/shortage.rs
@@ -14,14 +14,15 @@
 /// valid, since a spike within the limit is over by then.
 const MAX_SPIKE: Duration = Duration::from_millis(1_000);
 
-/// An account has enough permits again once none was denied for this time.
-const QUIET_TIME: Duration = Duration::from_millis(300);
+/// An account has enough permits again once none was denied for this time. Not less: a proxy has only few of an
+/// account's operations, so those that are denied may be far apart although the account presses.
+const QUIET_TIME: Duration = Duration::from_millis(1_000);
 
 /// The interval at which a waiting operation is tried again.
 pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The time before its target at which an operation waits no longer, as it has to be run within that time.
-const RUN_TIME: Duration = Duration::from_millis(60);
+/// An operation waits for at most 1/n of its target; the rest is for running it under load.
+const MAX_WAIT_DIVISOR: u32 = 2;
 
 /// A caller is told to come back within this part of its statement's timeout, so that there is time left for a
 /// second retry.
@@ -37,8 +38,9 @@
 /// The time that an operation has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Urgency {
-    /// When it should be answered.
-    pub due: Moment,
+    pub arrived: Moment,
+    /// Within what time it should be answered.
+    pub target: Duration,
     /// How long its statement may take.
     pub timeout: Duration,
 }
@@ -78,7 +80,8 @@
 
     /// Decides on an operation that was denied a permit and has `urgency`.
     pub fn remedy(&mut self, urgency: Urgency, now: Moment) -> Remedy {
-        let is_in_time = now + RETRY_INTERVAL + RUN_TIME <= urgency.due;
+        let latest = urgency.arrived + urgency.target / MAX_WAIT_DIVISOR;
+        let is_in_time = now + RETRY_INTERVAL <= latest;
         match self.is_spike(now) && is_in_time {
             true => Remedy::Wait(RETRY_INTERVAL),
             false => Remedy::Refuse(self.next_return(urgency.timeout)),
--- a/crates/engine/src/refusal.rs
+++ b/crates/engine/src/refusal.rs
@@ -7,6 +7,9 @@
 pub enum Code {
     /// No capacity; the statement was not run.
     Busy,
+    /// This proxy reaches no server that could run the statement, or cannot prove that one may; it was not
+    /// run. Another proxy may be able to run it. Callers are told that it is busy.
+    Unavailable,
     /// The transaction was rolled back.
     Aborted,
     /// The server's log is behind the position that the read requires; the statement was not run.
@@ -41,6 +44,7 @@
         matches!(
             self,
             Self::Busy
+                | Self::Unavailable
                 | Self::Aborted
                 | Self::Lagging
                 | Self::ReadOnly
@@ -54,6 +58,7 @@
         matches!(
             self,
             Self::Busy
+                | Self::Unavailable
                 | Self::Lagging
                 | Self::ReadOnly
                 | Self::NoStatement
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -79,6 +79,9 @@
     /// The time within which a new configuration must be applied on every proxy.
     #[serde(default = "default_config_within", with = "humantime_serde")]
     pub config_within: Duration,
+    /// Whether an owner that cannot reach the servers of a group leaves statements to the other owners.
+    #[serde(default)]
+    pub try_other_owners: bool,
     /// How long a session that begins just after the start of the process waits for a configuration.
     #[serde(default, with = "humantime_serde")]
     pub start_wait: Duration,
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -6,6 +6,7 @@
 //! the configuration, the servers and the other proxies, and publishes them as a [`view`].
 
 pub mod backend;
+pub mod breakers;
 pub mod clock;
 pub mod control;
 pub mod group;
@@ -97,6 +98,7 @@
         dc: config.dc.clone(),
         started_at,
         start_wait: line.start_wait,
+        breakers: breakers::Breakers::new(line.try_other_owners),
         view: view.clone(),
         groups: RefCell::default(),
         peers: peers::Peers::default(),
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use dandelionpitch_engine::{
-    account::Directory, isolation::Isolation, ownership::Plan, planner::Planner, registry::Entry,
+    account::Directory, isolation::Isolation, planner::Planner, registry::Entry,
 };
 use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
@@ -127,7 +127,7 @@
     let mut names: Vec<String> = services.cloned().collect();
     names.retain(|name| {
         let limits = view.limits(name);
-        limits.is_some_and(|limits| planner.ownership(name, limits).plan == Plan::Run)
+        limits.is_some_and(|limits| planner.ownership(name, limits).plan.runs())
     });
     names.sort_unstable();
     names
--- a/crates/proxy/src/line/peers.rs
+++ b/crates/proxy/src/line/peers.rs
@@ -9,6 +9,7 @@
 
 use dandelionpitch_core::hash::{Map, Set};
 use dandelionpitch_engine::{
+    forwarding::INABILITY_PERIOD,
     ownership::{Peer, Plan},
     registry::{Entry, Incarnation, Role, Server},
     time::Moment,
@@ -41,6 +42,8 @@
     departed: RefCell<Map<String, (Moment, Rc<Backend>)>>,
     /// The forwarding plan of each group for which there was a statement.
     plans: RefCell<Map<String, Plan>>,
+    /// The proxies that left a statement of a group to others, by group and id, and when.
+    unable: RefCell<Map<(String, String), Moment>>,
     /// Incremented with each choice, to spread the load over equal proxies.
     rotation: Cell<usize>,
     /// When the reachability of the proxies was last checked.
@@ -108,7 +111,7 @@
     fn target_ids(&self) -> Vec<String> {
         let plans = self.plans.borrow();
         let forwarded = plans.values().filter_map(|plan| match plan {
-            Plan::Run => None,
+            Plan::Run { .. } => None,
             Plan::Forward { local, fallback } => Some((local, fallback)),
         });
         let (local, fallback): (Vec<_>, Vec<_>) = forwarded.unzip();
@@ -165,6 +168,33 @@
         !matches!(self.plans.borrow().get(name), Some(Plan::Forward { .. }))
     }
 
+    /// Records that a proxy left a statement of the group to others.
+    pub fn note_unable(&self, name: &str, peer: &Backend) {
+        let now = clock::now();
+        let mut unable = self.unable.borrow_mut();
+        unable.retain(|_, since| now.since(*since) < INABILITY_PERIOD);
+        unable.insert((name.to_owned(), peer.server.id().to_owned()), now);
+    }
+
+    /// Whether a proxy recently left a statement of the group to others.
+    fn is_unable(&self, name: &str, peer: &Backend, now: Moment) -> bool {
+        let unable = self.unable.borrow();
+        if unable.is_empty() {
+            return false;
+        }
+        let since = unable.get(&(name.to_owned(), peer.server.id().to_owned()));
+        since.is_some_and(|since| now.since(*since) < INABILITY_PERIOD)
+    }
+
+    /// The other owners of a group that this proxy owns.
+    pub fn other_owners(&self, name: &str) -> Vec<Rc<Backend>> {
+        let plans = self.plans.borrow();
+        let Some(Plan::Run { others }) = plans.get(name) else {
+            return Vec::new();
+        };
+        self.in_order(name, others.iter())
+    }
+
     /// Up to `limit` proxies of other data centres. Successive calls start at different ones.
     pub fn in_other_dcs(&self, dc: &str, limit: usize) -> Vec<Rc<Backend>> {
         let backends = self.backends.borrow();
@@ -179,8 +209,6 @@
 
     /// The proxies to which a statement of the group is forwarded, in order of preference; `None`
     /// if this proxy runs it. Successive calls start with different owners of this data centre.
-    /// Proxies that failed recently come last, and unreachable ones are left out unless all are
-    /// unreachable.
     pub fn forwarding_targets(&self, name: &str) -> Option<Vec<Rc<Backend>>> {
         let plans = self.plans.borrow();
         let Some(Plan::Forward { local, fallback }) = plans.get(name) else {
@@ -192,17 +220,20 @@
         let count = ids.len().max(1);
         ids.rotate_left(rotation % count);
         ids.extend(fallback);
+        Some(self.in_order(name, ids.into_iter()))
+    }
+
+    /// The proxies with these ids. Those that failed or left a statement of the group to others recently come
+    /// last, and unreachable ones are left out unless all are unreachable.
+    fn in_order<'a>(&self, name: &str, ids: impl Iterator<Item = &'a String>) -> Vec<Rc<Backend>> {
         let backends = self.backends.borrow();
-        let mut peers: Vec<Rc<Backend>> = ids
-            .iter()
-            .filter_map(|id| backends.get(*id).cloned())
-            .collect();
+        let mut peers: Vec<Rc<Backend>> = ids.filter_map(|id| backends.get(id).cloned()).collect();
         let now = clock::now();
         if peers.iter().any(|peer| !peer.is_down()) {
             peers.retain(|peer| !peer.is_down());
         }
-        peers.sort_by_key(|peer| peer.is_avoided(now));
-        Some(peers)
+        peers.sort_by_key(|peer| (peer.is_avoided(now), self.is_unable(name, peer, now)));
+        peers
     }
 }
 
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -16,6 +16,7 @@
 use crate::{
     line::{
         backend::Backend,
+        breakers::Breakers,
         clock,
         group::{Group, Groups, Inputs},
         mirror::Handle,
@@ -52,6 +53,7 @@
     pub failure_signal: FailureSignal,
     pub records: Reader,
     pub quota: Quota,
+    pub breakers: Breakers,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
     /// How many callers are connected, plus the statements of other proxies in flight. A graceful
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -57,7 +57,7 @@
                     .required_position(call.freshness_bound(call.arrived), own)
                     .await
                 else {
-                    return Err(call.busy("required log position is unknown", RETRY_AFTER));
+                    return Err(call.unavailable("required log position is unknown", RETRY_AFTER));
                 };
                 let servers = group.read_candidates(call.account, Some(floor), clock::now());
                 (servers, Some(floor))
@@ -151,14 +151,14 @@
     loop {
         let leader = match wait_for_leader(group, call).await {
             Some(leader) => leader,
-            None => return Err(call.busy("no primary is known", RETRY_AFTER)),
+            None => return Err(call.unavailable("no primary is known", RETRY_AFTER)),
         };
         if group.confirm_leader(call.arrived).await && group.is_leader(&leader.backend) {
             return Ok(vec![leader.backend]);
         }
         // Replicas may be held for a promotion, which usually completes within the remaining time.
         if call.isolated || call.remaining() < call.route.timeout / 2 {
-            return Err(call.busy("the primary is not proved to lead", RETRY_AFTER));
+            return Err(call.unavailable("the primary is not proved to lead", RETRY_AFTER));
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
@@ -276,7 +276,7 @@
     if !group.can_confirm_commits() {
         return Err(call.primary_unconfirmed());
     }
-    let mut last = call.busy("no primary is known", RETRY_AFTER);
+    let mut last = call.unavailable("no primary is known", RETRY_AFTER);
     while let Some(leader) = wait_for_leader(group, call).await {
         let backend = &leader.backend;
         let checkout = match checkout(group, backend, session, call).await {
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -135,11 +135,11 @@
     /// The refusal of a write because no replica confirms that the primary still leads.
     pub fn primary_unconfirmed(&self) -> Refusal {
         match self.isolated {
-            true => self.busy(
+            true => self.unavailable(
                 "this data centre is partitioned from the others",
                 ISOLATED_RETRY_AFTER,
             ),
-            false => self.busy("no replica confirms the primary", RETRY_AFTER),
+            false => self.unavailable("no replica confirms the primary", RETRY_AFTER),
         }
     }
 
@@ -152,6 +152,12 @@
         Refusal::new(Code::Unknown, format!("outcome unknown: {why}"))
     }
 
+    /// The refusal of a statement for which this proxy found no server.
+    pub fn unavailable(&self, why: &str, retry_after: Duration) -> Refusal {
+        let Refusal { reason, .. } = self.busy(why, retry_after);
+        Refusal::new(Code::Unavailable, reason)
+    }
+
     /// A refusal of a statement that was not run, with the time after which the caller may retry.
     pub fn busy(&self, why: &str, retry_after: Duration) -> Refusal {
         let millis = retry_after.as_millis();
--- a/crates/proxy/src/line/traffic/forwarding.rs
+++ b/crates/proxy/src/line/traffic/forwarding.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 
 use dandelionpitch_engine::{
-    forwarding,
+    forwarding::{self, Inability},
     refusal::{Code, Refusal},
     session::{Effect, Phase, Session, Transaction},
 };
-use dandelionpitch_platform::backend::{Condition, Query, State, Success};
+use dandelionpitch_platform::backend::{Answer, Condition, Query, State, Success};
 
 use crate::line::{
     backend::Backend,
@@ -40,8 +40,9 @@
 ) -> Outcome {
     let mut last = None;
     let mut attempts = 0;
+    let mut inabilities = 0;
     for peer in peers {
-        if call.is_expired() {
+        if call.is_expired() || inabilities >= forwarding::MAX_INABILITIES {
             break;
         }
         match forward(shared, peer, session, call).await {
@@ -55,8 +56,16 @@
                 let why = format!("outcome unknown: {why}");
                 return Outcome::Answered(Err(Refusal::new(Code::Unknown, why)));
             }
-            Err(Failure::Failed(refusal)) if forwarding::is_starting(&refusal) => peer.avoid(),
             Err(Failure::Failed(refusal)) => {
+                let inability = note_inability(shared, peer, &refusal, call);
+                if inability == Some(Inability::NoServer) {
+                    inabilities += 1;
+                    last = Some(Refusal::new(Code::Unavailable, refusal.reason));
+                    continue;
+                }
+                if inability == Some(Inability::Starting) {
+                    continue;
+                }
                 attempts += 1;
                 // The owner may be partitioned together with this data centre. This proxy has no
                 // connections to servers that would show it, so it requests a check, or else the
@@ -207,6 +216,22 @@
     }
 }
 
+/// Records that `peer` left a statement to other proxies, if its refusal says so.
+fn note_inability(
+    shared: &Shared,
+    peer: &Rc<Backend>,
+    refusal: &Refusal,
+    call: &Call<'_>,
+) -> Option<Inability> {
+    let inability = Inability::new(refusal);
+    match inability {
+        Some(Inability::Starting) => peer.avoid(),
+        Some(Inability::NoServer) => shared.peers.note_unable(&call.route.service, peer),
+        None => {}
+    }
+    inability
+}
+
 /// Opens the transaction on the first of `peers` that can be reached; `None` if none can be. The peer
 /// assigns a backend connection only with the first statement, so `BEGIN` itself is not refused.
 async fn begin(
@@ -232,7 +257,18 @@
         };
         let request = checkout.connection().link.query(begin);
         // The reasons are also metric labels, up to the first colon, and must not change.
-        let why = match tokio::time::timeout(BEGIN_TIMEOUT.min(call.remaining()), request).await {
+        let answer = tokio::time::timeout(BEGIN_TIMEOUT.min(call.remaining()), request).await;
+        if let Ok(Ok(Answer {
+            result: Err(refusal),
+            ..
+        })) = &answer
+        {
+            if note_inability(shared, peer, refusal, call).is_some() {
+                checkout.release();
+                continue;
+            }
+        }
+        let why = match answer {
             Ok(Ok(answer)) if answer.result.is_ok() && answer.state == State::Open => {
                 return Some(Pinned {
                     checkout,
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -5,13 +5,14 @@
 
 mod access;
 mod reply;
+mod targets;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
     account::Account,
     catalog::Route,
-    forwarding::{self as rules, Requirements},
+    forwarding::Requirements,
     refusal::{Code, Refusal},
     session::{self as engine, Phase, Step},
     statement::Statement,
@@ -39,7 +40,7 @@
         call::Call,
         forwarding::{self, Outcome},
         origin::{InFlight, Origin},
-        transaction::{self, Endpoint, Pinned},
+        transaction::{self, Pinned},
     },
 };
 
@@ -285,7 +286,7 @@
     ) -> Result<Option<Success>, Refusal> {
         match self.origin {
             Origin::Caller => self.authorize()?,
-            Origin::Peer => self.accept_forwarded(requirements)?,
+            Origin::Peer => self.accept_forwarded(requirements, statement)?,
         }
         let permit = self.take_permit(id, statement, arrived).await?;
         let result = self.run(id, text, statement, arrived).await;
@@ -330,31 +331,29 @@
             isolated: self.shared.isolation.borrow().is_isolated(arrived),
         };
         let idle = self.state.phase() == Phase::Idle;
-        if let Some(peers) = self.forwarding_targets(&route) {
+        let need = self.need(effect, route.consistency);
+        if idle && self.origin == Origin::Peer {
+            self.check_breaker(&route.service, need)?;
+        }
+        if let Some(peers) = self.forwarding_targets(&route, need) {
             match self.forward(&peers, idle, &call).await {
                 Outcome::Answered(result) => return result.map(Some),
-                Outcome::NoOwner => log_no_owner(&call),
+                Outcome::NoOwner => targets::log_no_owner(&call),
             }
         }
         // If no owner can be reached, the statement runs here: in a partition this proxy may still
         // reach the servers.
         let group = self.shared.group(&route.service);
+        let searches = self.pinned.is_none();
         let (state, pinned) = (&mut self.state, &mut self.pinned);
         let result = match idle {
             true => autocommit::run(&group, state, &call).await,
             false => transaction::run(&group, state, pinned, &call).await,
         };
-        result.map(Some)
-    }
-
-    /// The proxies to which the statement may be forwarded; `None` if this proxy runs it. The list is
-    /// empty for a transaction that is open on another proxy, as it stays there.
-    fn forwarding_targets(&self, route: &Route) -> Option<Vec<Rc<Backend>>> {
-        match (&self.pinned, self.origin) {
-            (Some(pinned), _) if pinned.endpoint == Endpoint::Peer => Some(Vec::new()),
-            (None, Origin::Caller) => self.shared.forwarding_targets(&route.service),
-            _ => None,
+        if searches {
+            self.shared.breakers.note(&route.service, need, &result);
         }
+        result.map(Some)
     }
 
     async fn forward(&mut self, peers: &[Rc<Backend>], idle: bool, call: &Call<'_>) -> Outcome {
@@ -365,27 +364,6 @@
         }
     }
 
-    /// Uses the requirements of a forwarded statement instead of a configured route. Outside a
-    /// transaction each statement may be of another session, so its floor is replaced too.
-    ///
-    /// # Errors
-    ///
-    /// If this process knows no servers yet.
-    fn accept_forwarded(&mut self, requirements: Option<Requirements>) -> Result<(), Refusal> {
-        let Some(requirements) = requirements else {
-            return Ok(());
-        };
-        if self.state.phase() == Phase::Idle {
-            if self.shared.catalog().is_none() {
-                return Err(rules::starting());
-            }
-            self.state.set_floor(requirements.floor);
-        }
-        self.account_name = requirements.account.clone();
-        self.route = Some(Arc::new(Route::from(requirements)));
-        Ok(())
-    }
-
     /// Releases the connection of a failed transaction.
     fn release_if_failed(&mut self) {
         if self.state.phase() == Phase::Failed {
@@ -395,12 +373,3 @@
         }
     }
 }
-
-/// Logs that no owner of the statement's group could be reached.
-fn log_no_owner(call: &Call<'_>) {
-    journal::write(
-        "no owner reached",
-        json!({ "id": call.id, "service": call.route.service,
-            "after_ms": call.waited().as_millis() as u64 }),
-    );
-}
--- a/crates/proxy/src/line/traffic/session/access.rs
+++ b/crates/proxy/src/line/traffic/session/access.rs
@@ -121,7 +121,8 @@
         }
         let quota = &self.shared.quota;
         let urgency = Urgency {
-            due: arrived + route.target,
+            arrived,
+            target: route.target,
             timeout: route.timeout,
         };
         let admitted = quota.admit(&self.shared, account, urgency).await;
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -228,7 +228,10 @@
                 let since = call.freshness_bound(transaction.started_at);
                 match group.required_position(since, session.floor()).await {
                     Some(floor) => Some(floor),
-                    None => return Err(call.busy("required log position is unknown", RETRY_DELAY)),
+                    None => {
+                        let why = "required log position is unknown";
+                        return Err(call.unavailable(why, RETRY_DELAY));
+                    }
                 }
             }
         };
@@ -238,7 +241,7 @@
             (false, true) => group.read_candidates(call.account, after, clock::now()),
             (false, false) => match autocommit::wait_for_leader(group, call).await {
                 Some(leader) => vec![leader.backend],
-                None => return Err(call.busy("no primary is known", RETRY_DELAY)),
+                None => return Err(call.unavailable("no primary is known", RETRY_DELAY)),
             },
         };
         for backend in servers {
