Engine estimates when a replica has a log position

A replica that lags answers LAGGING, and an owner only knew for 150 ms that it had. When replicas applied their log seconds late, each read that the primary's queue refused was sent to both replicas and refused there.

The new module engine::replication keeps the last positions that a replica reported and derives when it is expected to have a position: now, at a time, unknown or not in sight. A read is sent, waits, probes (one at a time, if the state is unknown or older than 500 ms) or passes the replica over. Another term or a shorter log starts a new estimate.

Nothing uses the module yet.

--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -96,6 +96,14 @@
             .max(self.leader_position)
     }
 
+    /// How far a server whose log ended at `position` at `now` is behind the primary, as far as the
+    /// watermarks show: since when the primary's log is known to go on after that position.
+    pub fn delay(&self, position: Position, now: Moment) -> Duration {
+        let passed = self.marks.partition_point(|mark| mark.position <= position);
+        let next = self.marks.get(passed);
+        next.map_or(Duration::ZERO, |mark| now.since(mark.asked))
+    }
+
     /// The newest watermark.
     pub fn newest(&self) -> Option<Watermark> {
         self.marks.back().copied()
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod quota;
 pub mod refusal;
 pub mod registry;
+pub mod replication;
 pub mod restart;
 pub mod roster;
 pub mod session;
