Reads are sent to replicas when they are expected to have the position

With the new setting line.replica_lag = "predicted" (default "observed", the behaviour so far), reads outside transactions and the first statement of read-only transactions use engine::replication. Replicas that are not expected to have the required position come after all other servers: a read waits for the one that is expected to have it first, if it can then be answered within its target, and passes over the others.

A read that found no server in time is refused with BUSY, not LAGGING, and with the time at which a replica is expected to have the position.

The metric reads_moved_for_lag counts the reads for which a replica was passed over.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -95,6 +95,21 @@
     /// The number of operations that are tolerated above it.
     #[serde(default)]
     pub quota_margin: f64,
+    /// How replicas that lack the log position of a read are avoided.
+    #[serde(default)]
+    pub replica_lag: ReplicaLag,
+}
+
+/// How replicas that lack the log position of a read are avoided.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum ReplicaLag {
+    /// A replica that refused a read is tried last for a short time.
+    #[default]
+    Observed,
+    /// A read is sent to a replica when the replica is expected to have the position, judged by its
+    /// progress.
+    Predicted,
 }
 
 impl Line {
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -103,6 +103,7 @@
         isolation,
         failure_signal: failure_signal.clone(),
         records,
+        replica_lag: line.replica_lag,
         quota: quota::Quota::new(&config.id, line.tolerance()),
         mirror,
         open_count: Rc::default(),
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -18,6 +18,7 @@
     ownership::Share,
     placement::Candidate,
     registry::{Entry, Server},
+    replication::Replica,
     restart::Detector,
     session::Variables,
     takeover::Status,
@@ -27,6 +28,7 @@
     backend::{Command, CONNECT_TIMEOUT},
     Error,
 };
+use tokio::sync::Notify;
 
 use crate::{
     line::{
@@ -81,6 +83,10 @@
     restart_detector: Cell<Detector>,
     latency: Cell<Mean>,
     lag: Cell<Lag>,
+    /// How far it has applied the log, if lag is predicted.
+    pub replication: Cell<Replica>,
+    /// Notifies the reads that wait for a probe of its progress.
+    pub probe_ended: Notify,
     avoid_until: Cell<Moment>,
     max_probe_delay: Duration,
     /// Timeout for its VM to accept a connection.
@@ -140,6 +146,8 @@
             restart_detector: Cell::default(),
             latency: Cell::new(Mean::new(INITIAL_LATENCY)),
             lag: Cell::default(),
+            replication: Cell::default(),
+            probe_ended: Notify::default(),
             avoid_until: Cell::default(),
             last_reached: Cell::default(),
             failure_signal,
@@ -198,6 +206,23 @@
         self.lag.get().lacks(position, now)
     }
 
+    /// Marks that a read probes whether it has caught up.
+    pub fn start_probe(&self) {
+        self.update_replication(|replica| replica.set_probed(true));
+    }
+
+    /// Ends the probe and wakes the reads that wait for it.
+    pub fn end_probe(&self) {
+        self.update_replication(|replica| replica.set_probed(false));
+        self.probe_ended.notify_waiters();
+    }
+
+    fn update_replication(&self, update: impl FnOnce(&mut Replica)) {
+        let mut replica = self.replication.get();
+        update(&mut replica);
+        self.replication.set(replica);
+    }
+
     /// The mean latency of recent statements.
     pub fn latency(&self) -> Duration {
         self.latency.get().value()
@@ -337,11 +362,16 @@
             // Called for its side effects. A reachable server may just be busy and is not avoided.
             self.is_reachable().await;
         }
-        restart::check_status(
+        let status = restart::check_status(
             &self.restart_detector,
             &self.server.incarnation,
             status?,
             asked,
-        )
+        );
+        self.update_replication(|replica| match &status {
+            Ok(status) => replica.note_term(status.term, asked),
+            Err(_) => replica.forget(),
+        });
+        status
     }
 }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -6,6 +6,7 @@
 
 mod durability;
 mod freshness;
+mod replication;
 mod search;
 mod single_flight;
 
@@ -29,6 +30,7 @@
 use self::single_flight::SingleFlight;
 
 use crate::{
+    config::ReplicaLag,
     line::{
         backend::{pool::Client, Backend},
         journal,
@@ -82,6 +84,7 @@
     dc: String,
     failure_signal: FailureSignal,
     pub metrics: Metrics,
+    replica_lag: ReplicaLag,
     servers: RefCell<Vec<Rc<Backend>>>,
     leader: RefCell<Option<Leader>>,
     watermarks: RefCell<Watermarks>,
@@ -118,12 +121,14 @@
         failure_signal: FailureSignal,
         records: Reader,
         metrics: Metrics,
+        replica_lag: ReplicaLag,
     ) -> Rc<Self> {
         Rc::new(Self {
             name: name.to_owned(),
             dc: dc.to_owned(),
             failure_signal,
             metrics,
+            replica_lag,
             servers: RefCell::default(),
             leader: RefCell::default(),
             watermarks: RefCell::default(),
@@ -319,7 +324,8 @@
 
     /// The servers that may run a read of `account`, in order of preference. Among equal servers, each
     /// account prefers another one, on which its connections are then reused. Servers that are leaving, missing
-    /// or failed to answer recently come last, and servers that no longer accept work are excluded.
+    /// or failed to answer recently come last, and servers that no longer accept work are excluded. With
+    /// predicted lag, replicas that are not expected to have `required` yet come after all others.
     pub fn read_candidates(
         &self,
         account: Option<&Arc<str>>,
@@ -341,10 +347,17 @@
             .into_iter()
             .map(|index| servers[index].clone())
             .collect();
-        order.sort_by_key(|backend| {
+        let delays = |backend: &Rc<Backend>| self.read_delay(backend, required, now);
+        if order.iter().any(|backend| !delays(backend).is_zero()) {
+            self.metrics.read_moved();
+        }
+        order.sort_by_cached_key(|backend| {
             let leaving = backend.is_leaving() || backend.is_missing();
-            let lacks = required.is_some_and(|position| backend.lacks(position, now));
-            (backend.is_avoided(now), leaving || lacks)
+            let lacks = !self.predicts_lag()
+                && required.is_some_and(|position| backend.lacks(position, now));
+            let delay = delays(backend);
+            let is_delayed = !delay.is_zero();
+            (backend.is_avoided(now), is_delayed, leaving || lacks, delay)
         });
         order
     }
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    config::ReplicaLag,
     line::{
         backend::Backend,
         clock,
@@ -46,6 +47,8 @@
     pub isolation: watch::Receiver<Isolation>,
     pub failure_signal: FailureSignal,
     pub records: Reader,
+    /// How replicas that lag are chosen for reads.
+    pub replica_lag: ReplicaLag,
     pub quota: Quota,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
@@ -74,6 +77,7 @@
             failure_signal,
             records,
             self.metrics.clone(),
+            self.replica_lag,
         )
     }
 
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -10,9 +10,8 @@
     refusal::{Code, Refusal},
     registry::Incarnation,
     session::{Effect, Session},
-    time::Moment,
 };
-use dandelionpitch_platform::backend::{Answer, Condition, Success};
+use dandelionpitch_platform::backend::{Condition, Success};
 
 use crate::{
     line::{
@@ -22,6 +21,7 @@
         traffic::{
             call::{note_failure, Call, Failure, RETRY_AFTER, RETRY_DELAY},
             exchange::{checkout, exchange, release_if_idle},
+            lag::{lagging, note_lag, queue_full},
         },
     },
     metrics::Target,
@@ -45,6 +45,7 @@
 
 async fn read(group: &Rc<Group>, session: &Session, call: &Call<'_>) -> Result<Success, Refusal> {
     let mut attempts = Attempts::new();
+    let mut required = None;
     while !call.is_expired() {
         let (servers, after) = match call.route.consistency {
             Consistency::Latest => {
@@ -63,10 +64,15 @@
                 (servers, Some(floor))
             }
         };
+        required = after;
         for backend in servers {
             if attempts.is_exhausted(&backend) || call.is_expired() {
                 continue;
             }
+            let Some(_permit) = group.read_permit(&backend, after, call.due()).await else {
+                attempts.passed_over = true;
+                continue;
+            };
             match read_on(group, &backend, session, call, after).await {
                 Ok(success) => return Ok(success),
                 Err(failure) => attempts.record(&backend, failure),
@@ -77,7 +83,7 @@
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
-    Err(attempts.refusal(call))
+    Err(attempts.refusal(group, call, required))
 }
 
 /// The attempts to run a read so far.
@@ -87,6 +93,8 @@
     /// How often the read failed on each server.
     failed: Vec<(Incarnation, u32)>,
     last: Option<Failure>,
+    /// Whether a replica was passed over because it is not expected to have the position in time.
+    passed_over: bool,
 }
 
 impl Attempts {
@@ -101,6 +109,7 @@
             obstacle: Obstacle::NoServer,
             failed: Vec::new(),
             last: None,
+            passed_over: false,
         }
     }
 
@@ -132,11 +141,15 @@
         self.rounds >= Self::MAX_ROUNDS
     }
 
-    fn refusal(self, call: &Call<'_>) -> Refusal {
+    fn refusal(self, group: &Group, call: &Call<'_>, required: Option<Position>) -> Refusal {
+        let lacks = |failure: &Failure| matches!(failure, Failure::NotRun(refusal) if refusal.code == Code::Lagging);
         match self.last {
-            Some(
-                Failure::NotRun(refusal) | Failure::QueueFull(refusal) | Failure::Failed(refusal),
-            ) => refusal,
+            Some(failure) if group.predicts_lag() && lacks(&failure) => {
+                lagging(group, call, required)
+            }
+            None if self.passed_over => lagging(group, call, required),
+            Some(Failure::QueueFull(refusal)) => queue_full(group, call, required, refusal),
+            Some(Failure::NotRun(refusal) | Failure::Failed(refusal)) => refusal,
             Some(Failure::NoAnswer(why)) => Refusal::new(Code::Unknown, why),
             None => call.busy("timed out before a server was tried", RETRY_AFTER),
         }
@@ -201,7 +214,7 @@
     };
     release_if_idle(checkout, &answer);
     let trusted = group.note_position(backend, asked, answer.position);
-    note_lag(backend, after, asked, &answer);
+    note_lag(group, backend, after, asked, &answer);
     let refused = answer.result.as_ref().err();
     // A refusal is fast, and would make the server look like the fastest one.
     if !refused.is_some_and(|refusal| refusal.code.guarantees_not_run()) {
@@ -234,18 +247,6 @@
     })
 }
 
-/// Records whether the server lacked the position that a read sent at `asked` requires.
-pub fn note_lag(backend: &Backend, required: Option<Position>, asked: Moment, answer: &Answer) {
-    let Some(position) = required else {
-        return;
-    };
-    match &answer.result {
-        Ok(_) => backend.note_read(position, asked, false),
-        Err(refusal) if refusal.code == Code::Lagging => backend.note_read(position, asked, true),
-        Err(_) => {}
-    }
-}
-
 /// Waits for the answer to a write. If it is overdue, the primary is suspected of being partitioned:
 /// later writes are sent only after replicas have confirmed it.
 pub async fn suspect_if_overdue<T>(
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -80,6 +80,11 @@
         self.arrived + self.route.timeout
     }
 
+    /// When it should be answered.
+    pub fn due(&self) -> Moment {
+        self.arrived + self.route.target
+    }
+
     /// The time since it arrived.
     pub fn waited(&self) -> Duration {
         clock::now().since(self.arrived)
@@ -109,7 +114,7 @@
     pub fn pool_request(&self) -> Request {
         let rank = Rank {
             priority: self.route.priority + 1,
-            due: self.arrived + self.route.target,
+            due: self.due(),
         };
         Request {
             client: Client::Account(self.account.cloned()),
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -15,9 +15,10 @@
     clock,
     group::Group,
     traffic::{
-        autocommit::{self, note_lag},
+        autocommit,
         call::{note_failure, Call, Failure},
         exchange::{checkout, exchange},
+        lag::{lagging, note_lag, queue_full},
     },
 };
 
@@ -245,11 +246,17 @@
             if call.is_expired() {
                 break;
             }
+            let Some(_permit) = group.read_permit(&backend, after, call.due()).await else {
+                if obstacle == Obstacle::NoServer {
+                    last = lagging(group, call, after);
+                }
+                continue;
+            };
             let mut checkout = match checkout(group, &backend, session, call).await {
                 Ok(checkout) => checkout,
                 Err(Failure::QueueFull(refusal)) => {
                     obstacle = Obstacle::QueueFull;
-                    last = refusal;
+                    last = queue_full(group, call, after, refusal);
                     continue;
                 }
                 Err(Failure::NotRun(refusal) | Failure::Failed(refusal)) => {
@@ -270,7 +277,7 @@
             match tokio::time::timeout(call.remaining(), request).await {
                 Ok(Ok(answer)) => {
                     let trusted = group.note_position(&backend, asked, answer.position);
-                    note_lag(&backend, after, asked, &answer);
+                    note_lag(group, &backend, after, asked, &answer);
                     match answer.result {
                         Ok(_) if latest && !trusted => {
                             last = call.busy("the server is no longer the primary", RETRY_DELAY);
@@ -294,7 +301,10 @@
                             if answer.state == State::Idle {
                                 checkout.release();
                             }
-                            last = call.busy(&refusal.to_string(), RETRY_DELAY);
+                            last = match refusal.code == Code::Lagging && group.predicts_lag() {
+                                true => lagging(group, call, after),
+                                false => call.busy(&refusal.to_string(), RETRY_DELAY),
+                            };
                         }
                     }
                 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     reads: Counter<u64>,
+    reads_moved: Counter<u64>,
     writes: Counter<u64>,
     refusals: Counter<u64>,
     statements: Counter<u64>,
@@ -100,6 +101,7 @@
         let meter = provider.meter("dandelionpitch");
         Self {
             reads: meter.u64_counter("reads").build(),
+            reads_moved: meter.u64_counter("reads_moved_for_lag").build(),
             writes: meter.u64_counter("writes").build(),
             refusals: meter.u64_counter("refusals").build(),
             statements: meter.u64_counter("statements").build(),
@@ -137,6 +139,11 @@
         self.reads.add(1, &[KeyValue::new("target", name)]);
     }
 
+    /// Counts a read for which a replica is passed over because it lags.
+    pub fn read_moved(&self) {
+        self.reads_moved.add(1, &[]);
+    }
+
     /// Counts a write or transaction statement sent to the primary.
     pub fn write(&self) {
         self.writes.add(1, &[]);
