--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -2,6 +2,8 @@
 //!
 //! Unknown keys are rejected, so that a misspelt key cannot silently fall back to a default.
 
+mod policy;
+
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -13,6 +15,8 @@
 
 use crate::error::Error;
 
+pub use policy::{QuotaShortage, ReplicaLag};
+
 /// The settings used if no file is given: a proxy on loopback with a local key-value store (KV).
 pub const DEFAULT_SETTINGS: &str = r#"
 id = "proxy-1"
@@ -104,17 +108,9 @@
     /// What happens to operations for which there is no permit.
     #[serde(default)]
     pub quota_shortage: QuotaShortage,
-}
-
-/// What happens to operations of client accounts for which there is no permit.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum QuotaShortage {
-    /// They are refused at once.
-    #[default]
-    Refuse,
-    /// They wait during a short spike, and callers are told different times to come back.
-    Wait,
+    /// How replicas that lack the log position of a read are avoided.
+    #[serde(default)]
+    pub replica_lag: ReplicaLag,
 }
 
 impl Line {
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    config::ReplicaLag,
     line::{
         backend::Backend,
         breakers::Breakers,
@@ -52,6 +53,8 @@
     pub isolation: watch::Receiver<Isolation>,
     pub failure_signal: FailureSignal,
     pub records: Reader,
+    /// How replicas that lag are chosen for reads.
+    pub replica_lag: ReplicaLag,
     pub quota: Quota,
     pub breakers: Breakers,
     /// The copy of the store's content, from which other proxies are served.
@@ -81,6 +84,7 @@
             failure_signal,
             records,
             self.metrics.clone(),
+            self.replica_lag,
         )
     }
 
