Requests for connections move out of the pool into a module of their own

Cause: backend/connection imported Client from backend/pool, which imports Connection: a circle. Change: Client, Rank and Request are in backend/request. Nothing else changes. Result: connection no longer depends on the pool. The pool and its children pool/checkout and pool/queue still refer to each other.

--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -3,6 +3,7 @@
 
 pub mod connection;
 pub mod pool;
+pub mod request;
 
 use std::{
     cell::{Cell, RefCell},
@@ -30,7 +31,10 @@
 
 use crate::{
     line::{
-        backend::pool::{Client, Pool, Rank, Request},
+        backend::{
+            pool::Pool,
+            request::{Client, Rank, Request},
+        },
         clock,
         reachability::{self, FailureSignal},
         restart,
--- a/crates/proxy/src/line/backend/connection.rs
+++ b/crates/proxy/src/line/backend/connection.rs
@@ -13,7 +13,7 @@
     Error,
 };
 
-use crate::line::backend::pool::Client;
+use crate::line::backend::request::Client;
 
 /// An open connection and its session state.
 #[derive(Debug)]
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -22,7 +22,13 @@
 
 use self::checkout::{Checkout, Permit};
 use crate::{
-    line::{backend::connection::Connection, clock, journal},
+    line::{
+        backend::{
+            connection::Connection,
+            request::{Client, Rank, Request},
+        },
+        clock, journal,
+    },
     metrics::Metrics,
 };
 
@@ -42,43 +48,6 @@
 /// The assumed time for which a connection is held, before any connection has been returned.
 const INITIAL_HOLD: Duration = Duration::from_millis(30);
 
-/// The order in which waiting statements get a connection: by priority, then by due time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Rank {
-    /// 0 is the highest priority.
-    pub priority: u32,
-    /// When the statement should be answered.
-    pub due: Moment,
-}
-
-/// For whom a connection is wanted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Client {
-    /// The proxy itself, which may use any connection.
-    Proxy,
-    /// A client account, or callers without one.
-    Account(Option<Arc<str>>),
-}
-
-impl Client {
-    /// The account that the server is told when a connection is opened.
-    fn account(&self) -> Option<Arc<str>> {
-        match self {
-            Self::Proxy => None,
-            Self::Account(account) => account.clone(),
-        }
-    }
-}
-
-/// A request for a connection.
-#[derive(Clone, Debug)]
-pub struct Request {
-    pub client: Client,
-    pub rank: Rank,
-    /// When the statement times out.
-    pub deadline: Moment,
-}
-
 /// Why a pool provides no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
--- a/crates/proxy/src/line/backend/pool/queue.rs
+++ b/crates/proxy/src/line/backend/pool/queue.rs
@@ -8,8 +8,14 @@
 };
 use tokio::sync::oneshot;
 
-use super::{checkout::Permit, Client, Error, Grant, Pool, Request, Waiter};
-use crate::line::{backend::connection::Connection, clock};
+use super::{checkout::Permit, Error, Grant, Pool, Waiter};
+use crate::line::{
+    backend::{
+        connection::Connection,
+        request::{Client, Request},
+    },
+    clock,
+};
 
 impl Pool {
     /// Waits for a connection or a permit to open one. Returns an error if admission control refuses the
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     line::{
-        backend::{pool::Client, Backend},
+        backend::{request::Client, Backend},
         journal,
         reachability::FailureSignal,
         records::Reader,
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -29,7 +29,7 @@
 
 use crate::line::{
     backend::{
-        pool::{self, Client, Rank},
+        request::{self, Client, Rank},
         Backend,
     },
     clock, journal,
@@ -306,7 +306,7 @@
             priority: 0,
             due: deadline,
         };
-        let wanted = pool::Request {
+        let wanted = request::Request {
             client: Client::Proxy,
             rank,
             deadline,
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -17,7 +17,8 @@
     line::{
         backend::{
             connection::Statement,
-            pool::{Client, Error, Rank, Request},
+            pool::Error,
+            request::{Client, Rank, Request},
             Backend,
         },
         clock,
--- a/crates/proxy/src/line/traffic/exchange.rs
+++ b/crates/proxy/src/line/traffic/exchange.rs
@@ -9,7 +9,8 @@
 use crate::line::{
     backend::{
         connection::{execute, sync_variables},
-        pool::{checkout::Checkout, Client, Error},
+        pool::{checkout::Checkout, Error},
+        request::Client,
         Backend,
     },
     clock,
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -18,7 +18,8 @@
 use dandelionpitch_proxy::{
     line::{
         backend::{
-            pool::{checkout::Checkout, Client, Rank, Request},
+            pool::checkout::Checkout,
+            request::{Client, Rank, Request},
             Backend,
         },
         clock,
