engine: slots tell running statements from transactions whose callers pause

Cause: a transaction holds its connection while its caller pauses, and the limit counts it like a running statement. On deployment P the 18 connections of a group's owners were held by pausing transactions, and statements were refused while the server used 2.5 of 4 slots. Change: Share has a third bound, held, for all connections that are checked out. The proxy still uses Counted, which decides as before.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -31,7 +31,7 @@
 const MAX_WAIT_FRACTION: f64 = 0.7;
 
 /// With a shorter retry-after the caller would find the same queue again.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Decides whether a statement that should be answered within `left` is queued or refused.
 pub fn decide(queue: Queue, left: Duration) -> Decision {
@@ -67,7 +67,8 @@
 ///
 /// A statement that can still meet its target goes before one that cannot, since otherwise both
 /// would be late. One that cannot finish before its deadline is refused now instead of timing out.
-/// Execution is estimated at half of `hold`, because the mean includes idle transactions. Without this,
+/// Execution is estimated at half of `hold`, because the mean includes idle transactions unless they
+/// are counted separately. Without this,
 /// work whose target has passed was served first, and what could still meet its target became late too.
 pub fn select(entries: &[Queued], hold: Duration, now: Moment) -> Selection {
     let done = now + hold / 2;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod roster;
 pub mod session;
 pub mod share;
+pub mod slots;
 pub mod statement;
 pub mod takeover;
 pub mod time;
--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -13,7 +13,7 @@
 
 use dandelionpitch_core::hash;
 
-use crate::share;
+use crate::{share, slots::IdleTransactions};
 
 /// Minimum connections of an owner to each server. With fewer, idle open transactions could block
 /// all other statements.
@@ -63,9 +63,11 @@
 /// The limit on one proxy's connections to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
-    /// Statements and transactions run on at most this many at a time.
+    /// New statements start only while fewer than this many run.
     pub in_use: usize,
-    /// Includes idle connections, which are kept for other client accounts.
+    /// At most this many are checked out, including those of transactions whose callers pause.
+    pub held: usize,
+    /// Includes idle connections, which are kept for other client accounts or for transactions.
     pub open: usize,
 }
 
@@ -74,6 +76,7 @@
     fn from(limit: usize) -> Self {
         Self {
             in_use: limit,
+            held: limit,
             open: limit,
         }
     }
@@ -118,26 +121,39 @@
 }
 
 impl Allocation {
-    /// The limits per server of a proxy that holds connections, if each connection can run the
-    /// statements of only one client account. Unused connections stay open then, as opening one
-    /// occupies the server for longer than many statements.
-    pub fn share(self, limits: Limits, has_accounts: bool) -> Share {
+    /// The limits per server of a proxy that holds connections.
+    ///
+    /// If each connection can run the statements of only one client account, unused connections stay
+    /// open, as opening one occupies the server for longer than many statements. The connections of
+    /// idle transactions do not occupy the server, so they may be as many.
+    pub fn share(self, limits: Limits, has_accounts: bool, idle: IdleTransactions) -> Share {
         let in_use = self.connections(limits);
-        if !has_accounts {
-            return Share::from(in_use);
-        }
+        let kept = share::usable(limits.max_connections) * KEPT_PERCENT / 100;
+        let kept = (kept / self.holders()).max(in_use);
+        let held = match idle {
+            IdleTransactions::Counted => in_use,
+            IdleTransactions::Separate => kept,
+        };
+        let open = match has_accounts {
+            true => kept,
+            false => held,
+        };
+        Share { in_use, held, open }
+    }
+
+    /// The number of proxies that hold connections.
+    fn holders(self) -> usize {
         let holders = match self {
             Self::All { members } => members,
             Self::Owners { per_dc, dcs } => per_dc * dcs,
         };
-        let kept = share::usable(limits.max_connections) * KEPT_PERCENT / 100;
-        let open = (kept / holders.max(1)).max(in_use);
-        Share { in_use, open }
+        holders.max(1)
     }
 }
 
-/// The part of a server's connections that its owners keep open for different client accounts. The
-/// rest is left for the reasons given at [`BUDGET_DIVISOR`].
+/// The part of a server's connections that its owners keep open for different client accounts, or check
+/// out for transactions whose callers pause. The rest is left for the reasons given at
+/// [`BUDGET_DIVISOR`].
 const KEPT_PERCENT: usize = 75;
 
 /// The number of connections per server for all owners together.
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -22,6 +22,7 @@
     ownership::{self, Allocation, Limits, Share},
     placement,
     registry::{Entry, Incarnation, Role},
+    slots::IdleTransactions,
     time::Moment,
 };
 use serde_json::json;
@@ -70,7 +71,10 @@
             slots: entry.server.slots,
         };
         match self.is_owned {
-            true => self.allocation.share(limits, self.has_accounts),
+            true => {
+                let idle = IdleTransactions::Counted;
+                self.allocation.share(limits, self.has_accounts, idle)
+            }
             false => Share::from(ownership::NON_OWNER_CONNECTIONS),
         }
     }
