Pool: connections of idle transactions count separately where the settings ask for it

Cause: a transaction held its connection like a running statement while its caller paused, and the mean hold time contained the pauses. Statements waited or were refused beside an idle server. Change: line.idle_transactions = "separate" bounds running statements by in_use and all connections that are checked out by held. A checkout is paused between the statements of a transaction; the queue is then served as when a connection is returned. The mean of hold times measures running time only. The default "counted" decides as before, and pools of connections to other proxies always count.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::quota::Tolerance;
+use dandelionpitch_engine::{quota::Tolerance, slots::IdleTransactions};
 use serde::Deserialize;
 
 use crate::error::Error;
@@ -95,6 +95,10 @@
     /// The number of operations that are tolerated above it.
     #[serde(default)]
     pub quota_margin: f64,
+    /// Whether the connections of transactions count like those of running statements while their
+    /// callers pause, or separately.
+    #[serde(default)]
+    pub idle_transactions: IdleTransactions,
 }
 
 impl Line {
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -104,6 +104,7 @@
         failure_signal: failure_signal.clone(),
         records,
         quota: quota::Quota::new(&config.id, line.tolerance()),
+        idle_transactions: line.idle_transactions,
         mirror,
         open_count: Rc::default(),
     });
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -21,6 +21,7 @@
     registry::{Entry, Server},
     restart::Detector,
     session::Variables,
+    slots::{IdleTransactions, Purpose},
     takeover::Status,
     time::Moment,
 };
@@ -101,10 +102,12 @@
     pub fn new(
         entry: &Entry,
         limit: Share,
+        idle_transactions: IdleTransactions,
         failure_signal: FailureSignal,
         metrics: Metrics,
     ) -> Rc<Self> {
-        let pool = Pool::new(entry.server.clone(), limit, CONNECT_TIMEOUT, metrics);
+        let server = entry.server.clone();
+        let pool = Pool::new(server, limit, idle_transactions, CONNECT_TIMEOUT, metrics);
         Self::with_pool(
             entry,
             pool,
@@ -115,10 +118,13 @@
 
     /// Creates another proxy, to which statements are forwarded over a pool of at most `limit`
     /// connections. The kernel of its VM accepts connections even when the process is busy, so the
-    /// short connect timeout detects only an unreachable VM.
+    /// short connect timeout detects only an unreachable VM. Idle transactions count there: they are
+    /// held back by the owner's limits, and the other proxy runs all connections concurrently.
     pub fn peer(entry: &Entry, limit: usize, metrics: Metrics) -> Rc<Self> {
         let limit = Share::from(limit);
-        let pool = Pool::new(entry.server.clone(), limit, PEER_CONNECT_TIMEOUT, metrics);
+        let server = entry.server.clone();
+        let counted = IdleTransactions::Counted;
+        let pool = Pool::new(server, limit, counted, PEER_CONNECT_TIMEOUT, metrics);
         Self::with_pool(
             entry,
             pool,
@@ -318,6 +324,7 @@
             };
             let request = Request {
                 client: Client::Proxy,
+                purpose: Purpose::Statement,
                 rank,
                 deadline,
             };
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -1,8 +1,10 @@
 //! The connection pool of one backend server. A connection is used by one statement or transaction
-//! at a time. [`engine::admission`](dandelionpitch_engine::admission) decides whether a statement
-//! waits for a connection or is refused; `queue` applies the decision.
+//! at a time. [`engine::slots`](dandelionpitch_engine::slots) decides whether a statement may start,
+//! and [`engine::admission`](dandelionpitch_engine::admission) whether it waits for a connection or is
+//! refused; `queue` applies the decisions.
 
 pub mod checkout;
+mod opening;
 mod queue;
 
 use std::{
@@ -14,10 +16,13 @@
 };
 
 use dandelionpitch_engine::{
-    admission::Mean, ownership::Share, refusal::Code, registry::Server, session::Variables,
+    admission::Mean,
+    ownership::Share,
+    registry::Server,
+    session::Variables,
+    slots::{IdleTransactions, Opening, Purpose, Slots, Times},
     time::Moment,
 };
-use dandelionpitch_platform::{backend::Link, Error as LinkError};
 use tokio::sync::oneshot;
 
 use self::checkout::{Checkout, Permit};
@@ -27,27 +32,28 @@
             connection::Connection,
             request::{Client, Rank, Request},
         },
-        clock, journal,
+        clock,
     },
     metrics::Metrics,
 };
 
-/// Timeout for opening a connection. The server processes the start message like a statement, after
-/// those already in its queue.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// How long no connection is opened after the server refused one because of its connection limit.
-const FULL_BACKOFF: Duration = Duration::from_millis(500);
-
-/// How long no connection is opened after the server could not be reached.
-const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(500);
-
 /// The assumed time for opening a connection, before one has been opened.
 const INITIAL_OPENING: Duration = Duration::from_millis(15);
 
 /// The assumed time for which a connection is held, before any connection has been returned.
 const INITIAL_HOLD: Duration = Duration::from_millis(30);
 
+/// What the connections of a pool are used for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Connections that run a statement or are being opened.
+    pub running: usize,
+    /// Connections of open transactions whose callers pause.
+    pub idle_in_transaction: usize,
+    /// Statements that wait for a connection.
+    pub waiting: usize,
+}
+
 /// Why a pool provides no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -72,6 +78,7 @@
 
 struct Waiter {
     client: Client,
+    purpose: Purpose,
     rank: Rank,
     deadline: Moment,
     grant: oneshot::Sender<Grant>,
@@ -81,8 +88,8 @@
 struct State {
     /// Those that have been idle the longest come first.
     idle: Vec<Connection>,
-    /// The number of connections that are open or being opened.
-    open: usize,
+    /// The connections that are checked out or being opened.
+    slots: Slots,
     waiting: VecDeque<Waiter>,
     /// The lowest number of idle connections since the last [`Pool::shrink`].
     min_idle: usize,
@@ -91,9 +98,9 @@
 }
 
 impl State {
-    /// The number of connections that are in use or being opened.
-    fn in_use(&self) -> usize {
-        self.open - self.idle.len()
+    /// The number of connections that are open or being opened.
+    fn open(&self) -> usize {
+        self.slots.held() + self.idle.len()
     }
 
     /// Whether a connection is idle that may be used for `client`.
@@ -107,7 +114,6 @@
             return false;
         }
         self.idle.remove(0);
-        self.open -= 1;
         true
     }
 }
@@ -123,8 +129,10 @@
     limit: Cell<Share>,
     /// Timeout for the server's VM to accept a connection.
     connect_timeout: Duration,
-    /// The mean time for which a connection is held.
+    /// The mean time for which a connection is used; see [`Times::statement`].
     hold: Cell<Mean>,
+    /// The mean duration of a transaction.
+    transaction: Cell<Mean>,
     /// The mean time for opening a connection.
     opening: Cell<Mean>,
     /// No connection is opened before this time.
@@ -137,16 +145,21 @@
     pub fn new(
         server: Arc<Server>,
         limit: Share,
+        idle_transactions: IdleTransactions,
         connect_timeout: Duration,
         metrics: Metrics,
     ) -> Rc<Self> {
         Rc::new(Self {
             server,
             metrics,
-            state: RefCell::default(),
+            state: RefCell::new(State {
+                slots: Slots::new(idle_transactions),
+                ..State::default()
+            }),
             limit: Cell::new(limit),
             connect_timeout,
             hold: Cell::new(Mean::new(INITIAL_HOLD)),
+            transaction: Cell::new(Mean::new(INITIAL_HOLD)),
             opening: Cell::new(Mean::new(INITIAL_OPENING)),
             backoff_until: Cell::default(),
         })
@@ -156,10 +169,10 @@
     pub fn set_limit(&self, limit: Share) {
         self.limit.set(limit);
         let mut state = self.state.borrow_mut();
-        while state.open > limit.open && state.close_oldest() {}
+        while state.open() > limit.open && state.close_oldest() {}
     }
 
-    /// The maximum number of connections in use.
+    /// The maximum number of connections in use; see [`Share::in_use`].
     pub fn limit(&self) -> usize {
         self.limit.get().in_use
     }
@@ -174,22 +187,31 @@
         !self.state.borrow().has_idle(client)
     }
 
-    /// The number of statements that have a connection or wait for one.
+    /// The number of statements that use a connection or wait for one.
     pub fn pending(&self) -> usize {
         let state = self.state.borrow();
-        state.in_use() + state.waiting.len()
+        state.slots.in_use() + state.waiting.len()
+    }
+
+    /// What its connections are used for now.
+    pub fn load(&self) -> Load {
+        let state = self.state.borrow();
+        Load {
+            running: state.slots.running(),
+            idle_in_transaction: state.slots.paused(),
+            waiting: state.waiting.len(),
+        }
     }
 
     /// Whether opening a connection failed recently and no other connection is open.
     pub fn is_backing_off(&self, now: Moment) -> bool {
-        now < self.backoff_until.get() && self.state.borrow().open == 0
+        now < self.backoff_until.get() && self.state.borrow().open() == 0
     }
 
     /// Closes the pool of a removed server: closes idle connections and fails waiting statements.
     pub fn close(&self) {
         let mut state = self.state.borrow_mut();
         state.closed = true;
-        state.open -= state.idle.len();
         state.idle.clear();
         state.waiting.clear();
     }
@@ -205,20 +227,17 @@
         let excess = state.min_idle.min(state.idle.len()).saturating_sub(spare);
         // Returned connections go to the back, so those at the front have been idle the longest.
         state.idle.drain(..excess);
-        state.open -= excess;
         state.min_idle = state.idle.len();
     }
 
     /// The number of connections that are open or being opened.
     pub fn open_connections(&self) -> usize {
-        self.state.borrow().open
+        self.state.borrow().open()
     }
 
     /// Closes the idle connections, for example because the server may have become unreachable.
     pub fn close_idle(&self) {
-        let mut state = self.state.borrow_mut();
-        state.open -= state.idle.len();
-        state.idle.clear();
+        self.state.borrow_mut().idle.clear();
     }
 
     /// Returns a connection, preferring an idle one whose variables are closest to `variables`. Opens a
@@ -229,16 +248,16 @@
         request: Request,
     ) -> Result<Checkout, Error> {
         let left = clock::now().until(request.deadline);
-        let client = request.client.clone();
-        if self.may_use_another() {
+        let (client, purpose) = (request.client.clone(), request.purpose);
+        if self.may_start(purpose) {
             if let Some(connection) = self.take_idle(&client, variables) {
-                return Ok(self.new_checkout(connection));
+                return Ok(Checkout::new(self.clone(), connection, purpose));
             }
         }
-        if let Some(permit) = self.permit_to_open() {
+        if let Some(permit) = self.permit_to_open(purpose) {
             match self.open(permit, client.account(), left).await {
                 // The server accepts no more connections: wait for one of the open ones.
-                Err(Error::TooManyConnections) if self.state.borrow().open > 0 => {}
+                Err(Error::TooManyConnections) if self.state.borrow().open() > 0 => {}
                 opened => return opened,
             }
         }
@@ -249,23 +268,37 @@
         }
     }
 
-    /// Whether the limit allows one more connection in use.
-    fn may_use_another(&self) -> bool {
-        self.state.borrow().in_use() < self.limit.get().in_use
+    /// Whether the limits allow another statement to start.
+    fn may_start(&self, purpose: Purpose) -> bool {
+        let state = self.state.borrow();
+        state.slots.may_start(purpose, self.limit.get())
     }
 
-    /// A permit to open a connection, if the limits allow one now. An idle connection of another
-    /// account is closed for it if necessary.
-    fn permit_to_open(self: &Rc<Self>) -> Option<Permit> {
-        if !self.may_use_another() || clock::now() < self.backoff_until.get() {
+    fn is_backing_off_now(&self) -> bool {
+        clock::now() < self.backoff_until.get()
+    }
+
+    /// A permit to open a connection, if a statement may start and the limits allow a connection now.
+    fn permit_to_open(self: &Rc<Self>, purpose: Purpose) -> Option<Permit> {
+        if !self.may_start(purpose) || self.is_backing_off_now() || self.is_closed() {
             return None;
         }
+        self.new_permit(purpose)
+    }
+
+    /// A permit to open a connection, if the limits allow one. An idle connection of another account is
+    /// closed for it if necessary.
+    fn new_permit(self: &Rc<Self>, purpose: Purpose) -> Option<Permit> {
         let mut state = self.state.borrow_mut();
-        if state.closed || (state.open >= self.limit.get().open && !state.close_oldest()) {
-            return None;
+        match state.slots.opening(state.idle.len(), self.limit.get()) {
+            Opening::Refused => return None,
+            Opening::Replacing => {
+                state.close_oldest();
+            }
+            Opening::Allowed => {}
         }
-        state.open += 1;
-        Some(Permit::new(self.clone()))
+        drop(state);
+        Some(Permit::new(self.clone(), purpose))
     }
 
     /// Takes the idle connection for `client` with the lowest setup cost, preferring the most recently
@@ -285,71 +318,27 @@
             if connection.link.is_idle() {
                 return Some(Box::new(connection));
             }
-            state.open -= 1;
         }
         None
     }
 
-    fn new_checkout(self: &Rc<Self>, connection: Box<Connection>) -> Checkout {
-        Checkout {
-            connection: Some(connection),
-            pool: self.clone(),
-            checked_out_at: clock::now(),
+    fn times(&self) -> Times {
+        Times {
+            statement: self.hold.get().value(),
+            transaction: self.transaction.get().value(),
         }
     }
 
-    /// Opens a connection for `account` with `permit`, within at most `left`.
-    async fn open(
-        self: &Rc<Self>,
-        permit: Permit,
-        account: Option<Arc<str>>,
-        left: Duration,
-    ) -> Result<Checkout, Error> {
-        if self.state.borrow().closed {
-            return Err(Error::Unreachable);
-        }
-        let server = &self.server;
-        let (address, id) = (server.address, server.id());
-        let connect = Link::open_with_timeout(
-            self.connect_timeout,
-            address,
-            &server.service,
-            account.as_deref(),
-            id,
-        );
-        let limit = OPEN_TIMEOUT.min(left);
-        let started_at = clock::now();
-        let (error, why, backoff) = match tokio::time::timeout(limit, connect).await {
-            Ok(Ok(link)) => {
-                permit.forget();
-                let mut opening = self.opening.get();
-                opening.record(clock::now().since(started_at));
-                self.opening.set(opening);
-                self.metrics.connection(&server.service);
-                return Ok(self.new_checkout(Box::new(Connection::new(link, account))));
-            }
-            Ok(Err(LinkError::Refused(refusal))) if refusal.code == Code::TooManyConnections => {
-                (Error::TooManyConnections, refusal.to_string(), FULL_BACKOFF)
-            }
-            Ok(Err(error)) => (Error::Unreachable, error.to_string(), UNREACHABLE_BACKOFF),
-            Err(_) => (
-                Error::Unreachable,
-                format!("no connection within {limit:?}"),
-                UNREACHABLE_BACKOFF,
-            ),
-        };
-        self.backoff_until.set(clock::now() + backoff);
-        journal::write(
-            "connect",
-            serde_json::json!({ "server": server.id(), "service": server.service,
-                "address": server.address.to_string(), "open": self.state.borrow().open, "why": why }),
-        );
-        Err(error)
+    /// When a caller may retry a statement that was refused after it waited.
+    fn retry_after(&self) -> Duration {
+        let slots = self.state.borrow().slots;
+        slots.retry_after(self.hold.get().value())
     }
+}
 
-    fn record_hold(&self, checked_out_at: Moment) {
-        let mut hold = self.hold.get();
-        hold.record(clock::now().since(checked_out_at));
-        self.hold.set(hold);
-    }
+/// Adds the time since `since` to a mean.
+fn record(mean: &Cell<Mean>, since: Moment) {
+    let mut changed = mean.get();
+    changed.record(clock::now().since(since));
+    mean.set(changed);
 }
--- a/crates/proxy/src/line/backend/request.rs
+++ b/crates/proxy/src/line/backend/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use dandelionpitch_engine::time::Moment;
+use dandelionpitch_engine::{slots::Purpose, time::Moment};
 
 /// The order in which waiting statements get a connection: by priority, then by due time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,6 +36,7 @@
 #[derive(Clone, Debug)]
 pub struct Request {
     pub client: Client,
+    pub purpose: Purpose,
     pub rank: Rank,
     /// When the statement times out.
     pub deadline: Moment,
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -57,6 +57,8 @@
     pub allocation: Allocation,
     /// Whether callers have client accounts.
     pub has_accounts: bool,
+    /// How the connections of idle transactions count.
+    pub idle_transactions: IdleTransactions,
     /// Whether this proxy runs the group's statements on its own connections.
     pub is_owned: bool,
     /// Whether this proxy has read its own entry from the store, so that others know of it.
@@ -72,7 +74,7 @@
         };
         match self.is_owned {
             true => {
-                let idle = IdleTransactions::Counted;
+                let idle = self.idle_transactions;
                 self.allocation.share(limits, self.has_accounts, idle)
             }
             false => Share::from(ownership::NON_OWNER_CONNECTIONS),
@@ -200,7 +202,7 @@
                 }
                 None => {
                     changed = true;
-                    servers.push(self.new_backend(entry, limit));
+                    servers.push(self.new_backend(entry, limit, inputs.idle_transactions));
                 }
             }
         }
@@ -235,10 +237,11 @@
         }
     }
 
-    fn new_backend(&self, entry: &Entry, limit: Share) -> Rc<Backend> {
+    fn new_backend(&self, entry: &Entry, limit: Share, idle: IdleTransactions) -> Rc<Backend> {
         Backend::new(
             entry,
             limit,
+            idle,
             self.failure_signal.clone(),
             self.metrics.clone(),
         )
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -17,6 +17,7 @@
     ownership::Peer,
     quota::{loan_term, Decision, Ledger, Tolerance},
     session::Variables,
+    slots::Purpose,
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -308,6 +309,7 @@
         };
         let wanted = request::Request {
             client: Client::Proxy,
+            purpose: Purpose::Statement,
             rank,
             deadline,
         };
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -8,7 +8,9 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::{catalog::Catalog, isolation::Isolation, planner::Planner};
+use dandelionpitch_engine::{
+    catalog::Catalog, isolation::Isolation, planner::Planner, slots::IdleTransactions,
+};
 use tokio::sync::watch;
 
 use crate::{
@@ -47,6 +49,8 @@
     pub failure_signal: FailureSignal,
     pub records: Reader,
     pub quota: Quota,
+    /// How the connections of idle transactions count.
+    pub idle_transactions: IdleTransactions,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
     /// How many callers are connected, plus the statements of other proxies in flight. A graceful
@@ -145,6 +149,7 @@
             service: service.clone(),
             allocation: ownership.allocation,
             has_accounts: view.has_accounts(),
+            idle_transactions: self.idle_transactions,
             is_owned: self.peers.owns(name),
             is_announced: view.peer(&self.id).is_some(),
         });
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -9,6 +9,7 @@
     forwarding::Requirements,
     refusal::{Code, Refusal},
     session::{Effect, Execution},
+    slots::Purpose,
     time::Moment,
 };
 use serde_json::json;
@@ -107,13 +108,14 @@
     }
 
     /// Its request for a connection. The priority is lower than that of status requests.
-    pub fn pool_request(&self) -> Request {
+    pub fn pool_request(&self, purpose: Purpose) -> Request {
         let rank = Rank {
             priority: self.route.priority + 1,
             due: self.arrived + self.route.target,
         };
         Request {
             client: Client::Account(self.account.cloned()),
+            purpose,
             rank,
             deadline: self.deadline(),
         }
--- a/crates/proxy/src/line/traffic/exchange.rs
+++ b/crates/proxy/src/line/traffic/exchange.rs
@@ -3,7 +3,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use dandelionpitch_engine::session::Session;
+use dandelionpitch_engine::{
+    session::{Phase, Session},
+    slots::Purpose,
+};
 use dandelionpitch_platform::backend::{Answer, Condition, State};
 
 use crate::line::{
@@ -83,7 +86,11 @@
     call: &Call<'_>,
     to_proxy: bool,
 ) -> Result<Result<Checkout, Failure>, Error> {
-    let mut request = call.pool_request();
+    let purpose = match session.phase() {
+        Phase::Idle => Purpose::Statement,
+        Phase::Open(_) | Phase::TimedOut | Phase::Failed => Purpose::Transaction,
+    };
+    let mut request = call.pool_request(purpose);
     if to_proxy {
         request.client = Client::Proxy;
     }
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -57,6 +57,7 @@
 
     /// Rolls back in the background and returns the connection to the pool.
     pub fn roll_back(mut self) {
+        self.checkout.resume();
         tokio::task::spawn_local(async move {
             let request = self.checkout.connection().link.query(Query::Rollback);
             if let Ok(Ok(answer)) = tokio::time::timeout(ROLLBACK_TIMEOUT, request).await {
@@ -82,7 +83,10 @@
         return Err(Refusal::new(Code::Aborted, "no transaction is open"));
     };
     let mut current = match pinned.take() {
-        Some(current) => current,
+        Some(mut current) => {
+            current.checkout.resume();
+            current
+        }
         None => match begin(group, session, transaction, call).await {
             Ok(current) => current,
             Err(refusal) => {
@@ -153,7 +157,10 @@
                             session.committed(answer.position);
                         }
                     }
-                    Effect::Read | Effect::Write => *pinned = Some(current),
+                    Effect::Read | Effect::Write => {
+                        current.checkout.pause();
+                        *pinned = Some(current);
+                    }
                 }
                 return Ok(success);
             }
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -14,6 +14,7 @@
 use dandelionpitch_engine::{
     ownership::{Peer, Plan},
     session::Variables,
+    slots::Purpose,
 };
 use dandelionpitch_proxy::{
     line::{
@@ -271,6 +272,7 @@
     };
     let request = Request {
         client: Client::Proxy,
+        purpose: Purpose::Statement,
         rank,
         deadline,
     };
