Metrics and status: running, idle in transaction and waiting, by group

Cause: operators could not tell connections held by pausing callers from running statements. Change: the traffic thread publishes each second, for each group with any load, what this proxy's own connections are used for: gauges connections_running, connections_idle_in_transaction and statements_waiting, and loads in GET /status. Result: an end-to-end test sees two idle transactions in both places.

--- a/crates/e2e/tests/line_transactions.rs
+++ b/crates/e2e/tests/line_transactions.rs
@@ -8,6 +8,7 @@
 };
 
 use fixture::line::{Caller, Site, LATEST};
+use serde_json::json;
 use yare::parameterized;
 
 /// With 2 proxies, one owns the group. It may run 3 statements at a time on each server, and check out 5
@@ -88,6 +89,41 @@
     });
 }
 
+/// Guards against an operator who cannot tell idle transactions from running statements.
+#[tokio::test]
+async fn load_of_connections_is_reported() {
+    let (site, owner) = site("separate").await;
+    let mut transactions = [
+        open_transaction(&site, owner),
+        open_transaction(&site, 1 - owner),
+    ];
+
+    let mut loads = json!([]);
+    for _ in 0..30 {
+        loads = site.status(owner).await["loads"].take();
+        if loads[0]["idle_in_transaction"] == json!(2) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        // Within the idle timeout.
+        for caller in &mut transactions {
+            assert!(caller.query("FETCH a").is_done());
+        }
+    }
+    let text = site.metrics(owner).await;
+
+    let expected =
+        json!([{ "service": "ledger", "running": 0, "idle_in_transaction": 2, "waiting": 0 }]);
+    assert_eq!(loads, expected);
+    for line in [
+        "connections_running{service=\"ledger\"} 0",
+        "connections_idle_in_transaction{service=\"ledger\"} 2",
+        "statements_waiting{service=\"ledger\"} 0",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+}
+
 /// The idle timeout of transactions frees their connections, also for other transactions.
 #[tokio::test]
 async fn timed_out_transactions_free_their_connections() {
--- a/crates/engine/src/slots.rs
+++ b/crates/engine/src/slots.rs
@@ -4,9 +4,9 @@
 //! An idle open transaction holds a connection but does not occupy the server. If such connections
 //! count like running statements, a few pausing callers block all others while the server is idle.
 
-use std::time::Duration;
+use std::{iter::Sum, time::Duration};
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     admission::{self, Queue},
@@ -60,6 +60,27 @@
     pub transaction: Duration,
 }
 
+/// What the connections of one or several pools are used for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Load {
+    /// Connections that run a statement or are being opened.
+    pub running: usize,
+    /// Connections of open transactions whose callers pause.
+    pub idle_in_transaction: usize,
+    /// Statements that wait for a connection.
+    pub waiting: usize,
+}
+
+impl Sum for Load {
+    fn sum<I: Iterator<Item = Self>>(loads: I) -> Self {
+        loads.fold(Self::default(), |total, load| Self {
+            running: total.running + load.running,
+            idle_in_transaction: total.idle_in_transaction + load.idle_in_transaction,
+            waiting: total.waiting + load.waiting,
+        })
+    }
+}
+
 /// The counts of one pool's connections that are checked out. The pool itself keeps the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Slots {
@@ -84,14 +105,13 @@
         self.mode
     }
 
-    /// The connections that run a statement or are being opened.
-    pub fn running(&self) -> usize {
-        self.running
-    }
-
-    /// The connections of transactions whose callers pause.
-    pub fn paused(&self) -> usize {
-        self.paused
+    /// The load of the pool, for which this many statements wait.
+    pub fn load(&self, waiting: usize) -> Load {
+        Load {
+            running: self.running,
+            idle_in_transaction: self.paused,
+            waiting,
+        }
     }
 
     /// All connections that are checked out.
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -11,6 +11,7 @@
 pub mod group;
 pub mod isolation;
 pub mod journal;
+pub mod load;
 pub mod mirror;
 pub mod operator;
 pub mod peers;
@@ -67,6 +68,7 @@
     let stop = stop::Stop::new(line.grace);
     let (publish_isolation, isolation) = watch::channel(Isolation::default());
     let (records, responder) = records::channel();
+    let (publish_loads, loads) = watch::channel(Vec::new());
     let budget = Budget::new(line.config_within);
     let mirror = mirror::Handle::new(budget.max_relay_age);
     let endpoint = operator::Context {
@@ -77,6 +79,7 @@
         stopping: stop.shutdown_token(),
         metrics: metrics.clone(),
         mirror: mirror.clone(),
+        loads,
     };
     let channels = thread::Channels {
         publish,
@@ -112,6 +115,7 @@
     tokio::task::spawn_local(isolation_check);
     tokio::task::spawn_local(shared.clone().apply_views(view));
     tokio::task::spawn_local(quota::run(shared.clone()));
+    tokio::task::spawn_local(load::run(shared.clone(), publish_loads));
     tokio::task::spawn_local(stop::watch_settings(config.clone()));
     if let Some(listener) = peers {
         tokio::task::spawn_local(accept_peers(listener, shared.clone()));
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -20,7 +20,7 @@
     ownership::Share,
     registry::Server,
     session::Variables,
-    slots::{IdleTransactions, Opening, Purpose, Slots, Times},
+    slots::{IdleTransactions, Load, Opening, Purpose, Slots, Times},
     time::Moment,
 };
 use tokio::sync::oneshot;
@@ -43,17 +43,6 @@
 /// The assumed time for which a connection is held, before any connection has been returned.
 const INITIAL_HOLD: Duration = Duration::from_millis(30);
 
-/// What the connections of a pool are used for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Connections that run a statement or are being opened.
-    pub running: usize,
-    /// Connections of open transactions whose callers pause.
-    pub idle_in_transaction: usize,
-    /// Statements that wait for a connection.
-    pub waiting: usize,
-}
-
 /// Why a pool provides no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -196,11 +185,7 @@
     /// What its connections are used for now.
     pub fn load(&self) -> Load {
         let state = self.state.borrow();
-        Load {
-            running: state.slots.running(),
-            idle_in_transaction: state.slots.paused(),
-            waiting: state.waiting.len(),
-        }
+        state.slots.load(state.waiting.len())
     }
 
     /// Whether opening a connection failed recently and no other connection is open.
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -22,7 +22,7 @@
     ownership::{self, Allocation, Limits, Share},
     placement,
     registry::{Entry, Incarnation, Role},
-    slots::IdleTransactions,
+    slots::{IdleTransactions, Load},
     time::Moment,
 };
 use serde_json::json;
@@ -247,6 +247,12 @@
         )
     }
 
+    /// What the connections to all servers are used for now.
+    pub fn load(&self) -> Load {
+        let servers = self.servers.borrow();
+        servers.iter().map(|backend| backend.pool.load()).sum()
+    }
+
     /// All servers.
     pub fn servers(&self) -> Vec<Rc<Backend>> {
         self.servers.borrow().clone()
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    line::{clock, journal, mirror, view::View},
+    line::{clock, journal, load, mirror, view::View},
     metrics::Metrics,
     operator,
 };
@@ -28,6 +28,8 @@
     /// The groups whose statements this proxy runs on connections of its own.
     pub owns: Vec<String>,
     pub servers: Vec<ServerReport>,
+    /// What this proxy's own connections are used for, of the groups that have any load.
+    pub loads: Vec<load::Report>,
     /// The client accounts and their limits, without their keys.
     pub accounts: Vec<AccountReport>,
     /// Where this proxy gets changes of the store, and how stale its copy is.
@@ -65,6 +67,7 @@
     pub stopping: CancellationToken,
     pub metrics: Metrics,
     pub mirror: mirror::Handle,
+    pub loads: watch::Receiver<Vec<load::Report>>,
 }
 
 /// Whether the load balancer should send new callers: a configuration is in force, the process is not
@@ -99,6 +102,7 @@
         members: view.proxy_count,
         owns: owned_groups(&view, context),
         servers: servers.collect(),
+        loads: context.loads.borrow().clone(),
         accounts: accounts(&view),
         changes: context.mirror.report(),
         log_lines_dropped: journal::dropped(),
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -7,6 +7,7 @@
     sync::{Arc, Weak},
 };
 
+use dandelionpitch_engine::slots::Load;
 use opentelemetry::{
     metrics::{Counter, Gauge, Histogram, MeterProvider},
     KeyValue,
@@ -39,6 +40,9 @@
     forwarded: Counter<u64>,
     account_operations: Counter<u64>,
     quota_draws: Counter<u64>,
+    running: Gauge<u64>,
+    idle_in_transaction: Gauge<u64>,
+    waiting: Gauge<u64>,
     log_lines_dropped: Gauge<u64>,
     version: Gauge<u64>,
     changes_age: Gauge<u64>,
@@ -117,6 +121,9 @@
             forwarded: meter.u64_counter("statements_handed_over").build(),
             account_operations: meter.u64_counter("account_operations").build(),
             quota_draws: meter.u64_counter("quota_draws").build(),
+            running: meter.u64_gauge("connections_running").build(),
+            idle_in_transaction: meter.u64_gauge("connections_idle_in_transaction").build(),
+            waiting: meter.u64_gauge("statements_waiting").build(),
             log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
             changes_age: meter.u64_gauge("store_changes_age_ms").build(),
             store_era: meter.u64_gauge("store_era").build(),
@@ -215,6 +222,16 @@
         self.quota_draws.add(1, &[]);
     }
 
+    /// Records what the connections to the servers of `service` are used for. The SDK limits the number
+    /// of series.
+    pub fn load(&self, service: &str, load: Load) {
+        let service = [KeyValue::new("service", service.to_owned())];
+        self.running.record(load.running as u64, &service);
+        self.idle_in_transaction
+            .record(load.idle_in_transaction as u64, &service);
+        self.waiting.record(load.waiting as u64, &service);
+    }
+
     /// Records the total number of log lines dropped because standard output was not read.
     pub fn log_lines_dropped(&self, lines: u64) {
         self.log_lines_dropped.record(lines, &[]);
