Pool: connections opened beside idle transactions are closed once they are not needed

Change: connections above in_use that were not needed for 3 to 6 s are closed, except where client accounts exist. No effect with "counted", which opens none above in_use. The enum of the setting is now slots::Mode. Result: a pool test closes 2 of 4 connections after a burst.

--- a/crates/engine/src/ownership.rs
+++ b/crates/engine/src/ownership.rs
@@ -13,7 +13,7 @@
 
 use dandelionpitch_core::hash;
 
-use crate::{share, slots::IdleTransactions};
+use crate::{share, slots::Mode};
 
 /// Minimum connections of an owner to each server. With fewer, idle open transactions could block
 /// all other statements.
@@ -126,13 +126,13 @@
     /// If each connection can run the statements of only one client account, unused connections stay
     /// open, as opening one occupies the server for longer than many statements. The connections of
     /// idle transactions do not occupy the server, so they may be as many.
-    pub fn share(self, limits: Limits, has_accounts: bool, idle: IdleTransactions) -> Share {
+    pub fn share(self, limits: Limits, has_accounts: bool, idle: Mode) -> Share {
         let in_use = self.connections(limits);
         let kept = share::usable(limits.max_connections) * KEPT_PERCENT / 100;
         let kept = (kept / self.holders()).max(in_use);
         let held = match idle {
-            IdleTransactions::Counted => in_use,
-            IdleTransactions::Separate => kept,
+            Mode::Counted => in_use,
+            Mode::Separate => kept,
         };
         let open = match has_accounts {
             true => kept,
--- a/crates/engine/src/slots.rs
+++ b/crates/engine/src/slots.rs
@@ -16,7 +16,7 @@
 /// How the connections of transactions count while their callers pause.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum IdleTransactions {
+pub enum Mode {
     /// Like those of running statements.
     #[default]
     Counted,
@@ -54,7 +54,7 @@
 /// The mean times for which connections are used.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
-    /// For one statement; with [`IdleTransactions::Counted`], for one statement or transaction.
+    /// For one statement; with [`Mode::Counted`], for one statement or transaction.
     pub statement: Duration,
     /// For a transaction, including its caller's pauses.
     pub transaction: Duration,
@@ -84,7 +84,7 @@
 /// The counts of one pool's connections that are checked out. The pool itself keeps the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Slots {
-    mode: IdleTransactions,
+    mode: Mode,
     running: usize,
     paused: usize,
     /// Those that are checked out for transactions, running or paused.
@@ -93,7 +93,7 @@
 
 impl Slots {
     /// No connection is checked out.
-    pub fn new(mode: IdleTransactions) -> Self {
+    pub fn new(mode: Mode) -> Self {
         Self {
             mode,
             ..Self::default()
@@ -101,7 +101,7 @@
     }
 
     /// How idle transactions count.
-    pub fn mode(&self) -> IdleTransactions {
+    pub fn mode(&self) -> Mode {
         self.mode
     }
 
@@ -122,8 +122,8 @@
     /// The connections that count towards [`Share::in_use`].
     pub fn in_use(&self) -> usize {
         match self.mode {
-            IdleTransactions::Counted => self.held(),
-            IdleTransactions::Separate => self.running,
+            Mode::Counted => self.held(),
+            Mode::Separate => self.running,
         }
     }
 
@@ -158,8 +158,8 @@
     /// Whether another statement may start.
     pub fn may_start(&self, purpose: Purpose, share: Share) -> bool {
         let has_room = match self.mode {
-            IdleTransactions::Counted => true,
-            IdleTransactions::Separate => self.held() < share.held,
+            Mode::Counted => true,
+            Mode::Separate => self.held() < share.held,
         };
         has_room && self.in_use() < share.in_use && !self.is_barred(purpose, share)
     }
@@ -170,16 +170,14 @@
     /// every connection would otherwise block them until a caller commits.
     pub fn is_barred(&self, purpose: Purpose, share: Share) -> bool {
         let limit = share.held.saturating_sub(1).max(1);
-        self.mode == IdleTransactions::Separate
-            && purpose == Purpose::Transaction
-            && self.transactions >= limit
+        self.mode == Mode::Separate && purpose == Purpose::Transaction && self.transactions >= limit
     }
 
     /// Whether only the end of a transaction frees a connection for a statement that cannot start.
     pub fn is_exhausted(&self, purpose: Purpose, share: Share) -> bool {
         let only_transactions = self.transactions == self.held();
         let exhausted = only_transactions && (self.running == 0 || self.held() >= share.held);
-        self.mode == IdleTransactions::Separate && (exhausted || self.is_barred(purpose, share))
+        self.mode == Mode::Separate && (exhausted || self.is_barred(purpose, share))
     }
 
     /// Whether a connection may be opened in addition to those checked out and `idle` others.
@@ -196,7 +194,7 @@
     /// The mean time of a statement does not say when a transaction ends, so that of transactions is
     /// used where only the end of one frees a connection.
     pub fn queue(&self, purpose: Purpose, share: Share, ahead: usize, times: Times) -> Queue {
-        if self.mode == IdleTransactions::Counted {
+        if self.mode == Mode::Counted {
             return Queue {
                 waiting: ahead,
                 connections: self.held(),
@@ -222,8 +220,8 @@
     /// When a caller may retry a statement that was refused after it waited.
     pub fn retry_after(&self, hold: Duration) -> Duration {
         match self.mode {
-            IdleTransactions::Counted => hold,
-            IdleTransactions::Separate => hold.max(admission::MIN_RETRY_AFTER),
+            Mode::Counted => hold,
+            Mode::Separate => hold.max(admission::MIN_RETRY_AFTER),
         }
     }
 }
--- a/crates/engine/tests/slots.rs
+++ b/crates/engine/tests/slots.rs
@@ -6,12 +6,12 @@
 use dandelionpitch_engine::{
     admission::{self, Decision, Mean},
     ownership::{Allocation, Limits, Share},
-    slots::{IdleTransactions, Opening, Phase, Purpose, Slots, Times},
+    slots::{Mode, Opening, Phase, Purpose, Slots, Times},
 };
 use proptest::prelude::*;
 use yare::parameterized;
 
-use IdleTransactions::{Counted, Separate};
+use Mode::{Counted, Separate};
 use Purpose::{Statement, Transaction};
 
 /// The time that every statement takes at the server, in milliseconds.
@@ -23,7 +23,7 @@
 const TARGET: Duration = Duration::from_millis(120);
 
 /// One of six owners of a group whose servers have 4 slots and accept 73 connections.
-fn owner_share(mode: IdleTransactions) -> Share {
+fn owner_share(mode: Mode) -> Share {
     let limits = Limits {
         max_connections: 73,
         slots: 4,
@@ -65,7 +65,7 @@
 }
 
 impl Load {
-    fn new(mode: IdleTransactions) -> Self {
+    fn new(mode: Mode) -> Self {
         Self {
             slots: Slots::new(mode),
             share: owner_share(mode),
@@ -184,7 +184,7 @@
     counted = { Counted, 0, 280 },
     separate = { Separate, 550, 556 },
 )]
-fn pausing_transactions_do_not_block_statements(mode: IdleTransactions, min: usize, max: usize) {
+fn pausing_transactions_do_not_block_statements(mode: Mode, min: usize, max: usize) {
     let load = Load::new(mode).run();
 
     let outcome = (load.on_time, load.late, load.refused);
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::{quota::Tolerance, slots::IdleTransactions};
+use dandelionpitch_engine::{quota::Tolerance, slots::Mode};
 use serde::Deserialize;
 
 use crate::error::Error;
@@ -98,7 +98,7 @@
     /// Whether the connections of transactions count like those of running statements while their
     /// callers pause, or separately.
     #[serde(default)]
-    pub idle_transactions: IdleTransactions,
+    pub idle_transactions: Mode,
 }
 
 impl Line {
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -21,7 +21,7 @@
     registry::{Entry, Server},
     restart::Detector,
     session::Variables,
-    slots::{IdleTransactions, Purpose},
+    slots::{Mode, Purpose},
     takeover::Status,
     time::Moment,
 };
@@ -102,7 +102,7 @@
     pub fn new(
         entry: &Entry,
         limit: Share,
-        idle_transactions: IdleTransactions,
+        idle_transactions: Mode,
         failure_signal: FailureSignal,
         metrics: Metrics,
     ) -> Rc<Self> {
@@ -123,7 +123,7 @@
     pub fn peer(entry: &Entry, limit: usize, metrics: Metrics) -> Rc<Self> {
         let limit = Share::from(limit);
         let server = entry.server.clone();
-        let counted = IdleTransactions::Counted;
+        let counted = Mode::Counted;
         let pool = Pool::new(server, limit, counted, PEER_CONNECT_TIMEOUT, metrics);
         Self::with_pool(
             entry,
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -20,7 +20,7 @@
     ownership::Share,
     registry::Server,
     session::Variables,
-    slots::{IdleTransactions, Load, Opening, Purpose, Slots, Times},
+    slots::{Load, Mode, Opening, Purpose, Slots, Times},
     time::Moment,
 };
 use tokio::sync::oneshot;
@@ -134,7 +134,7 @@
     pub fn new(
         server: Arc<Server>,
         limit: Share,
-        idle_transactions: IdleTransactions,
+        idle_transactions: Mode,
         connect_timeout: Duration,
         metrics: Metrics,
     ) -> Rc<Self> {
--- a/crates/proxy/src/line/backend/pool/checkout.rs
+++ b/crates/proxy/src/line/backend/pool/checkout.rs
@@ -5,7 +5,7 @@
 
 use dandelionpitch_engine::{
     registry::Server,
-    slots::{IdleTransactions, Phase, Purpose},
+    slots::{Mode, Phase, Purpose},
     time::Moment,
 };
 
@@ -111,7 +111,7 @@
             state.slots.pause();
             state.slots.mode()
         };
-        if mode == IdleTransactions::Separate {
+        if mode == Mode::Separate {
             record(&self.pool.hold, self.running_since);
             self.pool.serve_beside_paused();
         }
@@ -152,11 +152,11 @@
     fn record_times(&self) {
         let mode = self.pool.state.borrow().slots.mode();
         match (mode, self.phase) {
-            (IdleTransactions::Counted, _) => record(&self.pool.hold, self.checked_out_at),
-            (IdleTransactions::Separate, Phase::Running) => {
+            (Mode::Counted, _) => record(&self.pool.hold, self.checked_out_at),
+            (Mode::Separate, Phase::Running) => {
                 record(&self.pool.hold, self.running_since);
             }
-            (IdleTransactions::Separate, Phase::Paused) => {}
+            (Mode::Separate, Phase::Paused) => {}
         }
         if self.purpose == Purpose::Transaction {
             record(&self.pool.transaction, self.checked_out_at);
--- a/crates/proxy/src/line/backend/pool/queue.rs
+++ b/crates/proxy/src/line/backend/pool/queue.rs
@@ -5,7 +5,7 @@
 use dandelionpitch_engine::{
     admission::{self, Decision, Queued, Selection},
     session::Variables,
-    slots::{IdleTransactions, Purpose},
+    slots::{Mode, Purpose},
 };
 use tokio::sync::oneshot;
 
@@ -97,7 +97,7 @@
     /// statement stopped waiting.
     pub(super) fn replace_unused_permit(self: &Rc<Self>) {
         let mode = self.state.borrow().slots.mode();
-        if mode == IdleTransactions::Separate {
+        if mode == Mode::Separate {
             self.serve_beside_paused();
         }
         self.fail_waiting_if_unused();
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -22,7 +22,7 @@
     ownership::{self, Allocation, Limits, Share},
     placement,
     registry::{Entry, Incarnation, Role},
-    slots::{IdleTransactions, Load},
+    slots::{Load, Mode},
     time::Moment,
 };
 use serde_json::json;
@@ -58,7 +58,7 @@
     /// Whether callers have client accounts.
     pub has_accounts: bool,
     /// How the connections of idle transactions count.
-    pub idle_transactions: IdleTransactions,
+    pub idle_transactions: Mode,
     /// Whether this proxy runs the group's statements on its own connections.
     pub is_owned: bool,
     /// Whether this proxy has read its own entry from the store, so that others know of it.
@@ -229,15 +229,22 @@
         })
     }
 
-    /// Closes idle connections if other proxies own the group.
-    pub fn close_idle_if_not_owned(&self) {
-        if !self.owned.get() {
-            let servers = self.servers.borrow();
-            servers.iter().for_each(|backend| backend.pool.close_idle());
+    /// Closes idle connections if other proxies own the group, and otherwise those that are no longer
+    /// needed beside idle transactions, as a server refuses connections of new owners above its limit.
+    /// Those of different client accounts stay open.
+    pub fn close_spare_connections(&self) {
+        let has_accounts =
+            (self.applied.borrow().as_ref()).is_some_and(|inputs| inputs.has_accounts);
+        for backend in self.servers.borrow().iter() {
+            match (self.owned.get(), has_accounts) {
+                (false, _) => backend.pool.close_idle(),
+                (true, false) => backend.pool.shrink(backend.pool.limit()),
+                (true, true) => {}
+            }
         }
     }
 
-    fn new_backend(&self, entry: &Entry, limit: Share, idle: IdleTransactions) -> Rc<Backend> {
+    fn new_backend(&self, entry: &Entry, limit: Share, idle: Mode) -> Rc<Backend> {
         Backend::new(
             entry,
             limit,
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -9,7 +9,7 @@
 };
 
 use dandelionpitch_engine::{
-    catalog::Catalog, isolation::Isolation, planner::Planner, slots::IdleTransactions,
+    catalog::Catalog, isolation::Isolation, planner::Planner, slots::Mode,
 };
 use tokio::sync::watch;
 
@@ -30,7 +30,8 @@
 };
 
 /// How often idle connections are closed: those to servers of groups that this proxy does not own, opened
-/// while the owners were unreachable, and surplus ones to other proxies.
+/// while the owners were unreachable, those opened beside idle transactions, and surplus ones to other
+/// proxies.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_secs(3);
 
 /// The state shared by all sessions on the traffic thread.
@@ -50,7 +51,7 @@
     pub records: Reader,
     pub quota: Quota,
     /// How the connections of idle transactions count.
-    pub idle_transactions: IdleTransactions,
+    pub idle_transactions: Mode,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
     /// How many callers are connected, plus the statements of other proxies in flight. A graceful
@@ -111,7 +112,7 @@
                     Err(_) => return,
                 },
                 _ = close_idle.tick() => {
-                    self.groups.borrow().values().for_each(|group| group.close_idle_if_not_owned());
+                    self.groups.borrow().values().for_each(|group| group.close_spare_connections());
                     self.peers.close_spare_connections();
                     self.peers.close_departed();
                 }
--- a/crates/proxy/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -14,7 +14,7 @@
     ownership::Share,
     registry::{Incarnation, Role, Server},
     session::Variables,
-    slots::{IdleTransactions, Load, Purpose},
+    slots::{Load, Mode, Purpose},
 };
 use dandelionpitch_proxy::{
     line::{
@@ -29,7 +29,7 @@
 use tokio::time::timeout;
 use yare::parameterized;
 
-use IdleTransactions::{Counted, Separate};
+use Mode::{Counted, Separate};
 use Purpose::{Statement, Transaction};
 
 const TARGET: Duration = Duration::from_millis(100);
@@ -50,7 +50,7 @@
 }
 
 /// A pool on which two statements may run; with separate counts, four connections may be checked out.
-fn pool(mode: IdleTransactions) -> Rc<Pool> {
+fn pool(mode: Mode) -> Rc<Pool> {
     let server = Server {
         incarnation: Incarnation::from("server-1"),
         service: "ledger".to_owned(),
@@ -112,7 +112,7 @@
 /// Statements were refused although the server was idle, because pausing transactions held all
 /// connections.
 #[parameterized(counted = { Counted, false }, separate = { Separate, true })]
-fn statement_starts_beside_idle_transactions(mode: IdleTransactions, expected: bool) {
+fn statement_starts_beside_idle_transactions(mode: Mode, expected: bool) {
     run(async {
         let pool = pool(mode);
         let transactions = [paused(&pool).await, paused(&pool).await];
@@ -222,6 +222,28 @@
     }
 }
 
+/// Guards against using up the connections that a server has left for new owners: those opened beside
+/// idle transactions are closed once they are no longer needed.
+#[test]
+fn connections_beside_idle_transactions_are_closed_later() {
+    run(async {
+        let pool = pool(Separate);
+        let mut checkouts = Vec::new();
+        for _ in 0..3 {
+            checkouts.push(paused(&pool).await);
+        }
+        checkouts.push(started(&pool, Statement).await);
+        checkouts.into_iter().for_each(Checkout::release);
+        let after_burst = pool.open_connections();
+
+        for _ in 0..2 {
+            pool.shrink(pool.limit());
+        }
+
+        assert_eq!((after_burst, pool.open_connections()), (4, 2));
+    });
+}
+
 /// A statement may stop waiting after a connection was granted to it, or before. In both cases the next
 /// statement must get the connection.
 #[parameterized(after = { true }, before = { false })]
@@ -256,7 +278,7 @@
 /// Callers' pauses must not count towards the expected wait: a statement was refused although a
 /// connection became free within milliseconds.
 #[parameterized(counted = { Counted, false }, separate = { Separate, true })]
-fn pauses_do_not_count_towards_the_expected_wait(mode: IdleTransactions, expected: bool) {
+fn pauses_do_not_count_towards_the_expected_wait(mode: Mode, expected: bool) {
     run(async {
         let pool = pool(mode);
         for _ in 0..4 {
--- a/crates/proxy/tests/settings.rs
+++ b/crates/proxy/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the line protocol.
 
-use dandelionpitch_engine::slots::IdleTransactions;
+use dandelionpitch_engine::slots::Mode;
 use dandelionpitch_proxy::{
     config::{Config, DEFAULT_SETTINGS},
     error::Error,
@@ -15,11 +15,11 @@
 
 /// Without the setting, idle transactions count as they did before it existed.
 #[parameterized(
-    not_set = { "", IdleTransactions::Counted },
-    counted = { "idle_transactions = \"counted\"", IdleTransactions::Counted },
-    separate = { "idle_transactions = \"separate\"", IdleTransactions::Separate },
+    not_set = { "", Mode::Counted },
+    counted = { "idle_transactions = \"counted\"", Mode::Counted },
+    separate = { "idle_transactions = \"separate\"", Mode::Separate },
 )]
-fn idle_transactions_are_counted_unless_set(line: &str, expected: IdleTransactions) {
+fn idle_transactions_are_counted_unless_set(line: &str, expected: Mode) {
     let config = parse(line).unwrap_or_else(|error| panic!("{error}"));
 
     let settings = config.line.expect("a section for the line protocol");
