e2e: each site of the transaction tests has a name of its own

Cause: three tests started sites with the same name in one process. Change: the name is a parameter.

--- a/crates/e2e/tests/line_transactions.rs
+++ b/crates/e2e/tests/line_transactions.rs
@@ -21,11 +21,10 @@
 /// The number of single statements that are sent at the same time.
 const STATEMENTS: usize = 8;
 
-/// A site with a setting for idle transactions, and the index of its owner.
-async fn site(idle_transactions: &str) -> (Site, usize) {
+/// A site with a setting for idle transactions, and the index of its owner. The name must be unique.
+async fn site(name: &str, idle_transactions: &str) -> (Site, usize) {
     let settings = format!("idle_transactions = \"{idle_transactions}\"\n");
-    let name = format!("idle-{idle_transactions}");
-    let site = Site::start_with_settings(&name, 2, MAX_CONNECTIONS, &settings).await;
+    let site = Site::start_with_settings(name, 2, MAX_CONNECTIONS, &settings).await;
     let owner = site.wait_for_owners(1).await[0];
     assert!(site.caller(owner, LATEST).query("PUT a one").is_done());
     (site, owner)
@@ -67,7 +66,7 @@
 ) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
-        let (site, owner) = site(idle_transactions).await;
+        let (site, owner) = site(idle_transactions, idle_transactions).await;
         let mut transactions = [
             open_transaction(&site, owner),
             open_transaction(&site, 1 - owner),
@@ -92,7 +91,7 @@
 /// Guards against an operator who cannot tell idle transactions from running statements.
 #[tokio::test]
 async fn load_of_connections_is_reported() {
-    let (site, owner) = site("separate").await;
+    let (site, owner) = site("idle-load", "separate").await;
     let mut transactions = [
         open_transaction(&site, owner),
         open_transaction(&site, 1 - owner),
@@ -127,7 +126,7 @@
 /// The idle timeout of transactions frees their connections, also for other transactions.
 #[tokio::test]
 async fn timed_out_transactions_free_their_connections() {
-    let (site, owner) = site("separate").await;
+    let (site, owner) = site("idle-timeout", "separate").await;
     let mut transactions: Vec<Caller> = (0..4).map(|_| open_transaction(&site, owner)).collect();
 
     // The fixture's configuration sets an idle timeout of 700 ms.
