--- a/crates/e2e/tests/line_replica_lag.rs
+++ b/crates/e2e/tests/line_replica_lag.rs
@@ -10,6 +10,9 @@
 /// read requires.
 const LAG_MS: &str = "3000";
 
+/// The connections that each server accepts.
+const MAX_CONNECTIONS: usize = 30;
+
 /// How long a session writes and reads.
 const RUN_TIME: Duration = Duration::from_secs(4);
 
@@ -30,7 +33,8 @@
 /// Writes and reads alternately for [`RUN_TIME`]. Every read must see its write, from the primary. Returns
 /// the number of reads and of attempts that replicas refused.
 async fn write_and_read(name: &str, settings: &str) -> (Site, u64, u64) {
-    let site = Site::start_with_settings(name, 1, settings, &["--lag-ms", LAG_MS]).await;
+    let site =
+        Site::start_with_settings(name, 1, MAX_CONNECTIONS, settings, &["--lag-ms", LAG_MS]).await;
     let mut caller = site.caller(0, SESSION);
     let mut reads = 0;
     let started = Instant::now();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod roster;
 pub mod session;
 pub mod share;
+pub mod slots;
 pub mod startup;
 pub mod statement;
 pub mod takeover;
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::quota::Tolerance;
+use dandelionpitch_engine::{quota::Tolerance, slots::Mode};
 use serde::Deserialize;
 
 use crate::error::Error;
@@ -111,6 +111,10 @@
     /// How replicas that lack the log position of a read are avoided.
     #[serde(default)]
     pub replica_lag: ReplicaLag,
+    /// Whether the connections of transactions count like those of running statements while their
+    /// callers pause, or separately.
+    #[serde(default)]
+    pub idle_transactions: Mode,
 }
 
 impl Line {
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -12,6 +12,7 @@
 pub mod group;
 pub mod isolation;
 pub mod journal;
+pub mod load;
 pub mod mirror;
 pub mod operator;
 pub mod peers;
@@ -69,6 +70,7 @@
     let stop = stop::Stop::new(line.grace);
     let (publish_isolation, isolation) = watch::channel(Isolation::default());
     let (records, responder) = records::channel();
+    let (publish_loads, loads) = watch::channel(Vec::new());
     let budget = Budget::new(line.config_within);
     let mirror = mirror::Handle::new(budget.max_relay_age);
     let endpoint = operator::Context {
@@ -79,6 +81,7 @@
         stopping: stop.shutdown_token(),
         metrics: metrics.clone(),
         mirror: mirror.clone(),
+        loads,
     };
     let channels = thread::Channels {
         publish,
@@ -110,6 +113,7 @@
         records,
         replica_lag: line.replica_lag,
         quota: quota::Quota::new(&config.id, line.tolerance(), line.quota_shortage),
+        idle_transactions: line.idle_transactions,
         mirror,
         open_count: Rc::default(),
     });
@@ -117,6 +121,7 @@
     tokio::task::spawn_local(isolation_check);
     tokio::task::spawn_local(shared.clone().apply_views(view));
     tokio::task::spawn_local(quota::run(shared.clone()));
+    tokio::task::spawn_local(load::run(shared.clone(), publish_loads));
     tokio::task::spawn_local(stop::watch_settings(config.clone()));
     if let Some(listener) = peers {
         tokio::task::spawn_local(accept_peers(listener, shared.clone()));
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -23,6 +23,7 @@
     ownership::{self, Allocation, Limits, Share},
     placement,
     registry::{Entry, Incarnation, Role},
+    slots::{Load, Mode},
     time::Moment,
 };
 use serde_json::json;
@@ -32,7 +33,7 @@
 use crate::{
     config::ReplicaLag,
     line::{
-        backend::{pool::Client, Backend},
+        backend::{request::Client, Backend},
         journal,
         reachability::FailureSignal,
         records::Reader,
@@ -58,6 +59,8 @@
     pub allocation: Allocation,
     /// Whether callers have client accounts.
     pub has_accounts: bool,
+    /// How the connections of idle transactions count.
+    pub idle_transactions: Mode,
     /// Whether this proxy runs the group's statements on its own connections.
     pub is_owned: bool,
     /// Whether this proxy has read its own entry from the store, so that others know of it.
@@ -72,7 +75,10 @@
             slots: entry.server.slots,
         };
         match self.is_owned {
-            true => self.allocation.share(limits, self.has_accounts),
+            true => {
+                let idle = self.idle_transactions;
+                self.allocation.share(limits, self.has_accounts, idle)
+            }
             false => Share::from(ownership::NON_OWNER_CONNECTIONS),
         }
     }
@@ -201,7 +207,7 @@
                 }
                 None => {
                     changed = true;
-                    servers.push(self.new_backend(entry, limit));
+                    servers.push(self.new_backend(entry, limit, inputs.idle_transactions));
                 }
             }
         }
@@ -228,23 +234,37 @@
         })
     }
 
-    /// Closes idle connections if other proxies own the group.
-    pub fn close_idle_if_not_owned(&self) {
-        if !self.owned.get() {
-            let servers = self.servers.borrow();
-            servers.iter().for_each(|backend| backend.pool.close_idle());
+    /// Closes idle connections if other proxies own the group, and otherwise those that are no longer
+    /// needed beside idle transactions, as a server refuses connections of new owners above its limit.
+    /// Those of different client accounts stay open.
+    pub fn close_spare_connections(&self) {
+        let has_accounts =
+            (self.applied.borrow().as_ref()).is_some_and(|inputs| inputs.has_accounts);
+        for backend in self.servers.borrow().iter() {
+            match (self.owned.get(), has_accounts) {
+                (false, _) => backend.pool.close_idle(),
+                (true, false) => backend.pool.shrink(backend.pool.limit()),
+                (true, true) => {}
+            }
         }
     }
 
-    fn new_backend(&self, entry: &Entry, limit: Share) -> Rc<Backend> {
+    fn new_backend(&self, entry: &Entry, limit: Share, idle: Mode) -> Rc<Backend> {
         Backend::new(
             entry,
             limit,
+            idle,
             self.failure_signal.clone(),
             self.metrics.clone(),
         )
     }
 
+    /// What the connections to all servers are used for now.
+    pub fn load(&self) -> Load {
+        let servers = self.servers.borrow();
+        servers.iter().map(|backend| backend.pool.load()).sum()
+    }
+
     /// All servers.
     pub fn servers(&self) -> Vec<Rc<Backend>> {
         self.servers.borrow().clone()
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -17,6 +17,7 @@
     ownership::Peer,
     quota::{loan_term, Decision, Ledger, Remedy, Tolerance, Urgency},
     session::Variables,
+    slots::Purpose,
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -31,7 +32,7 @@
     config::QuotaShortage,
     line::{
         backend::{
-            pool::{self, Client, Rank},
+            request::{self, Client, Rank},
             Backend,
         },
         clock, journal,
@@ -358,8 +359,9 @@
             priority: 0,
             due: deadline,
         };
-        let wanted = pool::Request {
+        let wanted = request::Request {
             client: Client::Proxy,
+            purpose: Purpose::Statement,
             rank,
             deadline,
         };
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -9,7 +9,7 @@
 };
 
 use dandelionpitch_engine::{
-    catalog::Catalog, isolation::Isolation, planner::Planner, startup, time::Moment,
+    catalog::Catalog, isolation::Isolation, planner::Planner, slots::Mode, startup, time::Moment,
 };
 use tokio::sync::watch;
 
@@ -32,7 +32,8 @@
 };
 
 /// How often idle connections are closed: those to servers of groups that this proxy does not own, opened
-/// while the owners were unreachable, and surplus ones to other proxies.
+/// while the owners were unreachable, those opened beside idle transactions, and surplus ones to other
+/// proxies.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_secs(3);
 
 /// The state shared by all sessions on the traffic thread.
@@ -57,6 +58,8 @@
     pub replica_lag: ReplicaLag,
     pub quota: Quota,
     pub breakers: Breakers,
+    /// How the connections of idle transactions count.
+    pub idle_transactions: Mode,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
     /// How many callers are connected, plus the statements of other proxies in flight. A graceful
@@ -118,7 +121,7 @@
                     Err(_) => return,
                 },
                 _ = close_idle.tick() => {
-                    self.groups.borrow().values().for_each(|group| group.close_idle_if_not_owned());
+                    self.groups.borrow().values().for_each(|group| group.close_spare_connections());
                     self.peers.close_spare_connections();
                     self.peers.close_departed();
                 }
@@ -156,6 +159,7 @@
             service: service.clone(),
             allocation: ownership.allocation,
             has_accounts: view.has_accounts(),
+            idle_transactions: self.idle_transactions,
             is_owned: self.peers.owns(name),
             is_announced: view.peer(&self.id).is_some(),
         });
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -9,6 +9,7 @@
     forwarding::Requirements,
     refusal::{Code, Refusal},
     session::{Effect, Execution},
+    slots::Purpose,
     time::Moment,
 };
 use serde_json::json;
@@ -17,7 +18,8 @@
     line::{
         backend::{
             connection::Statement,
-            pool::{Client, Error, Rank, Request},
+            pool::Error,
+            request::{Client, Rank, Request},
             Backend,
         },
         clock,
@@ -111,13 +113,14 @@
     }
 
     /// Its request for a connection. The priority is lower than that of status requests.
-    pub fn pool_request(&self) -> Request {
+    pub fn pool_request(&self, purpose: Purpose) -> Request {
         let rank = Rank {
             priority: self.route.priority + 1,
             due: self.due(),
         };
         Request {
             client: Client::Account(self.account.cloned()),
+            purpose,
             rank,
             deadline: self.deadline(),
         }
--- a/crates/proxy/tests/peers.rs
+++ b/crates/proxy/tests/peers.rs
@@ -14,11 +14,13 @@
 use dandelionpitch_engine::{
     ownership::{Peer, Plan},
     session::Variables,
+    slots::Purpose,
 };
 use dandelionpitch_proxy::{
     line::{
         backend::{
-            pool::{checkout::Checkout, Client, Rank, Request},
+            pool::checkout::Checkout,
+            request::{Client, Rank, Request},
             Backend,
         },
         clock,
@@ -270,6 +272,7 @@
     };
     let request = Request {
         client: Client::Proxy,
+        purpose: Purpose::Statement,
         rank,
         deadline,
     };
