A quorum's watermark below the primary's last position is accepted

Cause: `Watermarks::note` dropped a quorum's watermark if it was below the last known end of the primary's log in the same term. That end may include commits that no replica received and nobody was told of, so all reads were refused from the crash of a primary until the next promotion.

Change: `note_quorum` adds such a watermark and drops those that it replaces (requested no later, and not lower). The newest position that the primary itself reported is kept apart for the test for a lost log and for the position that linearizable reads require. The watermarks stay ordered by time and position, so `floor` and `newest` are unchanged; a late answer no longer drops a newer watermark.

--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -37,10 +37,13 @@
     pub position: Position,
 }
 
-/// The watermarks of one group, oldest first.
+/// The watermarks of one group, oldest first: a later one has a higher position.
 #[derive(Clone, Debug, Default)]
 pub struct Watermarks {
     marks: VecDeque<Watermark>,
+    /// The newest watermark that a primary reported. Kept when a quorum's lower watermark replaces
+    /// it, as only a primary that lost its log reports a lower position within the term.
+    reported: Option<Watermark>,
     /// The end of the primary's log when it last reported that it leads.
     leader_position: Option<Position>,
 }
@@ -48,21 +51,42 @@
 impl Watermarks {
     /// Adds a position of the primary's log that was requested while its lease was valid.
     ///
-    /// A later term drops the earlier watermarks: the old primary's log may have ended in entries
-    /// that were rolled back, which no server will ever have again. A lower position within a term
-    /// comes from a primary that restarted with an empty log, and reads would miss commits.
+    /// A lower position within a term comes from a primary that restarted with an empty log, and
+    /// reads would miss commits.
     pub fn note(&mut self, mark: Watermark) {
-        if let Some(last) = self.marks.back().copied() {
-            let lower = mark.position < last.position && mark.asked >= last.asked;
-            if lower || mark.position.term < last.position.term {
-                return;
-            }
-            if mark.position.term > last.position.term {
-                self.marks.clear();
-            }
+        let known = self.position_before(mark.asked);
+        if known.is_some_and(|known| mark.position < known) {
+            return;
+        }
+        if self.reported.is_none_or(|last| last.asked <= mark.asked) {
+            self.reported = Some(mark);
+        }
+        self.insert(mark);
+    }
+
+    /// Adds a watermark that a quorum of the voters proves ([`quorum_watermark`]).
+    ///
+    /// It may be lower than the position that the primary reported before: the end of a primary's
+    /// log includes commits that no replica has received, and nobody was told of those. Reads that
+    /// required them would be refused by all replicas while the primary is down.
+    pub fn note_quorum(&mut self, mark: Watermark) {
+        self.insert(mark);
+    }
+
+    /// Inserts a watermark and drops those that it replaces: requested no later, and not lower.
+    ///
+    /// A later term drops all earlier watermarks: the old primary's log may have ended in entries
+    /// that were rolled back, which no server will ever have again.
+    fn insert(&mut self, mark: Watermark) {
+        let last_term = self.marks.back().map(|last| last.position.term);
+        if last_term.is_some_and(|term| mark.position.term < term) {
+            return;
+        }
+        if last_term.is_some_and(|term| mark.position.term > term) {
+            self.marks.clear();
         }
         self.marks
-            .retain(|old| old.asked < mark.asked || old.position <= mark.position);
+            .retain(|old| old.asked > mark.asked || old.position < mark.position);
         let second_last = self.marks.len().checked_sub(2).map(|i| self.marks[i]);
         if second_last.is_some_and(|before| mark.asked.since(before.asked) < MIN_SPACING) {
             self.marks.pop_back();
@@ -91,11 +115,23 @@
     /// A primary that restarts under its id with an empty log keeps its lease, as no other server
     /// leads. Its linearizable reads would miss every commit if they did not require this position.
     pub fn newest_position(&self) -> Option<Position> {
-        self.newest()
+        let known = [self.newest(), self.reported].into_iter().flatten();
+        known
             .map(|mark| mark.position)
+            .max()
             .max(self.leader_position)
     }
 
+    /// The newest position that the primary's log is known to have had when asked at `asked`. The
+    /// logs of its replicas are prefixes of its own, so a quorum's position counts as well.
+    pub fn position_before(&self, asked: Moment) -> Option<Position> {
+        let known = [self.newest(), self.reported].into_iter().flatten();
+        known
+            .filter(|mark| mark.asked <= asked)
+            .map(|mark| mark.position)
+            .max()
+    }
+
     /// The newest watermark.
     pub fn newest(&self) -> Option<Watermark> {
         self.marks.back().copied()
--- a/crates/proxy/src/line/group/freshness.rs
+++ b/crates/proxy/src/line/group/freshness.rs
@@ -146,9 +146,8 @@
         let (true, Some(position)) = (Rc::ptr_eq(&leader.backend, backend), position) else {
             return true;
         };
-        let lost_log = self
-            .newest_position_before(asked)
-            .is_some_and(|newest| position < newest);
+        let known = self.watermarks.borrow().position_before(asked);
+        let lost_log = known.is_some_and(|known| position < known);
         if position.term > leader.term || lost_log {
             self.clear_leader(backend);
             return false;
@@ -157,14 +156,6 @@
         true
     }
 
-    /// The newest known position of the primary's log that was requested no later than `asked`.
-    fn newest_position_before(&self, asked: Moment) -> Option<Position> {
-        let newest = self.watermarks.borrow().newest();
-        newest
-            .filter(|watermark| watermark.asked <= asked)
-            .map(|watermark| watermark.position)
-    }
-
     /// The position that a primary's log must have reached to run a linearizable read.
     pub fn newest_position(&self) -> Option<Position> {
         self.watermarks.borrow().newest_position()
@@ -264,7 +255,7 @@
         if let Some(watermark) =
             freshness::quorum_watermark(asked, &received, voter_count, sync_replicas)
         {
-            self.watermarks.borrow_mut().note(watermark);
+            self.watermarks.borrow_mut().note_quorum(watermark);
         }
     }
 }
