Linearizable reads use a quorum while no primary is proved to lead

Cause: a linearizable read ran only on a primary that is proved to lead, so all of them were refused from a crash until the promotion took effect. Reads with a staleness bound waited for the whole search, including its time-out for the dead primary.

Change: - engine::quorum decides what the answers of one round prove. A linearizable read, or the first of a read-only transaction, may run AFTER a quorum's position if the requests were sent and the group's record was read after the read arrived. The list in the view does not suffice: a server added since may have confirmed a commit alone. Answers count only once a restart before the first status would have been registered. - Answers of a search count as they arrive; all waiting reads share one search, one every 150 ms from start to start.

--- a/crates/engine/src/freshness.rs
+++ b/crates/engine/src/freshness.rs
@@ -7,7 +7,7 @@
 
 use dandelionpitch_core::position::Position;
 
-use crate::{registry::Role, takeover::Status, time::Moment};
+use crate::{commit::Membership, registry::Role, takeover::Status, time::Moment};
 
 /// How long a replica's confirmation that it follows the primary is valid, from the time of the
 /// request.
@@ -69,8 +69,15 @@
     /// It may be lower than the position that the primary reported before: the end of a primary's
     /// log includes commits that no replica has received, and nobody was told of those. Reads that
     /// required them would be refused by all replicas while the primary is down.
-    pub fn note_quorum(&mut self, mark: Watermark) {
-        self.insert(mark);
+    ///
+    /// Only a current list of voters may lower the position: a voter that is not on an older list
+    /// may have confirmed a commit that the others lack.
+    pub fn note_quorum(&mut self, mark: Watermark, membership: Membership) {
+        let known = self.position_before(mark.asked);
+        let is_lower = known.is_some_and(|known| mark.position < known);
+        if membership == Membership::Current || !is_lower {
+            self.insert(mark);
+        }
     }
 
     /// Inserts a watermark and drops those that it replaces: requested no later, and not lower.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pace;
 pub mod placement;
 pub mod planner;
+pub mod quorum;
 pub mod quota;
 pub mod refusal;
 pub mod registry;
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -1,6 +1,7 @@
 //! Detects statuses that come from another incarnation of a server than the registered one.
 
 use crate::{
+    registry::MISSING_TIMEOUT,
     takeover::{has_restarted, Status},
     time::Moment,
 };
@@ -14,6 +15,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Detector {
     last: Option<(Status, Moment)>,
+    /// When the first status was received.
+    first: Option<Moment>,
 }
 
 impl Detector {
@@ -27,6 +30,18 @@
             return false;
         }
         self.last = Some((*status, now));
+        self.first = self.first.or(Some(now));
         true
     }
+
+    /// Whether the first status was from the registered incarnation, given a list of registrations
+    /// that has every change up to `synced_until`.
+    ///
+    /// Without an earlier status a restart cannot be detected. But a server registers within about
+    /// two seconds of its start, so one that had restarted before the first status would be listed
+    /// by then.
+    pub fn is_established(&self, synced_until: Moment) -> bool {
+        self.first
+            .is_some_and(|first| first + MISSING_TIMEOUT <= synced_until)
+    }
 }
--- a/crates/engine/tests/quorum_reads.rs
+++ b/crates/engine/tests/quorum_reads.rs
@@ -5,9 +5,16 @@
 
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
+    commit::Membership,
     freshness::{Watermark, Watermarks},
+    quorum::{Round, Voters},
+    registry::{Incarnation, Role, MISSING_TIMEOUT},
+    restart::Detector,
+    roster::LIST_VALIDITY,
+    takeover::Status,
     time::Moment,
 };
+use yare::parameterized;
 
 fn at(millis: u64) -> Moment {
     Moment::from_boot(Duration::from_millis(100_000 + millis))
@@ -31,7 +38,7 @@
     for (millis, lsn) in [(0, 10), (100, 20), (200, 30)] {
         watermarks.note(watermark(millis, lsn));
     }
-    watermarks.note_quorum(watermark(300, 10));
+    watermarks.note_quorum(watermark(300, 10), Membership::Current);
     watermarks
 }
 
@@ -91,7 +98,130 @@
     };
     watermarks.note(promoted);
 
-    watermarks.note_quorum(watermark(100, 40));
+    watermarks.note_quorum(watermark(100, 40), Membership::Current);
 
     assert_eq!(watermarks.newest(), Some(promoted));
 }
+
+/// A voter that is not on an old list may have confirmed commits up to the position that the primary
+/// reported. Guards against reads that miss them.
+#[test]
+fn stale_list_does_not_lower_the_position() {
+    let mut watermarks = Watermarks::default();
+    watermarks.note(watermark(200, 30));
+
+    watermarks.note_quorum(watermark(300, 10), Membership::Stale);
+
+    assert_eq!(watermarks.newest(), Some(watermark(200, 30)));
+}
+
+fn members() -> Vec<Incarnation> {
+    ["primary@1", "replica@1", "lagging@1"]
+        .map(Incarnation::from)
+        .into()
+}
+
+fn status(lsn: u64) -> Status {
+    Status {
+        role: Role::Replica,
+        term: 1,
+        received: position(lsn),
+        held: 0,
+    }
+}
+
+/// A round at 300 in which the replicas answered, one of them with all confirmed commits.
+fn round_without_the_primary() -> Round {
+    let mut round = Round::new(at(300), 1);
+    round.note(&"replica@1".into(), &status(10), true);
+    round.note(&"lagging@1".into(), &status(7), true);
+    round
+}
+
+/// A burst of reads waits while the primary is down. One round answers all that arrived before its
+/// requests were sent, and no later one, which must see what was acknowledged since.
+#[test]
+fn one_round_covers_all_reads_that_arrived_before_it() {
+    let members = members();
+    let voters = Voters {
+        members: &members,
+        as_of: at(320),
+    };
+
+    let mark = round_without_the_primary().latest_watermark(voters);
+
+    let covered = [0, 150, 300, 301].map(|arrived| mark.is_some_and(|m| at(arrived) <= m.asked));
+    assert_eq!(covered, [true, true, true, false]);
+    assert_eq!(mark.map(|mark| mark.position), Some(position(10)));
+}
+
+/// A server that was added after the list was read may have confirmed a commit alone, so the list
+/// covers no read that arrived later.
+#[test]
+fn list_covers_no_read_that_arrived_after_it_was_read() {
+    let members = members();
+    let voters = Voters {
+        members: &members,
+        as_of: at(200),
+    };
+
+    let mark = round_without_the_primary().latest_watermark(voters);
+
+    assert_eq!(mark.map(|mark| mark.asked), Some(at(200)));
+}
+
+/// The replica that confirmed the last commits is another incarnation, was never seen before a
+/// possible restart, or does not count: the lagging one alone proves nothing.
+#[parameterized(
+    restarted_and_registered = { "replica@2", true },
+    possibly_restarted = { "replica@1", false },
+    not_a_voter = { "other@1", true },
+)]
+fn answers_of_other_servers_prove_nothing(server: &str, is_established: bool) {
+    let members = members();
+    let voters = Voters {
+        members: &members,
+        as_of: at(320),
+    };
+    let mut round = Round::new(at(300), 1);
+    round.note(&"lagging@1".into(), &status(7), true);
+
+    round.note(&server.into(), &status(0), is_established);
+
+    assert_eq!(round.latest_watermark(voters), None);
+}
+
+/// Guards against lowering the position for reads with a staleness bound by a list that has expired.
+#[parameterized(
+    current = { LIST_VALIDITY - Duration::from_millis(1), Some(10) },
+    expired = { LIST_VALIDITY, Some(30) },
+)]
+fn bounded_reads_need_a_current_list(age: Duration, expected: Option<u64>) {
+    let members = members();
+    let voters = Voters {
+        members: &members,
+        as_of: at(300),
+    };
+    let mut marks = Watermarks::default();
+    marks.note(watermark(200, 30));
+
+    round_without_the_primary().apply(voters, at(300) + age, &mut marks);
+
+    let newest = marks.newest().map(|mark| mark.position);
+    assert_eq!(newest, expected.map(position));
+}
+
+/// A proxy that has just started takes a restarted replica for its earlier incarnation until the
+/// restart is registered.
+#[test]
+fn first_status_counts_once_a_restart_would_be_registered() {
+    let mut detector = Detector::default();
+    let initial = detector.is_established(at(10_000));
+    assert!(detector.accepts(&status(0), at(0), at(10)));
+    let registered = at(10) + MISSING_TIMEOUT;
+
+    let established = [at(10), registered].map(|synced| detector.is_established(synced));
+
+    assert!(!initial);
+    assert_eq!(established, [false, true]);
+}
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -301,6 +301,12 @@
         }
     }
 
+    /// Whether its first status was certainly from the registered incarnation
+    /// ([`Detector::is_established`]).
+    pub fn is_established(&self, synced_until: Moment) -> bool {
+        self.restart_detector.get().is_established(synced_until)
+    }
+
     /// Requests the server's status. Returns an error if it does not answer within the status timeout,
     /// or if the status is from another incarnation than the registered one.
     pub async fn status(&self) -> Result<Status, Error> {
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -6,6 +6,7 @@
 
 mod durability;
 mod freshness;
+mod quorum;
 mod search;
 mod single_flight;
 
@@ -26,7 +27,7 @@
 };
 use serde_json::json;
 
-use self::single_flight::SingleFlight;
+use self::{quorum::Quorum, single_flight::SingleFlight};
 
 use crate::{
     line::{
@@ -105,6 +106,7 @@
     pending_watermark: Cell<Option<Watermark>>,
     last_search: Cell<Moment>,
     search: SingleFlight,
+    quorum: Quorum,
     confirmation: SingleFlight,
     refresh: SingleFlight,
     rotation: Cell<usize>,
@@ -140,6 +142,7 @@
             pending_watermark: Cell::default(),
             last_search: Cell::default(),
             search: SingleFlight::default(),
+            quorum: Quorum::default(),
             confirmation: SingleFlight::default(),
             refresh: SingleFlight::default(),
             rotation: Cell::default(),
--- a/crates/proxy/src/line/group/freshness.rs
+++ b/crates/proxy/src/line/group/freshness.rs
@@ -26,6 +26,9 @@
 /// status request queued behind a typical statement.
 const PRIMARY_TIMEOUT: Duration = Duration::from_millis(80);
 
+/// How often a read waits for a new watermark. The first request may have been sent too early for it.
+const MAX_REFRESHES: usize = 2;
+
 /// The timeout for the first answer of a poll.
 const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -177,7 +180,8 @@
         since: Moment,
         own: Option<Position>,
     ) -> Option<Position> {
-        for _ in 0..2 {
+        let mut refreshes = 0;
+        loop {
             let floor = freshness::required(since, &self.watermarks.borrow(), own);
             if floor.is_some() {
                 let half_bound = clock::now().since(since) / 2;
@@ -188,10 +192,16 @@
                 }
                 return floor;
             }
+            if refreshes == MAX_REFRESHES {
+                return None;
+            }
             self.spawn_refresh();
-            self.refresh.finished.notified().await;
+            // A quorum's answers count at once, not only when the search for the primary has ended.
+            tokio::select! {
+                () = self.refresh.finished.notified() => refreshes += 1,
+                () = self.quorum.changed.notified() => {}
+            }
         }
-        freshness::required(since, &self.watermarks.borrow(), own)
     }
 
     /// Requests a new watermark in the background.
@@ -211,8 +221,12 @@
         let Some(leader) = self.leader().await else {
             return;
         };
+        let primary_timeout = match leader.backend.is_avoided(clock::now()) {
+            true => Duration::ZERO,
+            false => PRIMARY_TIMEOUT,
+        };
         let search_all = async {
-            tokio::time::sleep(PRIMARY_TIMEOUT).await;
+            tokio::time::sleep(primary_timeout).await;
             self.find_leader().await;
         };
         tokio::select! {
@@ -240,22 +254,4 @@
         }
         false
     }
-
-    /// Adds the watermark that the answers of a search prove without the primary, if enough servers
-    /// that count for promotions answered.
-    pub(super) fn note_quorum_watermark(&self, asked: Moment, statuses: &[(Rc<Backend>, Status)]) {
-        let from_voters = statuses
-            .iter()
-            .filter(|(backend, _)| backend.is_voter.get());
-        let received: Vec<Position> = from_voters.map(|(_, status)| status.received).collect();
-        let Some(voter_count) = self.voters.borrow().as_ref().map(Vec::len) else {
-            return;
-        };
-        let sync_replicas = self.sync_replicas.get();
-        if let Some(watermark) =
-            freshness::quorum_watermark(asked, &received, voter_count, sync_replicas)
-        {
-            self.watermarks.borrow_mut().note_quorum(watermark);
-        }
-    }
 }
--- /dev/null
+++ b/crates/proxy/src/line/group/quorum.rs
@@ -0,0 +1,117 @@
+//! Reads without a primary: applies what the answers of a search prove about the group's commits. The
+//! engine's [`quorum`] decides.
+//!
+//! [`quorum`]: dandelionpitch_engine::quorum
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use dandelionpitch_core::position::Position;
+use dandelionpitch_engine::{
+    commit::Snapshot,
+    freshness::Watermark,
+    quorum::{Round, Voters},
+    takeover::Status,
+    time::Moment,
+};
+use tokio::{sync::Notify, time::timeout};
+
+use super::Group;
+
+use crate::line::{backend::Backend, clock};
+
+/// What a group's searches have proved without its primary.
+#[derive(Default)]
+pub(super) struct Quorum {
+    /// The answers to the last search.
+    round: RefCell<Option<Round>>,
+    /// The group's record, as last read for linearizable reads.
+    record: RefCell<Option<Snapshot>>,
+    /// The newest watermark for linearizable reads.
+    latest: Cell<Option<Watermark>>,
+    /// Whether a linearizable read waits for a search that has not sent its requests yet.
+    is_wanted: Cell<bool>,
+    /// Notifies waiting reads of further answers, and of the end of a search.
+    pub changed: Notify,
+}
+
+impl Group {
+    /// The position that a server's log must have reached for a linearizable read that arrived at
+    /// `at`, from a quorum's answers to requests sent after that. Gives up after `limit`.
+    ///
+    /// All reads that wait share one search, which sends its requests when the last one has ended.
+    pub async fn quorum_position(self: &Rc<Self>, at: Moment, limit: Duration) -> Option<Position> {
+        if self.sync_replicas.get() == 0 {
+            return None;
+        }
+        let proved = async {
+            loop {
+                let latest = self.quorum.latest.get();
+                if let Some(mark) = latest.filter(|mark| mark.asked >= at) {
+                    return mark.position;
+                }
+                self.quorum.is_wanted.set(true);
+                self.spawn_search();
+                self.quorum.changed.notified().await;
+            }
+        };
+        timeout(limit, proved).await.ok()
+    }
+
+    /// Starts a search whose requests are sent at `asked`, and reads the group's record from the store
+    /// if a linearizable read waits. The list in the view may lack a server that was added after the
+    /// view's last update and has confirmed a commit alone.
+    pub(super) fn start_round(self: &Rc<Self>, asked: Moment) {
+        let round = Round::new(asked, self.sync_replicas.get());
+        *self.quorum.round.borrow_mut() = Some(round);
+        if !self.quorum.is_wanted.take() {
+            return;
+        }
+        let group = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Some(record) = group.records.snapshot(&group.name).await {
+                *group.quorum.record.borrow_mut() = Some(record);
+                group.apply_quorum();
+            }
+        });
+    }
+
+    /// Adds a server's answer to the search. [`Backend::status`] has checked its incarnation.
+    pub(super) fn note_answer(&self, backend: &Backend, status: &Status) {
+        if let Some(round) = self.quorum.round.borrow_mut().as_mut() {
+            let is_established = backend.is_established(self.records.synced_until());
+            round.note(&backend.server.incarnation, status, is_established);
+        }
+        self.apply_quorum();
+    }
+
+    /// Adds the watermarks that the answers so far prove without the primary.
+    fn apply_quorum(&self) {
+        let round = self.quorum.round.borrow();
+        let Some(round) = round.as_ref() else { return };
+        let voters = self.voters.borrow();
+        let listed = voters.as_deref().map(|members| Voters {
+            members,
+            as_of: self.records.synced_until(),
+        });
+        let has_bounded = listed.is_some_and(|voters| {
+            round.apply(voters, clock::now(), &mut self.watermarks.borrow_mut())
+        });
+        let record = self.quorum.record.borrow();
+        let read = record.as_ref().map(|record| Voters {
+            members: &record.members,
+            as_of: record.asked,
+        });
+        let latest = read.and_then(|voters| round.latest_watermark(voters));
+        let known = self.quorum.latest.get();
+        if latest.is_some_and(|mark| known.is_none_or(|known| known.asked < mark.asked)) {
+            self.quorum.latest.set(latest);
+        }
+        if has_bounded || latest.is_some() {
+            self.quorum.changed.notify_waiters();
+        }
+    }
+}
--- a/crates/proxy/src/line/group/search.rs
+++ b/crates/proxy/src/line/group/search.rs
@@ -11,7 +11,7 @@
 
 use crate::line::{backend::Backend, clock, journal};
 
-/// The least time between two searches.
+/// The least time between the starts of two searches.
 const MIN_SEARCH_INTERVAL: Duration = Duration::from_millis(150);
 
 /// The timeout for each answer but the last, longer than that of a status request.
@@ -37,11 +37,12 @@
             let delay = clock::now().until(group.last_search.get() + MIN_SEARCH_INTERVAL);
             tokio::time::sleep(delay).await;
             let asked = clock::now();
+            group.last_search.set(asked);
+            group.start_round(asked);
             let statuses = group.request_statuses().await;
-            group.last_search.set(clock::now());
             group.apply_statuses(&statuses);
-            group.note_quorum_watermark(asked, &statuses);
             group.search.finish();
+            group.quorum.changed.notify_waiters();
         });
     }
 
@@ -62,7 +63,10 @@
                 false => ANSWER_TIMEOUT,
             };
             match timeout(answer_timeout, answers.next()).await {
-                Ok(Some((backend, Ok(status)))) => found.push((backend, status)),
+                Ok(Some((backend, Ok(status)))) => {
+                    self.note_answer(&backend, &status);
+                    found.push((backend, status));
+                }
                 // `Backend::status` has already handled the error.
                 Ok(Some((_, Err(_)))) => {}
                 Ok(None) | Err(_) => return found,
--- a/crates/proxy/src/line/records.rs
+++ b/crates/proxy/src/line/records.rs
@@ -58,8 +58,14 @@
     /// Whether the view's lists of servers that count for promotions are still valid: the view is
     /// less than [`LIST_VALIDITY`] behind the store.
     pub fn are_current(&self, now: Moment) -> bool {
-        let synced_until = Duration::from_millis(self.synced_until_ms.load(Ordering::Relaxed));
-        now.since(Moment::from_boot(synced_until)) < LIST_VALIDITY
+        now.since(self.synced_until()) < LIST_VALIDITY
+    }
+
+    /// The moment up to which every change of the store is in the view, or will be within moments.
+    pub fn synced_until(&self) -> Moment {
+        Moment::from_boot(Duration::from_millis(
+            self.synced_until_ms.load(Ordering::Relaxed),
+        ))
     }
 
     /// Requests a snapshot of a group's record from the store; `None` as in [`Request::answer`].
--- a/crates/proxy/src/line/traffic.rs
+++ b/crates/proxy/src/line/traffic.rs
@@ -7,6 +7,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod forwarding;
+mod latest;
 pub mod origin;
 pub mod session;
 pub mod transaction;
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -22,6 +22,7 @@
         traffic::{
             call::{note_failure, Call, Failure, RETRY_AFTER, RETRY_DELAY},
             exchange::{checkout, exchange, release_if_idle},
+            latest,
         },
     },
     metrics::Target,
@@ -47,10 +48,7 @@
     let mut attempts = Attempts::new();
     while !call.is_expired() {
         let (servers, after) = match call.route.consistency {
-            Consistency::Latest => {
-                let leader = confirmed_leader(group, call).await?;
-                (leader, group.newest_position())
-            }
+            Consistency::Latest => latest::find(group, call, session.floor()).await?,
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let own = session.floor();
                 let Some(floor) = group
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -18,6 +18,7 @@
         autocommit::{self, note_lag},
         call::{note_failure, Call, Failure},
         exchange::{checkout, exchange},
+        latest,
     },
 };
 
@@ -222,25 +223,31 @@
         return Err(call.primary_unconfirmed());
     }
     loop {
-        let after = match call.route.consistency {
-            Consistency::Latest => group.newest_position(),
+        let latest = call.route.consistency == Consistency::Latest;
+        let (servers, after) = match call.route.consistency {
+            Consistency::Latest if transaction.read_only => {
+                latest::find(group, call, session.floor()).await?
+            }
+            Consistency::Latest => {
+                let leader = autocommit::confirmed_leader(group, call).await?;
+                (leader, group.newest_position())
+            }
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let since = call.freshness_bound(transaction.started_at);
-                match group.required_position(since, session.floor()).await {
-                    Some(floor) => Some(floor),
-                    None => return Err(call.busy("required log position is unknown", RETRY_DELAY)),
+                let floor = group.required_position(since, session.floor()).await;
+                if floor.is_none() {
+                    return Err(call.busy("required log position is unknown", RETRY_DELAY));
                 }
+                let servers = match transaction.read_only {
+                    true => group.read_candidates(call.account, floor, clock::now()),
+                    false => match autocommit::wait_for_leader(group, call).await {
+                        Some(leader) => vec![leader.backend],
+                        None => return Err(call.busy("no primary is known", RETRY_DELAY)),
+                    },
+                };
+                (servers, floor)
             }
         };
-        let latest = call.route.consistency == Consistency::Latest;
-        let servers = match (latest, transaction.read_only) {
-            (true, _) => autocommit::confirmed_leader(group, call).await?,
-            (false, true) => group.read_candidates(call.account, after, clock::now()),
-            (false, false) => match autocommit::wait_for_leader(group, call).await {
-                Some(leader) => vec![leader.backend],
-                None => return Err(call.busy("no primary is known", RETRY_DELAY)),
-            },
-        };
         for backend in servers {
             if call.is_expired() {
                 break;
