The interleavings model checks reads that use a quorum's position

Cause: the model knew only linearizable reads on a primary with a lease.

Change: reads that the lease does not cover use the answers of a search and the record read for it, and reads with a staleness bound use a quorum's watermark; both may run on any server. A new search draws a replica that restarts empty while the other one lags and the primary is lost. As in the quota model, a safeguard can be left out.

--- a/crates/engine/tests/interleavings/cluster.rs
+++ b/crates/engine/tests/interleavings/cluster.rs
@@ -56,6 +56,8 @@
     /// When each of them was confirmed.
     confirmed_at: Vec<u64>,
     pub reads: usize,
+    /// How many reads were sent with a quorum's position.
+    pub quorum_reads: usize,
     pub promotions: usize,
     /// Describes the first confirmed commit that a promoted server lacks.
     pub lost: Option<String>,
@@ -104,6 +106,7 @@
             confirmed: Vec::new(),
             confirmed_at: Vec::new(),
             reads: 0,
+            quorum_reads: 0,
             promotions: 0,
             lost: None,
             stale: None,
--- a/crates/engine/tests/interleavings/main.rs
+++ b/crates/engine/tests/interleavings/main.rs
@@ -13,21 +13,29 @@
 
 use std::cell::Cell;
 
-use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner};
+use proptest::{
+    strategy::Strategy,
+    test_runner::{Config, RngAlgorithm, TestCaseError, TestError, TestRng, TestRunner},
+};
 
 use cluster::Cluster;
 use coordinator::Coordinator;
 use message::Message;
 use proxy::Proxy;
-use scenario::{Scenario, CASE_STEPS, COORDINATORS, PROXIES, SERVERS};
+use scenario::{Safeguard, Scenario, CASE_STEPS, COORDINATORS, PROXIES, SERVERS};
 
 /// The number of cases, unless `DP_MODEL_CASES` is set.
 const CASES: u32 = 1_000;
 
+/// The number of cases in which a replica restarts.
+const RESTART_CASES: u32 = 150;
+
 /// Runs a case to its end, or until a commit is lost.
-fn run_case(scenario: &Scenario, traced: bool) -> Cluster {
+fn run_case(scenario: &Scenario, omitted: Option<Safeguard>, traced: bool) -> Cluster {
     let mut cluster = Cluster::new(scenario, traced);
-    let mut proxies: Vec<Proxy> = (0..PROXIES).map(Proxy::new).collect();
+    let mut proxies: Vec<Proxy> = (0..PROXIES)
+        .map(|number| Proxy::new(number, omitted))
+        .collect();
     let mut coordinators: Vec<Coordinator> = (0..COORDINATORS).map(Coordinator::new).collect();
     let mut undelivered: Vec<(usize, Message)> = Vec::new();
     while cluster.now < CASE_STEPS && cluster.lost.is_none() {
@@ -81,28 +89,36 @@
     promotions: usize,
     confirmed: usize,
     reads: usize,
+    quorum_reads: usize,
 }
 
-/// Runs the cases that `rng` draws; panics with the trace of one in which `violation` returns a
+/// Runs `cases` of `scenarios`; panics with the trace of one in which `violation` returns a
 /// description.
-fn search(rng: TestRng, violation: impl Fn(&Cluster) -> Option<String>) -> Tally {
+fn search(
+    (rng, cases): (TestRng, u32),
+    scenarios: &impl Strategy<Value = Scenario>,
+    omitted: Option<Safeguard>,
+    violation: impl Fn(&Cluster) -> Option<String>,
+) -> Tally {
     let config = Config {
-        cases: cases(),
+        cases,
         failure_persistence: None,
-        max_shrink_iters: 1_000,
+        // A fault that is expected need not be explained.
+        max_shrink_iters: if omitted.is_some() { 0 } else { 1_000 },
         ..Config::default()
     };
     let mut runner = TestRunner::new_with_rng(config, rng);
     let total = Cell::new(Tally::default());
     let first_failure = Cell::new(None);
 
-    let result = runner.run(&scenario::scenario(), |scenario| {
-        let cluster = run_case(&scenario, false);
+    let result = runner.run(scenarios, |scenario| {
+        let cluster = run_case(&scenario, omitted, false);
         let mut tally = total.get();
         tally.cases += 1;
         tally.promotions += cluster.promotions;
         tally.confirmed += cluster.confirmed_count();
         tally.reads += cluster.reads;
+        tally.quorum_reads += cluster.quorum_reads;
         if first_failure.get().is_none() {
             total.set(tally);
         }
@@ -116,7 +132,7 @@
     });
 
     if let Err(TestError::Fail(why, scenario)) = result {
-        let trace = run_case(&scenario, true).trace.unwrap_or_default();
+        let trace = run_case(&scenario, omitted, true).trace.unwrap_or_default();
         let (trace, case) = (trace.join("\n"), total.get().cases);
         panic!("{why} (found in case {case}, then shrunk)\n{scenario:?}\n{trace}");
     }
@@ -130,7 +146,9 @@
 #[test]
 fn confirmed_commit_is_in_every_promoted_log() {
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let tally = search(rng, |cluster| cluster.lost.clone());
+    let tally = search((rng, cases()), &scenario::scenario(), None, |cluster| {
+        cluster.lost.clone()
+    });
 
     let enough = tally.promotions > tally.cases / 2 && tally.confirmed > 10 * tally.cases;
     assert!(enough, "too few promotions or confirmed commits: {tally:?}");
@@ -143,9 +161,34 @@
 fn linearizable_read_sees_every_confirmed_commit() {
     // Other cases than those of the test above.
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[1; 32]);
-    let tally = search(rng, |cluster| {
+    let tally = search((rng, cases()), &scenario::scenario(), None, |cluster| {
         cluster.stale.clone().or(cluster.lost.clone())
     });
 
-    assert!(tally.reads > 10 * tally.cases, "too few reads: {tally:?}");
+    let enough = tally.reads > 10 * tally.cases && tally.quorum_reads > 10 * tally.cases;
+    assert!(enough, "too few reads: {tally:?}");
+}
+
+/// Draws restarts of a replica while the other one lags and the primary is lost, and searches for a
+/// read that misses a confirmed commit.
+fn search_restarts(omitted: Option<Safeguard>) -> Tally {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
+    let (cases, scenarios) = ((rng, RESTART_CASES), scenario::restart_scenario());
+    search(cases, &scenarios, omitted, |cluster| cluster.stale.clone())
+}
+
+/// Guards against reads that use the position of a quorum in which a restarted server counts as the
+/// earlier incarnation, which had confirmed a commit alone.
+#[test]
+fn quorum_read_misses_no_commit_of_a_restarted_replica() {
+    let tally = search_restarts(None);
+
+    assert!(tally.quorum_reads > tally.cases, "too few: {tally:?}");
+}
+
+/// Shows that the search finds the fault when answers of a restarted server count.
+#[test]
+#[should_panic(expected = "STALE")]
+fn model_finds_reads_that_count_a_restarted_replica() {
+    search_restarts(Some(Safeguard::Incarnation));
 }
--- a/crates/engine/tests/interleavings/proxy.rs
+++ b/crates/engine/tests/interleavings/proxy.rs
@@ -4,12 +4,13 @@
 
 mod durability;
 mod reads;
+mod search;
 
 use dandelionpitch_core::hash::Map;
 use dandelionpitch_engine::{
     commit::{Commit, Membership},
     freshness::{self, Lease, Poll, Relation},
-    registry::{Entry as Registered, Incarnation, Role},
+    registry::{Entry as Registered, Incarnation},
     roster::LIST_VALIDITY,
     takeover::{self, Status},
 };
@@ -17,12 +18,13 @@
 use super::{
     cluster::{moment, Cluster},
     message::{Answer, Body, Message, Origin},
-    scenario::{proxy_node, STEP_MS},
+    scenario::{proxy_node, Safeguard, STEP_MS},
     server::Command,
     view::{server_index, View},
 };
 use durability::Pending;
 use reads::Reads;
+use search::Search;
 
 /// How many replicas must receive a commit before the primary acknowledges it.
 const SYNC_REPLICAS: usize = 1;
@@ -32,9 +34,6 @@
 /// How long a round waits for further answers once it has one.
 const LATE_ANSWER_GRACE_STEPS: u64 = 1;
 
-const SEARCH_INTERVAL_STEPS: u64 = 500 / STEP_MS;
-const SEARCH_TIMEOUT_STEPS: u64 = 500 / STEP_MS;
-
 /// How often the lease is renewed in the background.
 const POLL_INTERVAL_STEPS: u64 = 250 / STEP_MS;
 
@@ -66,7 +65,7 @@
     lease: Lease,
     last_statuses: Map<Incarnation, Status>,
     /// The round that looks for a newer primary.
-    search: Option<Round>,
+    search: Option<Search>,
     last_search: u64,
     /// The round that renews the lease.
     poll: Option<Round>,
@@ -75,10 +74,12 @@
     pending: Vec<Pending>,
     is_reading_record: bool,
     reads: Reads,
+    /// A safeguard that is left out, to show that the search finds the fault.
+    omitted: Option<Safeguard>,
 }
 
 impl Proxy {
-    pub fn new(number: usize) -> Self {
+    pub fn new(number: usize, omitted: Option<Safeguard>) -> Self {
         Self {
             number,
             view: View::new(proxy_node(number)),
@@ -92,6 +93,7 @@
             pending: Vec::new(),
             is_reading_record: false,
             reads: Reads::default(),
+            omitted,
         }
     }
 
@@ -106,9 +108,10 @@
                 missed,
                 ..
             } => self.receive_rows(cluster, *server, *position, *missed),
-            Message::RecordRead { to, snapshot } => {
-                self.receive_record(cluster, *to, snapshot.as_ref())
-            }
+            Message::RecordRead { to, snapshot } => match self.is_search_tag(to.tag) {
+                true => self.receive_search_record(cluster, snapshot.clone()),
+                false => self.receive_record(cluster, *to, snapshot.as_ref()),
+            },
             _ => {}
         }
     }
@@ -282,15 +285,8 @@
 
     fn receive_answer(&mut self, cluster: &mut Cluster, answer: &Answer) {
         let (tag, body) = (answer.to.tag, answer.body);
-        if let Some(id) = self
-            .search
-            .as_mut()
-            .and_then(|round| round.take_answer(tag))
-        {
-            let status = self.check_status(&id, body);
-            if let (Some(round), Some(status)) = (&mut self.search, status) {
-                round.answers.push((id, status));
-            }
+        if self.is_search_tag(tag) {
+            self.receive_search_answer(cluster, tag, body);
         } else if let Some(id) = self.poll.as_mut().and_then(|round| round.take_answer(tag)) {
             self.receive_poll_answer(cluster, &id, body);
         } else {
@@ -298,42 +294,6 @@
         }
     }
 
-    fn advance_search(&mut self, cluster: &mut Cluster) {
-        let now = cluster.now;
-        if let Some(round) = self.search.take() {
-            if now < round.deadline && !round.unanswered.is_empty() {
-                self.search = Some(round);
-                return;
-            }
-            self.last_search = now;
-            self.adopt_leader(cluster, &round.answers);
-        } else if self.leader.is_none() || now - self.last_search >= SEARCH_INTERVAL_STEPS {
-            let entries = self.view.entries();
-            self.search = Some(self.start_round(cluster, &entries, 0, SEARCH_TIMEOUT_STEPS));
-        }
-    }
-
-    fn adopt_leader(&mut self, cluster: &mut Cluster, statuses: &[(Incarnation, Status)]) {
-        let primaries = statuses
-            .iter()
-            .filter(|(_, status)| status.role == Role::Primary);
-        let Some((id, status)) = primaries.max_by_key(|(_, status)| status.term) else {
-            return;
-        };
-        if self
-            .leader
-            .as_ref()
-            .is_some_and(|(_, term)| *term >= status.term)
-        {
-            return;
-        }
-        self.lease = Lease::default();
-        self.reads.reset(status.received);
-        self.leader = Some((id.clone(), status.term));
-        let number = self.number;
-        cluster.trace(|| format!("proxy {number} takes {id} as primary, term {}", status.term));
-    }
-
     fn advance_poll(&mut self, cluster: &mut Cluster) {
         let now = cluster.now;
         if let Some(round) = self.poll.take() {
--- a/crates/engine/tests/interleavings/scenario.rs
+++ b/crates/engine/tests/interleavings/scenario.rs
@@ -53,6 +53,13 @@
     pub fault: Fault,
 }
 
+/// A safeguard of reads that use a quorum's position.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Safeguard {
+    /// Answers of another incarnation than the registered one do not count.
+    Incarnation,
+}
+
 /// The input of one case.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -141,3 +148,32 @@
             },
         )
 }
+
+/// Draws cases in which one replica lags, the other restarts with an empty log, and the primary is
+/// lost when the restarted one is back. There are no other faults.
+pub fn restart_scenario() -> impl Strategy<Value = Scenario> {
+    (scenario(), 60..CASE_STEPS - 160, 4_u64..20, 4_u64..20).prop_map(
+        |(base, from, lag_steps, down_steps)| {
+            let lags = Fault::Link { one: 0, other: 1 };
+            let restarts = Fault::Crash {
+                server: 2,
+                loses_log: true,
+            };
+            let is_lost = Fault::Crash {
+                server: 0,
+                loses_log: false,
+            };
+            let faults = [
+                (from, 120, lags),
+                (from + lag_steps, down_steps, restarts),
+                (from + lag_steps + down_steps, 80, is_lost),
+            ];
+            let injections = faults.map(|(from, steps, fault)| Injection { from, steps, fault });
+            Scenario {
+                server_count: 3,
+                injections: injections.into(),
+                ..base
+            }
+        },
+    )
+}
