--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -6,6 +6,7 @@
 
 mod durability;
 mod freshness;
+mod quorum;
 mod replication;
 mod search;
 mod single_flight;
@@ -28,7 +29,7 @@
 };
 use serde_json::json;
 
-use self::single_flight::SingleFlight;
+use self::{quorum::Quorum, single_flight::SingleFlight};
 
 use crate::{
     config::ReplicaLag,
@@ -114,6 +115,7 @@
     pending_watermark: Cell<Option<Watermark>>,
     last_search: Cell<Moment>,
     search: SingleFlight,
+    quorum: Quorum,
     confirmation: SingleFlight,
     refresh: SingleFlight,
     rotation: Cell<usize>,
@@ -151,6 +153,7 @@
             pending_watermark: Cell::default(),
             last_search: Cell::default(),
             search: SingleFlight::default(),
+            quorum: Quorum::default(),
             confirmation: SingleFlight::default(),
             refresh: SingleFlight::default(),
             rotation: Cell::default(),
--- a/crates/proxy/src/line/traffic.rs
+++ b/crates/proxy/src/line/traffic.rs
@@ -8,6 +8,7 @@
 pub mod feed;
 pub mod forwarding;
 pub mod lag;
+mod latest;
 pub mod origin;
 pub mod session;
 pub mod transaction;
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -22,6 +22,7 @@
             call::{note_failure, Call, Failure, RETRY_AFTER, RETRY_DELAY},
             exchange::{checkout, exchange, release_if_idle},
             lag::{lagging, note_lag, queue_full},
+            latest,
         },
     },
     metrics::Target,
@@ -48,10 +49,7 @@
     let mut required = None;
     while !call.is_expired() {
         let (servers, after) = match call.route.consistency {
-            Consistency::Latest => {
-                let leader = confirmed_leader(group, call).await?;
-                (leader, group.newest_position())
-            }
+            Consistency::Latest => latest::find(group, call, session.floor()).await?,
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let own = session.floor();
                 let Some(floor) = group
