A proxy with a complete copy of the store's content serves it at any age

Cause: while the store is down, restarted proxies have nothing to serve from, although the proxies that kept running have the configuration and the servers. These refuse to relay a copy that is older than Budget::max_relay_age or whose source was lost.

Change: `QUERY - COPY after [copy-start]` on the change feed is answered like FOLLOW in parts, at once, with the true age, by every proxy whose own copy is complete. engine::seed decides which seed a starting proxy asks, when, and whether the answers make a complete copy.

Also a fault of copies in parts as they were: a proxy that copied from a relay got a change of a long value as a delta to the version before, which it had not received ('delta of revision 1 does not apply to op/config at 0'), and turned to the next relay or listed the store. Such a proxy gets whole values now.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod registry;
 pub mod restart;
 pub mod roster;
+pub mod seed;
 pub mod session;
 pub mod share;
 pub mod statement;
--- a/crates/proxy/src/line/control/relay.rs
+++ b/crates/proxy/src/line/control/relay.rs
@@ -1,11 +1,11 @@
 //! Client of another proxy that relays changes of the store.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use dandelionpitch_engine::feed::RELAY_GRACE;
+use dandelionpitch_engine::{feed::RELAY_GRACE, mirror::Progress, seed};
 use dandelionpitch_platform::{
     backend::{Link, Query},
-    feed::{self, Request, Response},
+    feed::{self, Message, Request, Response, Version},
     Error,
 };
 
@@ -46,19 +46,38 @@
     /// Requests changes. A connection on which a request failed or timed out is closed.
     pub async fn poll(&mut self, mirror: &Handle, request: Request) -> Result<Response, Error> {
         let limit = request.wait + RELAY_GRACE;
-        match tokio::time::timeout(limit, self.exchange(mirror, request)).await {
-            Ok(answer) => answer,
+        let known = |key: &str| mirror.current(key);
+        self.exchange(Message::Follow(request), limit, known).await
+    }
+
+    /// Requests the next part of a copy, of whatever age.
+    pub async fn copy(&mut self, progress: Progress) -> Result<Response, Error> {
+        let limit = seed::ANSWER_TIMEOUT;
+        self.exchange(Message::Copy(progress), limit, |_| None)
+            .await
+    }
+
+    /// Sends a message and reads the response within `limit`. `known` is as in [`Response::read`].
+    async fn exchange(
+        &mut self,
+        message: Message,
+        limit: Duration,
+        known: impl Fn(&str) -> Option<Version>,
+    ) -> Result<Response, Error> {
+        match tokio::time::timeout(limit, self.send(message)).await {
+            Ok(rows) => Response::read(&rows?, known),
             Err(_) => Err(Error::Timeout),
         }
     }
 
-    async fn exchange(&mut self, mirror: &Handle, request: Request) -> Result<Response, Error> {
+    /// Returns the rows of the response.
+    async fn send(&mut self, message: Message) -> Result<Vec<u8>, Error> {
         let mut link = match self.link.take() {
             Some(link) => link,
             None => Link::open(self.address, feed::SERVICE, &self.id).await?,
         };
-        let answer = link.query(Query::Follow(request)).await?;
+        let answer = link.query(Query::Feed(message)).await?;
         self.link = Some(link);
-        Response::read(&answer.result?.rows, |key| mirror.current(key))
+        Ok(answer.result?.rows)
     }
 }
--- a/crates/proxy/src/line/mirror.rs
+++ b/crates/proxy/src/line/mirror.rs
@@ -55,6 +55,9 @@
     synced_until: Moment,
     /// The source of the last update, until it fails.
     source: Option<Source>,
+    /// Whether it has everything that the store had at some time. It has not while the first copy is made in
+    /// parts.
+    is_complete: bool,
     /// The missed changes as sent to followers, by their progress; `None` if they cannot be sent in parts.
     /// Dropped when the content changes.
     encoded: Map<Progress, Option<Arc<Encoded>>>,
@@ -115,6 +118,7 @@
         let before = content.mirror.revision();
         content.record_history(update);
         let applied = content.mirror.apply(update);
+        content.is_complete |= applied && update.is_snapshot;
         content.synced_until = content.synced_until.max(synced_until);
         content.source = Some(source.clone());
         let changed = content.mirror.revision() != before;
@@ -135,6 +139,11 @@
         }
     }
 
+    /// Whether the content is everything that the store had at some time.
+    pub fn is_complete(&self) -> bool {
+        self.lock().is_complete
+    }
+
     /// The time up to which every change of the store has been applied.
     pub fn synced_until(&self) -> Moment {
         self.lock().synced_until
@@ -180,6 +189,21 @@
         }
     }
 
+    /// Responds to a proxy that copies the content while the store does not answer. The content may be of any
+    /// age, which is told. `None` if it is incomplete or has changes that cannot be sent in parts.
+    pub fn respond_with_copy(&self, progress: Progress) -> Result<Option<Response>, Error> {
+        let mut content = self.lock();
+        if !content.is_complete {
+            return Ok(None);
+        }
+        let timing = Timing {
+            waited: Duration::ZERO,
+            age: clock::now().since(content.synced_until),
+        };
+        let changes = content.encoded(progress)?;
+        Ok(changes.map(|changes| Response { changes, timing }))
+    }
+
     /// Everything that the store contains.
     pub fn content(&self) -> Vec<Event> {
         self.lock().mirror.since(0).changes
@@ -191,10 +215,33 @@
         let mut content = self.lock();
         content.mirror.note_history_unknown();
         content.encoded.clear();
+        content.is_complete = true;
         content.synced_until = content.synced_until.max(synced_until);
         content.source = Some(source.clone());
     }
 
+    /// Replaces incomplete content by a complete copy, which has every change up to `synced_until`. Returns
+    /// `false`, and changes nothing, if the content is complete.
+    ///
+    /// There is no source: what another proxy had proves nothing about the time after it was sent, so
+    /// followers are not served before the store or a relay has answered.
+    pub fn adopt(&self, mirror: Mirror<Value>, synced_until: Moment) -> bool {
+        let mut content = self.lock();
+        if content.is_complete {
+            return false;
+        }
+        *content = Content {
+            mirror,
+            max_age: content.max_age,
+            synced_until,
+            is_complete: true,
+            ..Content::default()
+        };
+        drop(content);
+        self.changed.send_replace(());
+        true
+    }
+
     /// The current value of a key and the revision at which it was written.
     pub fn current(&self, key: &str) -> Option<Version> {
         let content = self.lock();
@@ -234,19 +281,19 @@
         if let Some(known) = self.encoded.get(&progress) {
             return Ok(known.clone());
         }
-        let after = progress.after;
         let Self {
             mirror, history, ..
         } = self;
+        let mut delta_of = |key: &str| match progress.copy_start {
+            // A follower that copies the content has no earlier versions.
+            Some(_) => None,
+            None => delta(mirror, history, key, progress.after),
+        };
         let part = mirror.part_since(progress, MAX_RESPONSE_BYTES, |key, value| {
-            let delta = delta(mirror, history, key, after);
-            feed::encoded_bytes(key, value, delta.as_deref())
+            feed::encoded_bytes(key, value, delta_of(key).as_deref())
         });
         let encoded = match part {
-            Some(part) => {
-                let delta_of = |key: &str| delta(mirror, history, key, after);
-                Some(Arc::new(Encoded::new(&part, delta_of)?))
-            }
+            Some(part) => Some(Arc::new(Encoded::new(&part, delta_of)?)),
             None => None,
         };
         if self.encoded.len() >= MAX_ENCODED {
--- a/crates/proxy/src/line/traffic/feed.rs
+++ b/crates/proxy/src/line/traffic/feed.rs
@@ -3,17 +3,17 @@
 use dandelionpitch_engine::refusal::{Code, Refusal};
 use dandelionpitch_platform::{
     caller::{self, Ready},
-    feed::Request,
+    feed::Message,
     line, Error,
 };
 
 use crate::line::{journal, mirror::Handle};
 
-/// Appends the response to a request for changes. `ready` is the state of the connection.
+/// Appends the response to a request for changes or for a copy. `ready` is the state of the connection.
 pub async fn respond(mirror: &Handle, message: &[u8], ready: Ready, out: &mut Vec<u8>) {
     let start = out.len();
-    let written = match line::to_str(message).and_then(Request::parse) {
-        Ok(request) => write_response(mirror, request, out).await,
+    let written = match line::to_str(message).and_then(Message::parse) {
+        Ok(message) => write_response(mirror, message, out).await,
         Err(error) => Err(error),
     };
     match written {
@@ -30,10 +30,14 @@
 /// Appends the rows of a response; returns `false` if this proxy cannot serve the request.
 async fn write_response(
     mirror: &Handle,
-    request: Request,
+    message: Message,
     out: &mut Vec<u8>,
 ) -> Result<bool, Error> {
-    let Some(response) = mirror.respond(request).await? else {
+    let response = match message {
+        Message::Follow(request) => mirror.respond(request).await?,
+        Message::Copy(progress) => mirror.respond_with_copy(progress)?,
+    };
+    let Some(response) = response else {
         return Ok(false);
     };
     response.changes.write(response.timing, out)?;
--- a/crates/proxy/tests/mirror.rs
+++ b/crates/proxy/tests/mirror.rs
@@ -4,7 +4,8 @@
 
 use dandelionpitch_engine::{
     feed::{Budget, Source},
-    mirror::{Change, Item, Progress, Update},
+    mirror::{Change, Item, Mirror, Progress, Update},
+    time::Moment,
 };
 use dandelionpitch_platform::{
     feed::{Request, Response},
@@ -46,6 +47,27 @@
     }
 }
 
+/// A store's content that takes several parts to send: servers, and a configuration that was written before
+/// them.
+fn listed_store() -> Update<Value> {
+    let servers = (1..=300).map(|revision| {
+        Change::Written(Item {
+            key: format!("servers/i-{revision}"),
+            value: configuration(revision, 10),
+            revision,
+        })
+    });
+    Update {
+        revision: 400,
+        is_snapshot: true,
+        changes: changes(&[(1, 1_000)])
+            .changes
+            .into_iter()
+            .chain(servers)
+            .collect(),
+    }
+}
+
 /// An empty copy of the store's content.
 fn handle() -> Handle {
     Handle::new(Budget::new(Duration::from_secs(3)).max_relay_age)
@@ -165,19 +187,7 @@
 #[tokio::test]
 async fn relay_that_has_just_listed_the_store_serves_a_copy_in_parts() {
     let relay = handle();
-    let servers = (1..=300).map(|revision| {
-        Change::Written(Item {
-            key: format!("servers/i-{revision}"),
-            value: configuration(revision, 10),
-            revision,
-        })
-    });
-    let listed = Update {
-        revision: 400,
-        is_snapshot: true,
-        changes: servers.collect(),
-    };
-    relay.apply(&Source::Store, &listed, clock::now());
+    relay.apply(&Source::Store, &listed_store(), clock::now());
     let follower = handle();
 
     let parts = copy(&relay, &follower).await;
@@ -185,3 +195,89 @@
     assert!(parts.is_some_and(|parts| parts > 1), "{parts:?}");
     assert_eq!(follower.content(), relay.content());
 }
+
+/// Copies the seed's content from nothing; returns it and the age that the seed told last, or `None` if the
+/// seed refuses a part.
+fn copy_from_seed(seed: &Handle) -> Option<(Mirror<Value>, Duration)> {
+    let mut copied = Mirror::default();
+    let mut progress = Progress::default();
+    loop {
+        let sent = seed
+            .respond_with_copy(progress)
+            .expect("the response encodes")?;
+        let mut rows = Vec::new();
+        let written = sent.changes.write(sent.timing, &mut rows);
+        written.expect("the response encodes");
+        let response = Response::read(&rows, |_| None).expect("the response has no deltas");
+        copied.apply(&response.part.update);
+        progress.advance(&response.part);
+        if !response.part.has_more {
+            return Some((copied, response.timing.age));
+        }
+    }
+}
+
+/// The store has been down for a minute. Guards against proxies that start meanwhile and have no content
+/// although live ones do, and against content that looks newer than it is.
+#[tokio::test]
+async fn copy_of_any_age_is_served_with_its_age() {
+    let seed = handle();
+    let age = Duration::from_secs(60);
+    seed.apply(&Source::Store, &listed_store(), clock::now() - age);
+    seed.note_source_lost();
+    let request = Request {
+        progress: Progress::default(),
+        wait: Duration::ZERO,
+    };
+
+    let followed = seed.respond(request).await.expect("the response encodes");
+    let copied = copy_from_seed(&seed);
+
+    assert!(followed.is_none(), "an old copy is served to a follower");
+    let (content, told) = copied.expect("the seed serves its copy");
+    assert_eq!(content.since(0).changes, seed.content());
+    assert!(told >= age, "{told:?}");
+}
+
+/// Guards against a proxy that takes what another starting one has copied so far for the whole content.
+#[tokio::test]
+async fn incomplete_copy_is_not_served() {
+    let (relay, seed) = (handle(), handle());
+    relay.apply(&Source::Store, &listed_store(), clock::now());
+    let part = relay.respond_with_copy(Progress::default());
+    let part = part
+        .expect("the response encodes")
+        .expect("the relay serves");
+    let mut rows = Vec::new();
+    part.changes.write(part.timing, &mut rows).expect("writes");
+    let part = Response::read(&rows, |_| None).expect("parses").part;
+    let source = Source::Peer("relay".to_owned());
+    seed.apply(&source, &part.update, Moment::default());
+
+    let before = copy_from_seed(&seed);
+    let copied = copy_from_seed(&relay).expect("the relay serves");
+    let adopted = seed.adopt(copied.0.clone(), clock::now());
+    let adopted_again = seed.adopt(Mirror::default(), clock::now());
+
+    assert!(part.has_more && before.is_none(), "{before:?}");
+    assert!(adopted && !adopted_again);
+    let after = copy_from_seed(&seed).expect("the copy is complete");
+    assert_eq!(after.0.since(0).changes, relay.content());
+}
+
+/// The configuration is replaced while a proxy copies the content in parts. Guards against a delta to the
+/// version before, which that proxy has not received.
+#[tokio::test]
+async fn proxy_that_copies_in_parts_gets_whole_values() {
+    let relay = handle();
+    relay.apply(&Source::Store, &listed_store(), clock::now());
+    relay.apply(&Source::Store, &changes(&[(401, 1_001)]), clock::now());
+
+    let seeded = copy_from_seed(&relay).expect("the relay serves");
+    let follower = handle();
+    let parts = copy(&relay, &follower).await;
+
+    assert_eq!(seeded.0.since(0).changes, relay.content());
+    assert!(parts.is_some_and(|parts| parts > 1), "{parts:?}");
+    assert_eq!(follower.content(), relay.content());
+}
