The stand-in's store hides no change from a watch that ends without one

Cause: when the wait of a watch was over, the stand-in read its revision under another lock than the changes before it.

Change: changes and revision are read together; also a watch that ends while the store is down is refused, as one that begins then.

--- a/crates/standin/src/line/http.rs
+++ b/crates/standin/src/line/http.rs
@@ -80,44 +80,35 @@
     let poll = async {
         loop {
             let changed = shared.changed.notified();
-            let found = {
-                let platform = shared
-                    .platform
-                    .lock()
-                    .expect("platform lock is not poisoned");
-                if platform.store.down {
-                    return status(503);
-                }
-                let changes = platform.store.changes(prefix, after);
-                (changes, platform.store.rev)
-            };
-            match found {
-                (None, _) => return status(410),
-                (Some(events), rev) if !events.is_empty() => {
-                    let events: Vec<Value> = events.iter().map(event).collect();
-                    return (Status::Ok, Json(json!({ "events": events, "as_of": rev })));
-                }
-                _ => changed.await,
+            match watch_now(shared, prefix, after) {
+                (response, true) => return response,
+                (_, false) => changed.await,
             }
         }
     };
     match timeout(Duration::from_millis(wait_ms), poll).await {
-        Ok(answer) => answer,
-        Err(_) => {
-            let rev = shared
-                .platform
-                .lock()
-                .expect("platform lock is not poisoned")
-                .store
-                .rev;
-            match rev < after {
-                true => status(410),
-                false => (Status::Ok, Json(json!({ "events": [], "as_of": rev }))),
-            }
-        }
+        Ok(response) => response,
+        Err(_) => watch_now(shared, prefix, after).0,
     }
 }
 
+/// The response to a watch at this moment, and whether it has to be sent at once. The changes and the revision
+/// are read together: a response without a change that its revision includes would hide it from the watcher.
+fn watch_now(shared: &Shared, prefix: &str, after: u64) -> (Response, bool) {
+    let platform = shared.platform.lock();
+    let store = &platform.expect("platform lock is not poisoned").store;
+    if store.down {
+        return (status(503), true);
+    }
+    let Some(events) = store.changes(prefix, after) else {
+        return (status(410), true);
+    };
+    let events: Vec<Value> = events.iter().map(event).collect();
+    let has_changes = !events.is_empty();
+    let body = json!({ "events": events, "as_of": store.rev });
+    ((Status::Ok, Json(body)), has_changes)
+}
+
 #[post("/v1/kv-txn", data = "<body>")]
 fn txn(shared: &State<Shared>, body: Json<Value>) -> Response {
     let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
