A proxy that starts while the store does not answer copies from a seed

Change: the new optional setting `line.seeds` names up to three peer addresses. The store is asked first as before. Once it has failed, or has not answered for 600 ms, the seeds are asked as well until one has sent a complete copy or the store answers. The copy counts as current up to the time that follows from the age that the seed told. It has no source, so followers are refused until the store or a relay has answered; the store is asked from the copy's revision on, not for everything.

What a copy does not give: this proxy's own entry in it may be that of an earlier process and have expired since. Until the store or a relay sends the entry, the proxy counts as not registered, issues no permits, and leaves open whether an earlier process was registered. The election still waits for the first answer of the store.

Line `seed` (copied_from, revision, age_ms, parts), `seed` in `trouble` once for each reason, counter `seed_copies`.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -76,6 +76,10 @@
     /// forwards statements but accepts no forwarded ones.
     #[serde(default)]
     pub peer: Option<SocketAddr>,
+    /// The addresses at which other proxies accept forwarded statements, from which a starting process
+    /// copies the store's content if the store does not answer. They may be out of date.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// The time within which a new configuration must be applied on every proxy.
     #[serde(default = "default_config_within", with = "humantime_serde")]
     pub config_within: Duration,
@@ -97,7 +101,27 @@
     pub quota_margin: f64,
 }
 
+/// Each seed that does not answer delays the next one, and a proxy of a large deployment needs no more than
+/// a few.
+const MAX_SEEDS: usize = 3;
+
 impl Line {
+    /// Rejects seeds that nothing can listen on, and too many of them.
+    fn validate_seeds(&self) -> Result<(), Error> {
+        let invalid = |why: String| Err(Error::OutOfRange(format!("line.seeds: {why}")));
+        if self.seeds.len() > MAX_SEEDS {
+            let count = self.seeds.len();
+            return invalid(format!(
+                "{count} addresses, at most {MAX_SEEDS} are allowed"
+            ));
+        }
+        let cannot_listen = |seed: &&SocketAddr| seed.port() == 0 || seed.ip().is_unspecified();
+        match self.seeds.iter().find(cannot_listen) {
+            Some(seed) => invalid(format!("{seed} is not the address of a proxy")),
+            None => Ok(()),
+        }
+    }
+
     /// Whether the settings are those of a deployment with client accounts.
     pub fn has_quotas(&self) -> bool {
         self.quota_margin > 0.0 || self.quota_excess > 0.0
@@ -241,8 +265,13 @@
         line.map_or(Duration::MAX, |line| line.quota_window)
     }
 
-    /// Rejects zero durations: a loop with a zero polling interval would spin.
     fn validate(&self) -> Result<(), Error> {
+        self.validate_positive()?;
+        self.line.as_ref().map_or(Ok(()), Line::validate_seeds)
+    }
+
+    /// Rejects zero durations: a loop with a zero polling interval would spin.
+    fn validate_positive(&self) -> Result<(), Error> {
         let positive = [
             ("backend.connect_timeout", self.backend.connect_timeout),
             ("backend.pool_wait", self.backend.pool_wait),
--- a/crates/proxy/src/line/control.rs
+++ b/crates/proxy/src/line/control.rs
@@ -16,5 +16,6 @@
 pub mod record_lookup;
 pub mod recorder;
 pub mod relay;
+pub mod seeds;
 pub mod state;
 pub mod thread;
--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -11,6 +11,7 @@
     feed::{Source, Start},
     mirror::Progress,
     ownership::Peer,
+    seed,
     time::Moment,
 };
 use dandelionpitch_platform::{feed::Request, store::Item, Error};
@@ -67,9 +68,9 @@
         let (id, dc) = (&control.id, &control.dc);
         Start::new(relays, id, dc, control.peer.capacity)
     };
-    let delay = match start(decode_relays(
-        &control.store().list_stale(RELAY_PREFIX).await?,
-    )) {
+    let items = control.store().list_stale(RELAY_PREFIX).await?;
+    control.store_state.send_replace(seed::Store::Answered);
+    let delay = match start(decode_relays(&items)) {
         Start::Copy(relays) => return Ok(relays),
         Start::List => return Ok(Vec::new()),
         Start::Wait(delay) => delay,
--- a/crates/proxy/src/line/control/follow.rs
+++ b/crates/proxy/src/line/control/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps the copy of the store's content current: lists the store once, then polls for changes, at the
-//! store or at a relay. The source is chosen by [`engine::feed`].
+//! store or at a relay. The source is chosen by [`engine::feed`]. If the store does not answer a process that
+//! starts, the first copy may be a seed's ([`seeds`]).
 //!
 //! [`engine::feed`]: dandelionpitch_engine::feed
 
@@ -10,6 +11,7 @@
     feed::{self, Failures, Source, STORE_GRACE},
     mirror::{Change, Update},
     ownership::Peer,
+    seed::{self, Search},
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -23,7 +25,12 @@
     control::backoff::{self, Backoff},
     line::{
         clock,
-        control::{bootstrap, relay::Relay, state::Control},
+        control::{
+            bootstrap,
+            relay::Relay,
+            seeds::{self, Copied},
+            state::Control,
+        },
         journal, records,
     },
 };
@@ -38,15 +45,14 @@
 /// The prefix of all keys.
 const ALL_KEYS: &str = "";
 
-/// Polls for changes until the process ends.
-pub async fn run(control: Rc<Control>) {
+/// Polls for changes until the process ends. `seeds` may have the first copy.
+pub async fn run(control: Rc<Control>, seeds: Search<Value>) {
     let mut follower = Follower::new(control);
+    if !seeds.is_empty() {
+        follower.start(seeds).await;
+    }
     loop {
-        let source = follower.choose_source();
-        match follower.poll(&source).await {
-            Ok(changed) => follower.on_success(&source, changed).await,
-            Err(error) => follower.on_failure(&source, &error).await,
-        }
+        follower.step().await;
     }
 }
 
@@ -80,6 +86,54 @@
         }
     }
 
+    /// Polls until there is a complete copy, which the seeds may send first.
+    async fn start(&mut self, seeds: Search<Value>) {
+        let control = self.control.clone();
+        let polls = async {
+            while !control.mirror.is_complete() {
+                self.step().await;
+            }
+        };
+        let copied = tokio::select! {
+            biased;
+            () = polls => None,
+            copied = seeds::copy(&control, seeds) => Some(copied),
+        };
+        if let Some(copied) = copied {
+            self.adopt(copied);
+        }
+    }
+
+    /// Puts a seed's copy in force. The store and the relays are then asked for what has changed since, as
+    /// by a process that has lost its source.
+    fn adopt(&mut self, copied: Copied) {
+        let control = &self.control;
+        let (revision, synced_until) = (copied.mirror.revision(), copied.synced_until);
+        if !control.mirror.adopt(copied.mirror, synced_until) {
+            return;
+        }
+        self.needs_list = false;
+        control.store().note_era_of(revision);
+        control.apply_seed_copy(&control.mirror.content());
+        control.registry.borrow_mut().note_synced(synced_until);
+        records::note_synced(&control.synced_until_ms, synced_until);
+        control.metrics.seed_copy();
+        journal::write(
+            "seed",
+            json!({ "copied_from": copied.seed.to_string(), "revision": revision,
+                "age_ms": control.mirror.report().age_ms, "parts": copied.parts }),
+        );
+    }
+
+    /// Polls one source and handles the outcome.
+    async fn step(&mut self) {
+        let source = self.choose_source();
+        match self.poll(&source).await {
+            Ok(changed) => self.on_success(&source, changed).await,
+            Err(error) => self.on_failure(&source, &error).await,
+        }
+    }
+
     /// The source of the next poll. A process that has just started asks the store itself, as a relay
     /// may not have the latest configuration.
     fn choose_source(&self) -> Source {
@@ -268,6 +322,7 @@
         self.failures.record(source, clock::now());
         if *source == Source::Store {
             control.metrics.store_error();
+            control.store_state.send_replace(seed::Store::Failed);
             if let Err(error) = control.store.borrow_mut().reconnect() {
                 journal::trouble("store client", &error.to_string());
             }
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -17,6 +17,7 @@
     mirror::Update,
     ownership::Peer,
     registry::{Entry, Registry, Server},
+    seed,
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -83,6 +84,11 @@
     /// Whether an earlier process of this proxy was registered when this one started; `None` until that is
     /// known.
     pub predecessor: Cell<Option<bool>>,
+    /// Whether this proxy's own entry is known only from a seed's copy, which may have that of an earlier
+    /// process that has expired since.
+    pub is_unconfirmed: Cell<bool>,
+    /// Whether the store answers, until there is a copy of its content.
+    pub store_state: watch::Sender<seed::Store>,
     /// The ids of servers whose registrations cannot be decoded.
     pub(super) invalid_registrations: RefCell<Set<String>>,
     /// The lease of this proxy's entry.
@@ -126,9 +132,9 @@
         service.map_or(0, |service| service.sync_replicas)
     }
 
-    /// Whether this proxy is in its own list of live proxies.
+    /// Whether this proxy is in its own list of live proxies, as the store has it.
     pub fn is_registered(&self) -> bool {
-        self.publish.borrow().peer(&self.id).is_some()
+        !self.is_unconfirmed.get() && self.publish.borrow().peer(&self.id).is_some()
     }
 
     /// Where another proxy accepts connections from this one, if it is known.
@@ -142,6 +148,7 @@
         let now = clock::now();
         journal::write("store restored", json!({ "era": era::of(update.revision) }));
         self.election.borrow_mut().note_store_restored(now);
+        self.is_unconfirmed.set(false);
         self.apply_all(&update.changes, Registry::restore);
         self.records
             .borrow_mut()
@@ -150,6 +157,14 @@
 
     /// Applies the complete content of the store.
     pub fn apply_snapshot(&self, events: &[Event]) {
+        self.is_unconfirmed.set(false);
+        self.apply_all(events, Registry::replace);
+    }
+
+    /// Applies the complete content as a seed had it. It shows neither whether this proxy is registered nor
+    /// whether an earlier process of it was when this one started.
+    pub fn apply_seed_copy(&self, events: &[Event]) {
+        self.is_unconfirmed.set(true);
         self.apply_all(events, Registry::replace);
     }
 
@@ -225,6 +240,9 @@
             }
             Subject::Proxy(key) => match keys::member_id(key) {
                 Some(id) => {
+                    if id == self.id {
+                        self.is_unconfirmed.set(false);
+                    }
                     let peer = self.decode_peer(id, &item.value);
                     self.members.borrow_mut().mark_present(id, peer);
                 }
@@ -292,7 +310,7 @@
 
     /// Records an entry in the first list that an earlier process of this proxy has written.
     fn note_predecessor(&self, id: &str, value: &[u8]) {
-        let is_first_list = self.publish.borrow().peers.is_empty();
+        let is_first_list = self.publish.borrow().peers.is_empty() && !self.is_unconfirmed.get();
         if is_first_list && id == self.id && self.is_predecessor(value) {
             self.predecessor.set(Some(true));
         }
@@ -358,6 +376,7 @@
             proxy_count: count,
             quota_members: members.quota_count(now),
             has_predecessor: self.predecessor.get() == Some(true),
+            is_unconfirmed: self.is_unconfirmed.get(),
             peers,
         };
         self.publish.send_replace(Arc::new(view));
--- a/crates/proxy/src/line/control/thread.rs
+++ b/crates/proxy/src/line/control/thread.rs
@@ -10,9 +10,13 @@
 use dandelionpitch_engine::{
     feed::{Budget, Subscription},
     registry::Registry,
+    seed::{self, Search},
     time::Moment,
 };
-use dandelionpitch_platform::{promoter::Promoter, store::Store};
+use dandelionpitch_platform::{
+    promoter::Promoter,
+    store::{Store, Value},
+};
 use tokio::{
     sync::{mpsc, oneshot, watch, Notify},
     task::LocalSet,
@@ -67,6 +71,7 @@
     let promoter = Promoter::new(&format!("http://{}", line.promoter));
     let (id, dc) = (config.id.clone(), config.dc.clone());
     let has_quotas = line.has_quotas();
+    let seeds = Search::new(&line.seeds, peer.address, &config.id);
     let (budget, promotions_per_second) =
         (Budget::new(line.config_within), line.promotions_per_second);
     let start = move || {
@@ -94,6 +99,8 @@
             members: RefCell::default(),
             has_quotas,
             predecessor: Cell::default(),
+            is_unconfirmed: Cell::default(),
+            store_state: watch::Sender::new(seed::Store::Asked(started_at)),
             invalid_registrations: RefCell::default(),
             lease: Cell::default(),
             is_announced: Cell::default(),
@@ -105,6 +112,7 @@
         });
         run(
             control,
+            seeds,
             promotions_per_second,
             responder.requests,
             endpoint,
@@ -122,6 +130,7 @@
 
 fn run(
     control: Rc<Control>,
+    seeds: Search<Value>,
     promotions_per_second: f64,
     requests: mpsc::UnboundedReceiver<Request>,
     endpoint: Endpoint,
@@ -132,7 +141,7 @@
         .build()
         .expect("the control runtime starts");
     LocalSet::new().block_on(&runtime, async move {
-        tokio::task::spawn_local(follow::run(control.clone()));
+        tokio::task::spawn_local(follow::run(control.clone(), seeds));
         tokio::task::spawn_local(heartbeat::run(control.clone()));
         tokio::task::spawn_local(election::run(control.clone()));
         tokio::task::spawn_local(failover::run(control.clone(), promotions_per_second));
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -99,7 +99,7 @@
     /// Applies a new view; `own` is the id of this proxy.
     pub fn update(&self, view: &View, own: &str) {
         let now = clock::now();
-        let is_registered = view.peer(own).is_some();
+        let is_registered = !view.is_unconfirmed && view.peer(own).is_some();
         if is_registered && self.registered_at.get().is_none() {
             let settled = match view.has_predecessor {
                 true => now,
--- a/crates/proxy/src/line/view.rs
+++ b/crates/proxy/src/line/view.rs
@@ -32,6 +32,8 @@
     /// Whether an earlier process of this proxy was registered when this one started, so that the others
     /// already count it.
     pub has_predecessor: bool,
+    /// Whether this proxy's own entry is known only from a seed's copy, and not from the store.
+    pub is_unconfirmed: bool,
     /// The live proxies, to which statements can be forwarded, sorted by id.
     pub peers: Arc<[Peer]>,
 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -35,6 +35,7 @@
     attempts: Counter<u64>,
     connections: Counter<u64>,
     store_errors: Counter<u64>,
+    seed_copies: Counter<u64>,
     invalid_entries: Counter<u64>,
     forwarded: Counter<u64>,
     account_operations: Counter<u64>,
@@ -113,6 +114,7 @@
             attempts: meter.u64_counter("attempts").build(),
             connections: meter.u64_counter("connections_opened").build(),
             store_errors: meter.u64_counter("store_errors").build(),
+            seed_copies: meter.u64_counter("seed_copies").build(),
             invalid_entries: meter.u64_counter("entries_passed_over").build(),
             forwarded: meter.u64_counter("statements_handed_over").build(),
             account_operations: meter.u64_counter("account_operations").build(),
@@ -188,6 +190,11 @@
         self.store_errors.add(1, &[]);
     }
 
+    /// Counts a copy of the store's content that this process took from a seed when it started.
+    pub fn seed_copy(&self) {
+        self.seed_copies.add(1, &[]);
+    }
+
     /// Counts an entry of the store that cannot be parsed as a server or proxy.
     pub fn invalid_entry(&self) {
         self.invalid_entries.add(1, &[]);
--- /dev/null
+++ b/crates/proxy/tests/config.rs
@@ -0,0 +1,43 @@
+//! The settings of a proxy.
+
+use std::net::SocketAddr;
+
+use dandelionpitch_proxy::config::{Config, DEFAULT_SETTINGS};
+use yare::parameterized;
+
+/// Settings with these in their section `[line]`.
+fn parse(line: &str) -> Result<Config, String> {
+    let required = "promoter = \"127.0.0.1:1\"\ngrace = \"6s\"";
+    let text = format!("{DEFAULT_SETTINGS}\n[line]\n{required}\n{line}\n");
+    Config::parse(&text).map_err(|error| error.to_string())
+}
+
+fn seeds(line: &str) -> Vec<SocketAddr> {
+    let config = parse(line).expect("valid settings");
+    config.line.expect("the section is there").seeds
+}
+
+#[test]
+fn seeds_are_optional() {
+    let some = seeds("seeds = [\"10.0.0.1:7000\", \"10.0.0.2:7000\"]");
+
+    assert_eq!(
+        some,
+        [([10, 0, 0, 1], 7000).into(), ([10, 0, 0, 2], 7000).into()]
+    );
+    assert!(seeds("").is_empty());
+}
+
+/// Guards against a proxy that finds out only in an outage of the store that its seeds are unusable.
+#[parameterized(
+    name = { "[\"proxy-1:7000\"]", "invalid socket address" },
+    no_port = { "[\"10.0.0.1\"]", "invalid socket address" },
+    port_zero = { "[\"10.0.0.1:0\"]", "line.seeds: 10.0.0.1:0 is not the address of a proxy" },
+    any_address = { "[\"0.0.0.0:7000\"]", "line.seeds: 0.0.0.0:7000 is not the address" },
+    too_many = { "[\"10.0.0.1:1\", \"10.0.0.1:2\", \"10.0.0.1:3\", \"10.0.0.1:4\"]", "4 addresses, at most 3" },
+)]
+fn unusable_seeds_are_errors(seeds: &str, why: &str) {
+    let error = parse(&format!("seeds = {seeds}")).expect_err("invalid settings");
+
+    assert!(error.contains(why), "{error}");
+}
