End-to-end tests of proxies that restart while the store fails

- tests/forwarding.rs: a restarted owner without the store and without seeds delays no statement of the others.

--- a/crates/e2e/tests/forwarding.rs
+++ b/crates/e2e/tests/forwarding.rs
@@ -14,6 +14,9 @@
 /// statements before the owner's entry in the store expires, which takes at least 4 s.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long a proxy that knows no primary searches for one before it refuses a statement.
+const SEARCH_TIME: Duration = Duration::from_millis(100);
+
 /// Starts seven proxies of which one owns the connections; returns its index and that of another
 /// proxy.
 async fn start_site(name: &str) -> (Site, usize, usize) {
@@ -266,3 +269,42 @@
     let rejected = site.group().await["turned_away"].clone();
     assert_eq!(rejected, 0, "{:#?}", site.log_lines_with("connect"));
 }
+
+/// The owner is killed and restarted while the store is down, without seeds. The others still take it for the
+/// owner, and it knows no servers. Guards against their callers being refused, or waiting while it searches.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_owner_without_the_store_delays_no_statement() {
+    let mut site = Site::start_with_fixed_peers("starting", 7, MAX_CONNECTIONS, 0).await;
+    let owner = site.wait_for_owners(1).await[0];
+    let mut caller = site.caller((owner + 1) % 7, LATEST);
+    caller.query_until_done("PUT a before", RECOVERY_TIMEOUT);
+    site.store_fault("down", true).await;
+    site.restart_proxy(owner);
+    // Another proxy searches for the primary, and the owner is taken for failed at first.
+    caller.query_until_done("PUT a after", RECOVERY_TIMEOUT);
+
+    let mut times = Vec::new();
+    let until = Instant::now() + Duration::from_secs(3);
+    for number in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let asked_at = Instant::now();
+        let answer = caller.query(&format!("PUT a n{number}"));
+        times.push((asked_at.elapsed(), answer.code().to_owned()));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+
+    let delayed = |(time, code): &&(Duration, String)| *time > SEARCH_TIME || !code.is_empty();
+    let delayed: Vec<_> = times.iter().filter(delayed).collect();
+    assert!(
+        !site.is_ready_now(owner).await,
+        "the owner reached the store"
+    );
+    assert!(
+        delayed.len() * 50 < times.len(),
+        "{} of {}: {delayed:?}",
+        delayed.len(),
+        times.len()
+    );
+}
