The seeds are asked as soon as a call of the first copy from a relay fails

Cause: a store that hung after it had named the relays was noticed only when the listing after up to three relays had failed as well.

Change: a failed call of the bootstrap counts as a failed store. Not covered by a test of its own; tests/seeds.rs, line_restarts.rs and line_accounts.rs pass.

--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -46,6 +46,7 @@
     let relays = match choose_relays(control).await {
         Ok(relays) => relays,
         Err(error) => {
+            control.store_state.send_replace(seed::Store::Failed);
             journal::trouble("bootstrap", &error.to_string());
             return None;
         }
@@ -115,7 +116,11 @@
     let source = Source::Peer(peer.id.clone());
     let mut relay = Relay::at(&peer.id, peer.address);
     let asked = clock::now();
-    let target = control.store().revision().await?;
+    let revision = control.store().revision().await;
+    if revision.is_err() {
+        control.store_state.send_replace(seed::Store::Failed);
+    }
+    let target = revision?;
     let mut wait = Duration::ZERO;
     while control.mirror.revision() < target {
         let request = Request {
