--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod replication;
 pub mod restart;
 pub mod roster;
+pub mod seed;
 pub mod session;
 pub mod share;
 pub mod slots;
--- a/crates/proxy/src/line/control/bootstrap.rs
+++ b/crates/proxy/src/line/control/bootstrap.rs
@@ -11,6 +11,7 @@
     feed::{Source, Start},
     mirror::Progress,
     ownership::Peer,
+    seed,
     time::Moment,
 };
 use dandelionpitch_platform::{feed::Request, store::Item, Error};
@@ -45,6 +46,7 @@
     let relays = match choose_relays(control).await {
         Ok(relays) => relays,
         Err(error) => {
+            control.store_state.send_replace(seed::Store::Failed);
             journal::trouble("bootstrap", &error.to_string());
             return None;
         }
@@ -67,9 +69,9 @@
         let (id, dc) = (&control.id, &control.dc);
         Start::new(relays, id, dc, control.peer.capacity)
     };
-    let delay = match start(decode_relays(
-        &control.store().list_stale(RELAY_PREFIX).await?,
-    )) {
+    let items = control.store().list_stale(RELAY_PREFIX).await?;
+    control.store_state.send_replace(seed::Store::Answered);
+    let delay = match start(decode_relays(&items)) {
         Start::Copy(relays) => return Ok(relays),
         Start::List => return Ok(Vec::new()),
         Start::Wait(delay) => delay,
@@ -114,7 +116,11 @@
     let source = Source::Peer(peer.id.clone());
     let mut relay = Relay::at(&peer.id, peer.address);
     let asked = clock::now();
-    let target = control.store().revision().await?;
+    let revision = control.store().revision().await;
+    if revision.is_err() {
+        control.store_state.send_replace(seed::Store::Failed);
+    }
+    let target = revision?;
     let mut wait = Duration::ZERO;
     while control.mirror.revision() < target {
         let request = Request {
