Operations no longer wait for a quota permit

An account that is slightly above its limit is short all the time; a permit that a waiting operation takes comes late for it and is missing for the next one. What stays: a proxy that issues no permits yet says so in its refusals.

--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -11,7 +11,6 @@
 
 mod balance;
 mod permits;
-mod shortage;
 mod tolerance;
 
 use std::time::Duration;
@@ -27,7 +26,6 @@
 use balance::{Balance, Loan, RETRY_AFTER};
 
 pub use permits::{Batch, Permits};
-pub use shortage::{Remedy, Shortage, Urgency};
 pub use tolerance::Tolerance;
 
 /// The number of collectors of a small fleet. More of them share the work, but each has to ask every proxy.
@@ -212,21 +210,6 @@
         balance.retry_after()
     }
 
-    /// Decides on an operation for which no permit was found, where operations may wait for one.
-    pub fn remedy(&mut self, account: &str, urgency: Urgency, now: Moment) -> Remedy {
-        match self.balances.get_mut(account) {
-            Some(balance) => {
-                balance.shortage.note_denied(now);
-                let remedy = balance.shortage.remedy(urgency, now);
-                if let Remedy::Wait(delay) = remedy {
-                    balance.denied_until = balance.denied_until.min(now + delay);
-                }
-                remedy
-            }
-            None => Remedy::Refuse(RETRY_AFTER.0),
-        }
-    }
-
     /// Whether this proxy issues no permits yet, as it has just started or is not registered.
     pub fn is_starting(&self) -> bool {
         self.issuers.is_none()
--- a/crates/engine/src/quota/balance.rs
+++ b/crates/engine/src/quota/balance.rs
@@ -4,7 +4,7 @@
 
 use dandelionpitch_core::hash::Map;
 
-use super::{Batch, Permits, Shortage};
+use super::{Batch, Permits};
 use crate::time::Moment;
 
 /// The interval at which permits are stamped while they are issued.
@@ -50,7 +50,6 @@
     counted_at: Moment,
     /// No permits are drawn before this time.
     pub denied_until: Moment,
-    pub shortage: Shortage,
 }
 
 impl Balance {
@@ -66,7 +65,6 @@
             demand: 0.0,
             counted_at: now,
             denied_until: Moment::default(),
-            shortage: Shortage::default(),
         }
     }
 
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -15,7 +15,7 @@
 
 use crate::error::Error;
 
-pub use policy::{QuotaShortage, ReplicaLag};
+pub use policy::ReplicaLag;
 
 /// The settings used if no file is given: a proxy on loopback with a local key-value store (KV).
 pub const DEFAULT_SETTINGS: &str = r#"
@@ -109,9 +109,6 @@
     /// The number of operations that are tolerated above it.
     #[serde(default)]
     pub quota_margin: f64,
-    /// What happens to operations for which there is no permit.
-    #[serde(default)]
-    pub quota_shortage: QuotaShortage,
     /// How replicas that lack the log position of a read are avoided.
     #[serde(default)]
     pub replica_lag: ReplicaLag,
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -112,7 +112,7 @@
         failure_signal: failure_signal.clone(),
         records,
         replica_lag: line.replica_lag,
-        quota: quota::Quota::new(&config.id, line.tolerance(), line.quota_shortage),
+        quota: quota::Quota::new(&config.id, line.tolerance()),
         idle_transactions: line.idle_transactions,
         mirror,
         open_count: Rc::default(),
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -15,7 +15,7 @@
     account::Account,
     catalog::Catalog,
     ownership::Peer,
-    quota::{loan_term, Decision, Ledger, Remedy, Tolerance, Urgency},
+    quota::{loan_term, Decision, Ledger, Tolerance},
     session::Variables,
     slots::Purpose,
     time::Moment,
@@ -28,17 +28,14 @@
 use serde_json::json;
 use tokio::sync::Mutex;
 
-use crate::{
-    config::QuotaShortage,
-    line::{
-        backend::{
-            request::{self, Client, Rank},
-            Backend,
-        },
-        clock, journal,
-        shared::Shared,
-        view::View,
+use crate::line::{
+    backend::{
+        request::{self, Client, Rank},
+        Backend,
     },
+    clock, journal,
+    shared::Shared,
+    view::View,
 };
 
 /// Timeout for another proxy to answer a request for permits.
@@ -73,7 +70,6 @@
 /// The quotas as this proxy applies them.
 pub struct Quota {
     ledger: RefCell<Ledger>,
-    shortage: QuotaShortage,
     /// One draw at a time for each account.
     draws: RefCell<Map<String, Rc<Mutex<()>>>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
@@ -92,9 +88,8 @@
 }
 
 impl Quota {
-    pub fn new(own: &str, tolerance: Tolerance, shortage: QuotaShortage) -> Self {
+    pub fn new(own: &str, tolerance: Tolerance) -> Self {
         Self {
-            shortage,
             ledger: RefCell::new(Ledger::new(own, tolerance, clock::now())),
             draws: RefCell::default(),
             catalog: RefCell::default(),
@@ -139,30 +134,13 @@
     }
 
     /// Takes a permit for an operation of `account`; returns when the permit was issued.
-    pub async fn admit(
-        &self,
-        shared: &Shared,
-        account: &Account,
-        urgency: Urgency,
-    ) -> Result<Moment, Exceeded> {
-        let mut decision = self.ledger.borrow_mut().admit(account, clock::now());
-        loop {
-            let retry_after = match self.take(shared, account, decision).await {
-                Ok(issued) => return Ok(issued),
-                Err(retry_after) => retry_after,
-            };
-            let delay = match self.remedy(account, urgency, retry_after) {
-                Remedy::Wait(delay) => delay,
-                Remedy::Refuse(retry_after) => {
-                    return Err(Exceeded {
-                        is_starting: self.ledger.borrow().is_starting(),
-                        retry_after,
-                    })
-                }
-            };
-            tokio::time::sleep(delay).await;
-            decision = self.ledger.borrow_mut().retry(account, clock::now());
-        }
+    pub async fn admit(&self, shared: &Shared, account: &Account) -> Result<Moment, Exceeded> {
+        let decision = self.ledger.borrow_mut().admit(account, clock::now());
+        let taken = self.take(shared, account, decision).await;
+        taken.map_err(|retry_after| Exceeded {
+            is_starting: self.ledger.borrow().is_starting(),
+            retry_after,
+        })
     }
 
     /// Takes a permit after `decision`, drawing permits if that is needed. An error is the time until the
@@ -196,17 +174,6 @@
         }
     }
 
-    /// What to do with an operation for which there is no permit.
-    fn remedy(&self, account: &Account, urgency: Urgency, retry_after: Duration) -> Remedy {
-        match self.shortage {
-            QuotaShortage::Refuse => Remedy::Refuse(retry_after),
-            QuotaShortage::Wait => {
-                let mut ledger = self.ledger.borrow_mut();
-                ledger.remedy(&account.name, urgency, clock::now())
-            }
-        }
-    }
-
     /// Gives back the permit of an operation that did not run.
     pub fn refund(&self, account: &Account, issued: Moment) {
         self.ledger.borrow_mut().refund(&account.name, issued);
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -288,7 +288,7 @@
             Origin::Caller => self.authorize()?,
             Origin::Peer => self.accept_forwarded(requirements, statement)?,
         }
-        let permit = self.take_permit(id, statement, arrived).await?;
+        let permit = self.take_permit(id, statement).await?;
         let result = self.run(id, text, statement, arrived).await;
         self.refund_if_not_run(permit, &result);
         result
--- a/crates/proxy/src/line/traffic/session/access.rs
+++ b/crates/proxy/src/line/traffic/session/access.rs
@@ -6,7 +6,6 @@
 use dandelionpitch_engine::{
     account::Account,
     catalog::Route,
-    quota::Urgency,
     refusal::{Code, Refusal},
     session::Phase,
     startup,
@@ -102,10 +101,9 @@
         &self,
         id: &str,
         statement: &Statement<'_>,
-        arrived: Moment,
     ) -> Result<Option<Permit>, Refusal> {
-        let (Origin::Caller, Phase::Idle, Some(account), Some(route)) =
-            (self.origin, self.state.phase(), &self.account, &self.route)
+        let (Origin::Caller, Phase::Idle, Some(account)) =
+            (self.origin, self.state.phase(), &self.account)
         else {
             return Ok(None);
         };
@@ -120,12 +118,7 @@
             return Ok(None);
         }
         let quota = &self.shared.quota;
-        let urgency = Urgency {
-            arrived,
-            target: route.target,
-            timeout: route.timeout,
-        };
-        let admitted = quota.admit(&self.shared, account, urgency).await;
+        let admitted = quota.admit(&self.shared, account).await;
         let metrics = &self.shared.metrics;
         metrics.account_operation(&account.name, admitted.is_ok());
         match admitted {
--- a/crates/proxy/tests/quota.rs
+++ b/crates/proxy/tests/quota.rs
@@ -4,10 +4,7 @@
 
 use dandelionpitch_engine::{ownership::Peer, quota::Tolerance};
 use dandelionpitch_platform::{config, quota::Request};
-use dandelionpitch_proxy::{
-    config::QuotaShortage,
-    line::{quota::Quota, view::View},
-};
+use dandelionpitch_proxy::line::{quota::Quota, view::View};
 
 const OWN: &str = "proxy-1";
 const COLLECTOR: &str = "proxy-2";
@@ -49,7 +46,7 @@
         excess: 0.1,
         margin: 20.0,
     };
-    let quota = Quota::new(OWN, tolerance, QuotaShortage::default());
+    let quota = Quota::new(OWN, tolerance);
     quota.update(view, OWN);
     quota.respond(Request::Collect { by: COLLECTOR })
 }
