--- a/crates/engine/tests/interleavings/main.rs
+++ b/crates/engine/tests/interleavings/main.rs
@@ -170,18 +170,21 @@
 }
 
 /// Draws restarts of a replica while the other one lags and the primary is lost, and searches for a
-/// read that misses a confirmed commit.
-fn search_restarts(omitted: Option<Safeguard>) -> Tally {
+/// violation, such as a read that misses a confirmed commit.
+fn search_restarts(
+    omitted: Option<Safeguard>,
+    violation: impl Fn(&Cluster) -> Option<String>,
+) -> Tally {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
     let (cases, scenarios) = ((rng, RESTART_CASES), scenario::restart_scenario());
-    search(cases, &scenarios, omitted, |cluster| cluster.stale.clone())
+    search(cases, &scenarios, omitted, violation)
 }
 
 /// Guards against reads that use the position of a quorum in which a restarted server counts as the
 /// earlier incarnation, which had confirmed a commit alone.
 #[test]
 fn quorum_read_misses_no_commit_of_a_restarted_replica() {
-    let tally = search_restarts(None);
+    let tally = search_restarts(None, |cluster| cluster.stale.clone());
 
     assert!(tally.quorum_reads > tally.cases, "too few: {tally:?}");
 }
@@ -190,5 +193,16 @@
 #[test]
 #[should_panic(expected = "STALE")]
 fn model_finds_reads_that_count_a_restarted_replica() {
-    search_restarts(Some(Safeguard::Incarnation));
+    search_restarts(Some(Safeguard::Incarnation), |cluster| {
+        cluster.stale.clone()
+    });
+}
+
+/// Guards against a failover leader that has just been elected, takes a server that restarted empty for the
+/// incarnation that is still registered, and promotes a lagging replica with it.
+#[test]
+fn new_failover_leader_loses_no_commit_of_a_restarted_replica() {
+    let tally = search_restarts(None, |cluster| cluster.lost.clone());
+
+    assert!(tally.promotions > 0, "no promotions: {tally:?}");
 }
