dpctl validate checks configurations of the line protocol, and proxies log faulty accounts

Cause: `dpctl validate` took only bundles. A configuration with a key that two accounts hold, an empty or repeated account name or a rate of 0 was applied without a word. A value of the wrong type was quoted in the decoding error, which the proxy logs, so that a key in the wrong place reached its log.

Change: engine::account records faults while accounts are inserted, by the account's place and without keys. `dpctl validate` decodes JSON files as the proxies do and lists all faults. A proxy logs the first fault once for each version and serves on; the last account still holds a shared key. Decoding errors name the line and column without the value.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -17,9 +17,9 @@
 /// Subcommands of `dpctl`.
 #[derive(Debug, Subcommand)]
 pub enum Command {
-    /// Validate a bundle file and print a summary.
+    /// Validate a bundle, or a configuration of the line protocol, and print a summary.
     Validate {
-        /// The bundle file (TOML).
+        /// The bundle (TOML), or the configuration (JSON, as in the store under `op/config`).
         file: PathBuf,
     },
     /// Replace the current bundle in the platform KV with one of a higher version.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -14,13 +14,13 @@
     burn,
     cli::Command,
     proxy::{self, Heartbeat},
-    trace,
+    trace, validate,
 };
 
 /// Runs a subcommand.
 pub async fn run(command: Command) -> Result<String, String> {
     match command {
-        Command::Validate { file } => validate(&file),
+        Command::Validate { file } => validate::report(&file),
         Command::Put { file, kv } => put(&file, &kv::Client::new(&kv)).await,
         Command::Burn {
             kv,
@@ -37,29 +37,13 @@
     }
 }
 
-fn read(file: &Path) -> Result<(String, Bundle), String> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| format!("cannot read {}: {error}", file.display()))?;
-    let bundle = Bundle::parse(&text).map_err(|error| format!("{}: {error}", file.display()))?;
-    Ok((text, bundle))
-}
-
-fn validate(file: &Path) -> Result<String, String> {
-    let (_, bundle) = read(file)?;
-    Ok(format!(
-        "bundle version {} is valid: {} groups, {} callers",
-        bundle.version,
-        bundle.groups.len(),
-        bundle.callers.len()
-    ))
-}
-
 /// Writes the bundle to the KV if its version is higher than the current one.
 ///
 /// The compare-and-swap never reverts a concurrent write of another operator. If its response is
 /// lost, reading the key again shows whether the write took effect.
 async fn put(file: &Path, kv: &kv::Client) -> Result<String, String> {
-    let (text, bundle) = read(file)?;
+    let text = validate::read(file)?;
+    let bundle = validate::parse_bundle(file, &text)?;
     let current = kv
         .get(keys::BUNDLE)
         .await
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod command;
 mod proxy;
 mod trace;
+mod validate;
 
 use clap::Parser;
 
--- a/crates/e2e/tests/bad_input.rs
+++ b/crates/e2e/tests/bad_input.rs
@@ -102,6 +102,49 @@
     assert!(text.contains("no group \"missing\""), "{text}");
 }
 
+/// Writes a configuration of the line protocol with these accounts and validates it.
+fn validate_configuration(name: &str, accounts: &str) -> (bool, String) {
+    let file = format!("dandelionpitch-{name}-{}.conf", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    let route = r#"{"name":"r","host":"h","kind":"primary","timeout_ms":800,"target_latency_ms":150,
+        "service":"s"}"#;
+    let service = r#"{"name":"s","max_conns":33}"#;
+    let text = format!(
+        r#"{{"version":7,"routes":[{route}],"services":[{service}],"tenants":[{accounts}]}}"#
+    );
+    std::fs::write(&path, text).unwrap();
+    let outcome = fixture::dpctl(&["validate", path.to_str().unwrap()]);
+    let _ = std::fs::remove_file(&path);
+    outcome
+}
+
+/// `dpctl validate` takes the configuration that the proxies take, and lists all its faults by place.
+/// Guards against a key on an operator's terminal.
+#[test]
+fn faulty_configuration_is_refused_without_its_keys() {
+    let accounts = r#"{"name":"a","api_keys":["secret-1"],"rate_per_s":5},
+        {"name":"b","api_keys":["secret-2","secret-1"],"rate_per_s":0}"#;
+
+    let (ok, text) = validate_configuration("faulty", accounts);
+
+    assert!(!ok);
+    let shared = r#"account 2 ("b"): key 2 is also held by account "a""#;
+    let rate = r#"account 2 ("b"): the rate must be above zero, not 0"#;
+    assert!(text.contains(shared) && text.contains(rate), "{text}");
+    assert!(!text.contains("secret"), "{text}");
+}
+
+#[test]
+fn sound_configuration_is_summarized() {
+    let accounts = r#"{"name":"a","api_keys":["secret-1"],"rate_per_s":5}"#;
+
+    let (ok, text) = validate_configuration("sound", accounts);
+
+    assert!(ok, "{text}");
+    let summary = "configuration version 7 is valid: 1 routes, 1 groups, 1 accounts";
+    assert_eq!(text.trim(), summary);
+}
+
 /// All servers of the group die while a statement runs. The caller gets SQLSTATE 08007, "outcome
 /// unknown", at once instead of waiting, as the statement may have been executed.
 #[tokio::test]
--- a/crates/e2e/tests/line_accounts.rs
+++ b/crates/e2e/tests/line_accounts.rs
@@ -94,6 +94,33 @@
     assert_eq!(leaked, None);
 }
 
+/// Guards against a configuration with a fault that stops the proxy, or that nobody learns of.
+#[tokio::test]
+async fn shared_key_is_logged_once_for_each_version_and_serves_its_last_account() {
+    let site = Site::start("shared-key", 1).await;
+    let keys = &["key-of-pharmacy"];
+    let accounts = [PHARMACY, Account { keys, ..COURIER }];
+    for version in [2, 3] {
+        site.configure_accounts(version, &accounts).await;
+        site.wait_for_version(version).await;
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+
+    let mut caller = open(&site, 0, "key-of-pharmacy");
+    let answer = caller.query("FETCH a");
+
+    assert!(answer.is_done(), "{answer:?}");
+    let logged = site.log_lines_with("is also held by account");
+    assert_eq!(logged.len(), 2, "{logged:?}");
+    let fault = |line: &String| {
+        line.contains("account 2 (\\\"courier\\\"): key 1 is also held by account \\\"pharmacy\\\"")
+    };
+    assert!(logged.iter().all(fault), "{logged:?}");
+    assert!(!logged[0].contains("key-of"), "{logged:?}");
+    let runs = callers_runs(&site).await;
+    assert_eq!(runs.last().map(|run| run.0.as_str()), Some("courier"));
+}
+
 #[tokio::test]
 async fn removed_key_stops_open_sessions_and_transactions() {
     let site = site("removed-key", 1).await;
--- a/crates/engine/src/catalog.rs
+++ b/crates/engine/src/catalog.rs
@@ -6,7 +6,7 @@
 use dandelionpitch_core::hash::Map;
 
 use crate::{
-    account::{Account, Directory},
+    account::{Account, Directory, Fault},
     refusal::{Code, Refusal},
 };
 
@@ -71,6 +71,11 @@
         current.is_none_or(|current| self.version > current.version)
     }
 
+    /// What is wrong with the client accounts. A configuration with faults is served nevertheless.
+    pub fn faults(&self) -> &[Fault] {
+        self.accounts.as_ref().map_or(&[], Directory::faults)
+    }
+
     /// The account of a caller that uses `route` with `key`; `None` if the caller needs none.
     ///
     /// # Errors
--- a/crates/proxy/src/line/control/state.rs
+++ b/crates/proxy/src/line/control/state.rs
@@ -337,6 +337,7 @@
                     "revision": item.revision, "age_ms": self.mirror.report().age_ms }),
             );
             self.metrics.version(catalog.version);
+            log_faults(&catalog);
             *self.catalog.borrow_mut() = Some(Arc::new(catalog));
         }
     }
@@ -363,3 +364,16 @@
         self.publish.send_replace(Arc::new(view));
     }
 }
+
+/// Logs the first fault of a configuration and the number of others. A bad configuration must not
+/// stop the proxy, so it is applied nevertheless.
+fn log_faults(catalog: &Catalog) {
+    let Some((first, others)) = catalog.faults().split_first() else {
+        return;
+    };
+    let (version, others) = (catalog.version, others.len());
+    journal::trouble(
+        "configuration",
+        &format!("version {version}: {first}; {others} other faults"),
+    );
+}
