engine::recovery estimates the end of an outage and orders the statements that wait for it

Cause: a statement that finds no primary is told to come back in 500 ms, whatever is known. With two retries within a deadline of 1 s its caller uses them up while there is still no primary.

Change: engine::recovery keeps the durations of earlier recoveries and, for each group, the outage and a bounded queue of statements. It decides whether a statement waits until at most a time, or when its caller should come back, and the order and rate in which waiting statements start. It gives no estimate without the store, or once an outage has lasted twice as long as estimated. Nothing uses it yet.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod placement;
 pub mod planner;
 pub mod quota;
+pub mod recovery;
 pub mod refusal;
 pub mod registry;
 pub mod restart;
