Statements can wait for a primary during a failover (line.recovery = "wait")

Cause: a write that arrives during a failover is refused after a fifth of its target and told to come back in 500 ms, although the failover may be over earlier or much later.

Change: with the new setting line.recovery = "wait" (default "refuse", the behaviour before), writes, first statements of transactions and reads that need the primary wait as engine::recovery decides, or are told when to come back by its estimate. While they wait, a task of the group searches for the primary; when it is found they start at the rate that the connections bear. A write waits before it asks for a confirmation, which the suspicion of the lost primary would deny. A statement waits at most for 0.8 of its time-out less the time to run, as a proxy that forwarded it gives up then and could not tell whether it was run. The sender's connection is checked each 50 ms, and a forwarding proxy closes its connection to the owner once its caller has left and the target has passed. Outages are logged (kind `recovery`), and statements that waited, were served or refused with an estimate are counted (`recovery_waits`).

Result: line_failovers.rs has seven new tests with real processes. They fail without the waits (BUSY), the disconnect checks (the write of a caller that has left is applied) or the limit of 0.8 (UNKNOWN, 6.4 s).

--- a/crates/e2e/tests/line_failovers.rs
+++ b/crates/e2e/tests/line_failovers.rs
@@ -5,7 +5,8 @@
 
 use std::time::{Duration, Instant};
 
-use fixture::line::{Site, FAILOVER_TIMEOUT, LATEST};
+use fixture::line::{Site, FAILOVER_TIMEOUT, LATEST, PATIENT};
+use yare::parameterized;
 
 /// How long callers write: until a second promotion, if there is one, has taken effect.
 const WRITE_PERIOD: Duration = Duration::from_millis(2_500);
@@ -27,6 +28,117 @@
     site
 }
 
+/// Starts proxies whose statements wait for a primary, and waits until one of them has elected itself
+/// failover leader. Promotions take effect 1.5 s after their call. Returns a proxy that does not own the
+/// group's connections, if there is one.
+async fn start_waiting_site(name: &str, proxies: usize, max_connections: usize) -> (Site, usize) {
+    let arguments = ["--promote-ms", "0", "--effect-ms", "1500"];
+    let site = Site::start_waiting(name, proxies, max_connections, &arguments).await;
+    site.failover_leader().await;
+    let owners = match proxies {
+        1 => vec![0],
+        _ => site.wait_for_owners(1).await,
+    };
+    let proxy = (owners[0] + 1) % proxies;
+    assert!(site.caller(proxy, PATIENT).query("PUT first v").is_done());
+    (site, proxy)
+}
+
+/// Waits until a proxy has logged a line of the kind `recovery` about the start or the end of an outage.
+async fn wait_for_recovery(site: &Site, what: &str) {
+    let text = format!("\"what\":\"{what}\"");
+    let logged = || {
+        let lines = site.log_lines_with("\"kind\":\"recovery\"");
+        lines.iter().any(|line| line.contains(&text))
+    };
+    let seen = fixture::eventually(FAILOVER_TIMEOUT, || async { logged() });
+    assert!(seen.await, "no {what} of an outage in the log");
+}
+
+/// A write that arrives during a failover is answered after it, and applied once. Guards against a
+/// refusal, and against a forwarding proxy that takes the wait for a lost answer.
+#[parameterized(on_owner = { 1, 30 }, forwarded = { 7, 8 })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn write_waits_for_the_failover(proxies: usize, max_connections: usize) {
+    let name = format!("write-waits-{proxies}");
+    let (site, proxy) = start_waiting_site(&name, proxies, max_connections).await;
+    let mut first = site.caller(proxy, PATIENT);
+    let mut second = site.caller(proxy, PATIENT);
+    site.fault(0, "crashed", true).await;
+
+    first.send("QUERY w1 PUT early v");
+    wait_for_recovery(&site, "start").await;
+    let answer = second.query("PUT late v");
+
+    assert!(answer.is_done(), "{answer:?}");
+    wait_for_recovery(&site, "end").await;
+    assert_eq!(site.count_in_log("late", "v").await, 1);
+    let early = first.read_answer();
+    assert!(early.is_done() || early.code() == "UNKNOWN", "{early:?}");
+    assert!(site.count_in_log("early", "v").await <= 1);
+}
+
+/// A caller that disconnects while its write waits gives up its place. Guards against a write that runs
+/// long after its caller has left, also if another proxy has forwarded it.
+#[parameterized(on_owner = { 1, 30 }, forwarded = { 7, 8 })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn write_of_a_disconnected_caller_does_not_wait(proxies: usize, max_connections: usize) {
+    let name = format!("caller-left-{proxies}");
+    let (site, proxy) = start_waiting_site(&name, proxies, max_connections).await;
+    let mut first = site.caller(proxy, PATIENT);
+    let mut gone = site.caller(proxy, PATIENT);
+    let mut other = site.caller(proxy, PATIENT);
+    site.fault(0, "crashed", true).await;
+    first.send("QUERY w1 PUT early v");
+    wait_for_recovery(&site, "start").await;
+
+    gone.send("QUERY w2 PUT gone v");
+    drop(gone);
+    let answer = other.query("PUT late v");
+
+    assert!(answer.is_done(), "{answer:?}");
+    assert_eq!(site.count_in_log("gone", "v").await, 0);
+}
+
+/// Too few servers are left for a promotion, so the primary never comes back. A write that waits in vain is
+/// refused as not run. Guards against a forwarding proxy that stops waiting first, as it cannot tell
+/// whether the write was run.
+#[tokio::test(flavor = "multi_thread")]
+async fn write_that_waits_in_vain_is_refused_as_not_run() {
+    let (site, proxy) = start_waiting_site("in-vain", 7, 8).await;
+    let mut first = site.caller(proxy, PATIENT);
+    let mut second = site.caller(proxy, PATIENT);
+    site.fault(1, "crashed", true).await;
+    site.fault(0, "crashed", true).await;
+    first.send("QUERY w1 PUT early v");
+    wait_for_recovery(&site, "start").await;
+
+    let answer = second.query("PUT late v");
+
+    assert_eq!(answer.code(), "BUSY", "{answer:?}");
+    let why = "not run: no primary was found while it waited; come back in ";
+    assert!(answer.completion.contains(why), "{answer:?}");
+}
+
+/// A transaction that begins during a failover waits for it, also one that only reads but must see every
+/// commit.
+#[parameterized(write = { "BEGIN", "PUT late v" }, read = { "BEGIN FETCH", "FETCH first" })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn transaction_waits_for_the_failover(begin: &str, statement: &str) {
+    let (site, proxy) = start_waiting_site(&begin.replace(' ', "-"), 1, 30).await;
+    let mut first = site.caller(proxy, PATIENT);
+    let mut second = site.caller(proxy, PATIENT);
+    site.fault(0, "crashed", true).await;
+    first.send("QUERY w1 PUT early v");
+    wait_for_recovery(&site, "start").await;
+
+    assert!(second.query(begin).is_done());
+    let answer = second.query(statement);
+
+    assert!(answer.is_done(), "{answer:?}");
+    assert!(second.query("COMMIT").is_done());
+}
+
 /// Waits for a line in the proxy's log that contains `text`.
 async fn wait_for_log(site: &Site, text: &str) {
     let seen = fixture::eventually(FAILOVER_TIMEOUT, || async { site.has_logged(0, text) });
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -95,6 +95,21 @@
     /// The number of operations that are tolerated above it.
     #[serde(default)]
     pub quota_margin: f64,
+    /// What is done with a statement that finds no primary.
+    #[serde(default)]
+    pub recovery: Recovery,
+}
+
+/// What is done with a statement that finds no primary.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Recovery {
+    /// It is refused with a fixed retry-after.
+    #[default]
+    Refuse,
+    /// It waits for a primary if it can still be answered in time, and is otherwise refused with the time
+    /// at which there will probably be one.
+    Wait,
 }
 
 impl Line {
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -17,6 +17,7 @@
 pub mod quota;
 pub mod reachability;
 pub mod records;
+pub mod recovery;
 pub mod restart;
 pub mod shared;
 pub mod stop;
@@ -91,6 +92,7 @@
     journal::start();
     journal::process("start", &config.id, &listen.to_string());
     let failure_signal = reachability::FailureSignal::default();
+    let recovery = recovery::Context::new(&line, records.clone(), metrics.clone());
     let shared = Rc::new(Shared {
         id: config.id.clone(),
         dc: config.dc.clone(),
@@ -103,6 +105,7 @@
         isolation,
         failure_signal: failure_signal.clone(),
         records,
+        recovery,
         quota: quota::Quota::new(&config.id, line.tolerance()),
         mirror,
         open_count: Rc::default(),
--- a/crates/proxy/src/line/backend/pool.rs
+++ b/crates/proxy/src/line/backend/pool.rs
@@ -200,6 +200,11 @@
         self.opening.get().value()
     }
 
+    /// The mean time for which a connection is held.
+    pub fn hold_time(&self) -> Duration {
+        self.hold.get().value()
+    }
+
     /// Whether a statement of `client` would need a new connection.
     pub fn lacks_connection(&self, client: &Client) -> bool {
         !self.state.borrow().has_idle(client)
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -34,6 +34,7 @@
         journal,
         reachability::FailureSignal,
         records::Reader,
+        recovery,
     },
     metrics::Metrics,
 };
@@ -82,6 +83,8 @@
     dc: String,
     failure_signal: FailureSignal,
     pub metrics: Metrics,
+    /// The statements that wait for a primary.
+    pub recovery: recovery::Queue,
     servers: RefCell<Vec<Rc<Backend>>>,
     leader: RefCell<Option<Leader>>,
     watermarks: RefCell<Watermarks>,
@@ -117,6 +120,7 @@
         dc: &str,
         failure_signal: FailureSignal,
         records: Reader,
+        recovery: recovery::Queue,
         metrics: Metrics,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -124,6 +128,7 @@
             dc: dc.to_owned(),
             failure_signal,
             metrics,
+            recovery,
             servers: RefCell::default(),
             leader: RefCell::default(),
             watermarks: RefCell::default(),
--- a/crates/proxy/src/line/records.rs
+++ b/crates/proxy/src/line/records.rs
@@ -58,8 +58,13 @@
     /// Whether the view's lists of servers that count for promotions are still valid: the view is
     /// less than [`LIST_VALIDITY`] behind the store.
     pub fn are_current(&self, now: Moment) -> bool {
+        self.age(now) < LIST_VALIDITY
+    }
+
+    /// How far the view may be behind the store.
+    pub fn age(&self, now: Moment) -> Duration {
         let synced_until = Duration::from_millis(self.synced_until_ms.load(Ordering::Relaxed));
-        now.since(Moment::from_boot(synced_until)) < LIST_VALIDITY
+        now.since(Moment::from_boot(synced_until))
     }
 
     /// Requests a snapshot of a group's record from the store; `None` as in [`Request::answer`].
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -21,6 +21,7 @@
         quota::Quota,
         reachability::FailureSignal,
         records::Reader,
+        recovery,
         stop::Stop,
         view::View,
     },
@@ -46,6 +47,8 @@
     pub isolation: watch::Receiver<Isolation>,
     pub failure_signal: FailureSignal,
     pub records: Reader,
+    /// What the groups' statements that wait for a primary have in common.
+    pub recovery: Rc<recovery::Context>,
     pub quota: Quota,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
@@ -73,6 +76,7 @@
             &self.dc,
             failure_signal,
             records,
+            recovery::Queue::new(self.recovery.clone(), name),
             self.metrics.clone(),
         )
     }
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -19,6 +19,7 @@
         backend::Backend,
         clock,
         group::{Group, Leader},
+        recovery::{self, Absence},
         traffic::{
             call::{note_failure, Call, Failure, RETRY_AFTER, RETRY_DELAY},
             exchange::{checkout, exchange, release_if_idle},
@@ -150,8 +151,8 @@
 ) -> Result<Vec<Rc<Backend>>, Refusal> {
     loop {
         let leader = match wait_for_leader(group, call).await {
-            Some(leader) => leader,
-            None => return Err(call.busy("no primary is known", RETRY_AFTER)),
+            Ok(leader) => leader,
+            Err(absence) => return Err(absence.refusal(call, RETRY_AFTER)),
         };
         if group.confirm_leader(call.arrived).await && group.is_leader(&leader.backend) {
             return Ok(vec![leader.backend]);
@@ -164,8 +165,30 @@
     }
 }
 
-/// Returns the primary, searching for a limited time if it is unknown or leaving.
-pub async fn wait_for_leader(group: &Rc<Group>, call: &Call<'_>) -> Option<Leader> {
+/// Returns the primary. If it is unknown or leaving, searches for a limited time, and then waits for a
+/// recovery if the settings say so.
+pub async fn wait_for_leader(group: &Rc<Group>, call: &Call<'_>) -> Result<Leader, Absence> {
+    loop {
+        if let Some(leader) = search_for_leader(group, call).await {
+            group.recovery.end();
+            return Ok(leader);
+        }
+        recovery::wait(group, call).await?;
+    }
+}
+
+/// Waits for a primary if none is known and the settings say so. A write must do so before it asks for
+/// a confirmation, which the suspicion of the lost primary would deny.
+pub async fn wait_if_unknown(group: &Rc<Group>, call: &Call<'_>) -> Result<(), Absence> {
+    let is_lost = group.known_leader().is_none();
+    if is_lost && group.recovery.is_enabled() && !call.isolated {
+        wait_for_leader(group, call).await?;
+    }
+    Ok(())
+}
+
+/// Searches for the primary for a limited time.
+async fn search_for_leader(group: &Rc<Group>, call: &Call<'_>) -> Option<Leader> {
     loop {
         let timeout = call.remaining_search_time().max(RETRY_DELAY);
         // The search continues for other statements if this one stops waiting.
@@ -269,6 +292,9 @@
     session: &mut Session,
     call: &Call<'_>,
 ) -> Result<Success, Refusal> {
+    if let Err(absence) = wait_if_unknown(group, call).await {
+        return Err(absence.refusal(call, RETRY_AFTER));
+    }
     // In a partition the primary may be separated from its replicas, and would never answer a write.
     if (call.isolated || group.is_leader_suspect()) && !group.confirm_leader(call.arrived).await {
         return Err(call.primary_unconfirmed());
@@ -276,16 +302,21 @@
     if !group.can_confirm_commits() {
         return Err(call.primary_unconfirmed());
     }
-    let mut last = call.busy("no primary is known", RETRY_AFTER);
-    while let Some(leader) = wait_for_leader(group, call).await {
+    let mut last = None;
+    loop {
+        let leader = match (wait_for_leader(group, call).await, last.take()) {
+            (Ok(leader), _) => leader,
+            (Err(absence), Some(refusal)) if !absence.is_specific() => return Err(refusal),
+            (Err(absence), _) => return Err(absence.refusal(call, RETRY_AFTER)),
+        };
         let backend = &leader.backend;
         let checkout = match checkout(group, backend, session, call).await {
             Ok(checkout) => checkout,
             Err(Failure::NotRun(refusal)) => {
-                last = refusal;
                 if !call.may_retry(Obstacle::NoServer) {
-                    break;
+                    return Err(refusal);
                 }
+                last = Some(refusal);
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
@@ -327,7 +358,7 @@
                 if refusal.code == Code::ReadOnly {
                     group.clear_leader(backend);
                 }
-                last = refusal;
+                last = Some(refusal);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
             Err(refusal) => {
@@ -336,5 +367,4 @@
             }
         }
     }
-    Err(last)
 }
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -1,6 +1,6 @@
 //! A caller's statement while it is processed, and how it can fail.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::Cell, sync::Arc, time::Duration};
 
 use dandelionpitch_core::position::Position;
 use dandelionpitch_engine::{
@@ -11,7 +11,9 @@
     session::{Effect, Execution},
     time::Moment,
 };
+use dandelionpitch_platform::line;
 use serde_json::json;
+use tokio::net::TcpStream;
 
 use crate::{
     line::{
@@ -37,6 +39,9 @@
 /// another one.
 const ISOLATED_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 
+/// How often it is checked whether the sender of a waiting statement has disconnected.
+const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A statement that is being processed.
 pub struct Call<'a> {
     pub id: &'a str,
@@ -50,6 +55,10 @@
     pub arrived: Moment,
     /// Whether this proxy's data centre was partitioned from the others when it arrived.
     pub isolated: bool,
+    /// The connection of its sender, a caller or another proxy.
+    pub sender: &'a TcpStream,
+    /// Whether it has waited for a primary.
+    pub has_waited: Cell<bool>,
 }
 
 /// Why an attempt to run a statement on one server, or on another proxy, failed.
@@ -105,11 +114,40 @@
         !self.isolated && admission::may_retry(obstacle, self.waited(), self.route.target)
     }
 
+    /// Returns once its sender has disconnected.
+    pub async fn until_abandoned(&self) {
+        while !self.is_abandoned() {
+            tokio::time::sleep(DISCONNECT_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// As [`Self::until_abandoned`], but not before its target has passed: until then an answer may still
+    /// arrive for a sender that has only ended its own side of the connection.
+    pub async fn until_abandoned_late(&self) {
+        tokio::time::sleep(clock::now().until(self.arrived + self.route.target)).await;
+        self.until_abandoned().await;
+    }
+
+    /// Whether its sender has disconnected.
+    pub fn is_abandoned(&self) -> bool {
+        line::is_closed(self.sender)
+    }
+
+    /// When it should be answered. If it has missed its target while it waited for a primary, any time
+    /// before its deadline is as good, and statements that can still meet theirs go first.
+    fn due(&self) -> Moment {
+        let due = self.arrived + self.route.target;
+        match self.has_waited.get() && due <= clock::now() {
+            true => self.deadline(),
+            false => due,
+        }
+    }
+
     /// Its request for a connection. The priority is lower than that of status requests.
     pub fn pool_request(&self) -> Request {
         let rank = Rank {
             priority: self.route.priority + 1,
-            due: self.arrived + self.route.target,
+            due: self.due(),
         };
         Request {
             client: Client::Account(self.account.cloned()),
--- a/crates/proxy/src/line/traffic/exchange.rs
+++ b/crates/proxy/src/line/traffic/exchange.rs
@@ -32,8 +32,9 @@
 const MIN_TIMEOUT_FRACTION: f64 = 0.4;
 
 /// The same for an answer of another proxy, which applies timeouts to its servers itself. Detects
-/// only a proxy that no longer responds.
-const PEER_MIN_TIMEOUT_FRACTION: f64 = 0.8;
+/// only a proxy that no longer responds. A statement that waits there for a primary gives up earlier, as
+/// its outcome would be unknown here.
+pub const PEER_MIN_TIMEOUT_FRACTION: f64 = 0.8;
 
 /// Returns a connection to `backend` on which the session's variables are set.
 pub async fn checkout(
--- a/crates/proxy/src/line/traffic/forwarding.rs
+++ b/crates/proxy/src/line/traffic/forwarding.rs
@@ -5,15 +5,16 @@
 use std::rc::Rc;
 
 use dandelionpitch_engine::{
-    forwarding,
+    forwarding::{self, Requirements},
     refusal::{Code, Refusal},
     session::{Effect, Phase, Session, Transaction},
 };
-use dandelionpitch_platform::backend::{Condition, Query, State, Success};
+use dandelionpitch_platform::backend::{Answer, Condition, Query, State, Success};
+use serde_json::json;
 
 use crate::line::{
-    backend::Backend,
-    clock,
+    backend::{pool::checkout::Checkout, Backend},
+    clock, journal,
     shared::Shared,
     traffic::{
         call::{note_failed_attempt, Call, Failure, RETRY_AFTER},
@@ -31,8 +32,31 @@
     NoOwner,
 }
 
+/// Logs that no owner of the statement's group could be reached.
+pub fn log_no_owner(call: &Call<'_>) {
+    journal::write(
+        "no owner reached",
+        json!({ "id": call.id, "service": call.route.service,
+            "after_ms": call.waited().as_millis() as u64 }),
+    );
+}
+
+/// Runs a statement on the first of `peers` that accepts it, or on the proxy that runs its transaction.
+pub async fn run(
+    shared: &Shared,
+    peers: &[Rc<Backend>],
+    session: &mut Session,
+    pinned: &mut Option<Pinned>,
+    call: &Call<'_>,
+) -> Outcome {
+    match session.phase() == Phase::Idle {
+        true => run_autocommit(shared, peers, session, call).await,
+        false => run_in_transaction(shared, peers, session, pinned, call).await,
+    }
+}
+
 /// Runs a statement outside a transaction on the first of `peers` that accepts it.
-pub async fn run_autocommit(
+async fn run_autocommit(
     shared: &Shared,
     peers: &[Rc<Backend>],
     session: &mut Session,
@@ -75,6 +99,29 @@
     last.map_or(Outcome::NoOwner, |refusal| Outcome::Answered(Err(refusal)))
 }
 
+/// Why a statement was given up whose caller has disconnected. Also a metric label.
+const ABANDONED: &str = "its caller has disconnected";
+
+/// Sends a statement to another proxy and reads its answer. If the caller disconnects while the statement
+/// may be waiting there for a primary, the connection is closed, so that it gives up its place.
+async fn exchange_with_peer(
+    shared: &Shared,
+    checkout: Checkout,
+    peer: &Backend,
+    call: &Call<'_>,
+    requirements: &Requirements,
+) -> (Result<Answer, String>, Option<Checkout>) {
+    let answered = exchange(checkout, peer, call, Condition::Forwarded(requirements));
+    if !shared.recovery.is_enabled() {
+        return answered.await;
+    }
+    tokio::select! {
+        biased;
+        answered = answered => answered,
+        () = call.until_abandoned_late() => (Err(ABANDONED.to_owned()), None),
+    }
+}
+
 /// Forwards a statement to one proxy. Every refusal by that proxy is returned as
 /// [`Failure::Failed`], even if the statement was not run.
 async fn forward(
@@ -87,10 +134,12 @@
     shared.metrics.forwarded();
     let requirements = call.requirements(session.floor());
     let asked = clock::now();
-    let (answer, checkout) =
-        exchange(checkout, peer, call, Condition::Forwarded(&requirements)).await;
+    let (answer, checkout) = exchange_with_peer(shared, checkout, peer, call, &requirements).await;
     let answer = answer.map_err(|why| {
         note_failed_attempt(&shared.metrics, peer, call, &why);
+        if why == ABANDONED {
+            return Failure::Failed(Refusal::new(Code::Unknown, why));
+        }
         shared.peers.note_failure(peer);
         Failure::NoAnswer(why)
     })?;
@@ -108,7 +157,7 @@
 
 /// Runs a statement of the open transaction on the proxy that ran the transaction's first statement.
 /// If it fails, the transaction is rolled back there and marked as failed in `session`.
-pub async fn run_in_transaction(
+async fn run_in_transaction(
     shared: &Shared,
     peers: &[Rc<Backend>],
     session: &mut Session,
@@ -150,19 +199,16 @@
     }
     let wrote = transaction.wrote || call.effect == Effect::Write;
     let requirements = call.requirements(session.floor());
-    let (answer, checkout) = exchange(
-        checkout,
-        &backend,
-        call,
-        Condition::Forwarded(&requirements),
-    )
-    .await;
+    let (answer, checkout) =
+        exchange_with_peer(shared, checkout, &backend, call, &requirements).await;
     let (answer, checkout) = match (answer, checkout) {
         (Ok(answer), Some(checkout)) => (answer, checkout),
         (answer, _) => {
             let why = answer.err().unwrap_or_default();
             note_failed_attempt(&shared.metrics, &backend, call, &why);
-            shared.peers.note_failure(&backend);
+            if why != ABANDONED {
+                shared.peers.note_failure(&backend);
+            }
             fail_transaction(session, call);
             return Err(refusal_without_answer(call.effect, wrote, &why));
         }
--- a/crates/proxy/src/line/traffic/session.rs
+++ b/crates/proxy/src/line/traffic/session.rs
@@ -6,7 +6,7 @@
 mod access;
 mod reply;
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
     account::Account,
@@ -30,17 +30,20 @@
     TcpStream,
 };
 
-use crate::line::{
-    backend::Backend,
-    clock, journal,
-    shared::Shared,
-    traffic::{
-        autocommit,
-        call::Call,
-        forwarding::{self, Outcome},
-        origin::{InFlight, Origin},
-        transaction::{self, Endpoint, Pinned},
+use crate::{
+    line::{
+        backend::Backend,
+        clock, journal,
+        shared::Shared,
+        traffic::{
+            autocommit,
+            call::Call,
+            forwarding::{self, Outcome},
+            origin::{InFlight, Origin},
+            transaction::{self, Endpoint, Pinned},
+        },
     },
+    metrics::Wait,
 };
 
 /// The timeout for writing an answer, after which the connection is considered lost.
@@ -325,12 +328,15 @@
             account: account.as_ref(),
             arrived,
             isolated: self.shared.isolation.borrow().is_isolated(arrived),
+            sender: self.reader.as_ref(),
+            has_waited: Cell::default(),
         };
         let idle = self.state.phase() == Phase::Idle;
         if let Some(peers) = self.forwarding_targets(&route) {
-            match self.forward(&peers, idle, &call).await {
+            let (state, pinned) = (&mut self.state, &mut self.pinned);
+            match forwarding::run(&self.shared, &peers, state, pinned, &call).await {
                 Outcome::Answered(result) => return result.map(Some),
-                Outcome::NoOwner => log_no_owner(&call),
+                Outcome::NoOwner => forwarding::log_no_owner(&call),
             }
         }
         // If no owner can be reached, the statement runs here: in a partition this proxy may still
@@ -341,6 +347,9 @@
             true => autocommit::run(&group, state, &call).await,
             false => transaction::run(&group, state, pinned, &call).await,
         };
+        if call.has_waited.get() && result.is_ok() {
+            self.shared.metrics.recovery_wait(Wait::Served);
+        }
         result.map(Some)
     }
 
@@ -354,14 +363,6 @@
         }
     }
 
-    async fn forward(&mut self, peers: &[Rc<Backend>], idle: bool, call: &Call<'_>) -> Outcome {
-        let (state, pinned) = (&mut self.state, &mut self.pinned);
-        match idle {
-            true => forwarding::run_autocommit(&self.shared, peers, state, call).await,
-            false => forwarding::run_in_transaction(&self.shared, peers, state, pinned, call).await,
-        }
-    }
-
     /// Uses the requirements of a forwarded statement instead of a configured route. Outside a
     /// transaction each statement may be of another session, so its floor is replaced too.
     ///
@@ -392,12 +393,3 @@
         }
     }
 }
-
-/// Logs that no owner of the statement's group could be reached.
-fn log_no_owner(call: &Call<'_>) {
-    journal::write(
-        "no owner reached",
-        json!({ "id": call.id, "service": call.route.service,
-            "after_ms": call.waited().as_millis() as u64 }),
-    );
-}
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -214,6 +214,12 @@
 ) -> Result<Pinned, Refusal> {
     let mut last = call.busy("no server is available for the transaction", RETRY_DELAY);
     let mut obstacle = Obstacle::NoServer;
+    let needs_primary = !transaction.read_only || call.route.consistency == Consistency::Latest;
+    if needs_primary {
+        if let Err(absence) = autocommit::wait_if_unknown(group, call).await {
+            return Err(absence.refusal(call, RETRY_DELAY));
+        }
+    }
     let needs_confirmation = call.isolated || group.is_leader_suspect();
     if needs_confirmation
         && !transaction.read_only
@@ -237,8 +243,8 @@
             (true, _) => autocommit::confirmed_leader(group, call).await?,
             (false, true) => group.read_candidates(call.account, after, clock::now()),
             (false, false) => match autocommit::wait_for_leader(group, call).await {
-                Some(leader) => vec![leader.backend],
-                None => return Err(call.busy("no primary is known", RETRY_DELAY)),
+                Ok(leader) => vec![leader.backend],
+                Err(absence) => return Err(absence.refusal(call, RETRY_DELAY)),
             },
         };
         for backend in servers {
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -39,6 +39,7 @@
     forwarded: Counter<u64>,
     account_operations: Counter<u64>,
     quota_draws: Counter<u64>,
+    recovery_waits: Counter<u64>,
     log_lines_dropped: Gauge<u64>,
     version: Gauge<u64>,
     changes_age: Gauge<u64>,
@@ -57,6 +58,17 @@
     Replica,
 }
 
+/// What became of a statement that found no primary.
+#[derive(Clone, Copy, Debug)]
+pub enum Wait {
+    /// It began to wait for one.
+    Waited,
+    /// It was run after it had waited.
+    Served,
+    /// It was refused with an estimate of when to come back.
+    Refused,
+}
+
 /// One value of a metric, as served at `/metrics`.
 #[derive(Debug, Serialize)]
 pub struct Sample {
@@ -117,6 +129,7 @@
             forwarded: meter.u64_counter("statements_handed_over").build(),
             account_operations: meter.u64_counter("account_operations").build(),
             quota_draws: meter.u64_counter("quota_draws").build(),
+            recovery_waits: meter.u64_counter("recovery_waits").build(),
             log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
             changes_age: meter.u64_gauge("store_changes_age_ms").build(),
             store_era: meter.u64_gauge("store_era").build(),
@@ -215,6 +228,17 @@
         self.quota_draws.add(1, &[]);
     }
 
+    /// Counts what became of a statement that found no primary.
+    pub fn recovery_wait(&self, wait: Wait) {
+        let outcome = match wait {
+            Wait::Waited => "waited",
+            Wait::Served => "served",
+            Wait::Refused => "refused",
+        };
+        self.recovery_waits
+            .add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the total number of log lines dropped because standard output was not read.
     pub fn log_lines_dropped(&self, lines: u64) {
         self.log_lines_dropped.record(lines, &[]);
