--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -177,14 +177,48 @@
     }
 }
 
-/// Waits for a primary if none is known and the settings say so. A write must do so before it asks for
-/// a confirmation, which the suspicion of the lost primary would deny.
-pub async fn wait_if_unknown(group: &Rc<Group>, call: &Call<'_>) -> Result<(), Absence> {
-    let is_lost = group.known_leader().is_none();
-    if is_lost && group.recovery.is_enabled() && !call.isolated {
-        wait_for_leader(group, call).await?;
+/// Makes sure that a write may be sent to the primary, which must be confirmed after `since` if it is
+/// suspected. If it is lost and the settings say so, waits for its successor instead.
+///
+/// In a partition the primary may be separated from its replicas, and would never answer a write.
+pub async fn ensure_leader(
+    group: &Rc<Group>,
+    call: &Call<'_>,
+    since: Moment,
+) -> Result<(), Refusal> {
+    let known = group.known_leader();
+    let may_wait = group.recovery.is_enabled() && !call.isolated;
+    if may_wait && known.is_none() {
+        return wait_for_successor(group, call, None).await;
+    }
+    let needs_confirmation = call.isolated || group.is_leader_suspect();
+    if !needs_confirmation || group.confirm_leader(since).await {
+        return Ok(());
+    }
+    // Nothing else would find out that it is gone, as no statement is sent to it.
+    let lost = known.filter(|_| may_wait);
+    let Some(Leader { backend, term }) = lost else {
+        return Err(call.primary_unconfirmed());
+    };
+    if backend.status().await.is_ok() {
+        return Err(call.primary_unconfirmed());
+    }
+    group.clear_leader(&backend);
+    wait_for_successor(group, call, Some(term)).await
+}
+
+/// Waits for a primary. If it is still that of the term `lost`, it needs a confirmation.
+async fn wait_for_successor(
+    group: &Rc<Group>,
+    call: &Call<'_>,
+    lost: Option<u64>,
+) -> Result<(), Refusal> {
+    match wait_for_leader(group, call).await {
+        Ok(leader) if lost != Some(leader.term) => Ok(()),
+        Ok(_) if group.confirm_leader(clock::now()).await => Ok(()),
+        Ok(_) => Err(call.primary_unconfirmed()),
+        Err(absence) => Err(absence.refusal(call, RETRY_AFTER)),
     }
-    Ok(())
 }
 
 /// Searches for the primary for a limited time.
@@ -292,13 +326,7 @@
     session: &mut Session,
     call: &Call<'_>,
 ) -> Result<Success, Refusal> {
-    if let Err(absence) = wait_if_unknown(group, call).await {
-        return Err(absence.refusal(call, RETRY_AFTER));
-    }
-    // In a partition the primary may be separated from its replicas, and would never answer a write.
-    if (call.isolated || group.is_leader_suspect()) && !group.confirm_leader(call.arrived).await {
-        return Err(call.primary_unconfirmed());
-    }
+    ensure_leader(group, call, call.arrived).await?;
     if !group.can_confirm_commits() {
         return Err(call.primary_unconfirmed());
     }
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -214,18 +214,8 @@
 ) -> Result<Pinned, Refusal> {
     let mut last = call.busy("no server is available for the transaction", RETRY_DELAY);
     let mut obstacle = Obstacle::NoServer;
-    let needs_primary = !transaction.read_only || call.route.consistency == Consistency::Latest;
-    if needs_primary {
-        if let Err(absence) = autocommit::wait_if_unknown(group, call).await {
-            return Err(absence.refusal(call, RETRY_DELAY));
-        }
-    }
-    let needs_confirmation = call.isolated || group.is_leader_suspect();
-    if needs_confirmation
-        && !transaction.read_only
-        && !group.confirm_leader(transaction.started_at).await
-    {
-        return Err(call.primary_unconfirmed());
+    if !transaction.read_only {
+        autocommit::ensure_leader(group, call, transaction.started_at).await?;
     }
     loop {
         let after = match call.route.consistency {
