--- a/crates/e2e/tests/line_failovers.rs
+++ b/crates/e2e/tests/line_failovers.rs
@@ -51,6 +51,16 @@
     lines.iter().any(|line| line.contains(&text))
 }
 
+/// The groups without a primary in the status reports of all proxies.
+async fn outages(site: &Site) -> Vec<serde_json::Value> {
+    let mut all = Vec::new();
+    for proxy in 0..site.proxies.len() {
+        let report = site.status(proxy).await["without_primary"].clone();
+        all.extend(report.as_array().cloned().unwrap_or_default());
+    }
+    all
+}
+
 /// Crashes the primary and sends writes until one of them finds no primary. One that is sent over an open
 /// connection finds only that its outcome is unknown. Returns the writes' callers.
 async fn crash_primary(site: &Site, proxy: usize) -> Vec<Caller> {
@@ -74,12 +84,16 @@
     let name = format!("write-waits-{proxies}");
     let (site, proxy) = start_waiting_site(&name, proxies, max_connections).await;
     let _early = crash_primary(&site, proxy).await;
+    let during = outages(&site).await;
 
     let answer = site.caller(proxy, PATIENT).query("PUT late v");
 
     assert!(answer.is_done(), "{answer:?}");
     assert!(has_logged_recovery(&site, "end"));
     assert_eq!(site.count_in_log("late", "v").await, 1);
+    assert_eq!(during.len(), 1, "{during:?}");
+    assert_eq!(during[0]["service"], "ledger");
+    assert_eq!(outages(&site).await, [serde_json::Value::Null; 0]);
 }
 
 /// A caller that disconnects while its write waits gives up its place. Guards against a write that runs
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -70,11 +70,13 @@
     let (records, responder) = records::channel();
     let budget = Budget::new(line.config_within);
     let mirror = mirror::Handle::new(budget.max_relay_age);
+    let (publish_outages, outages) = watch::channel(recovery::Outages::default());
     let endpoint = operator::Context {
         id: config.id.clone(),
         dc: config.dc.clone(),
         view: view.clone(),
         isolation: isolation.clone(),
+        outages,
         stopping: stop.shutdown_token(),
         metrics: metrics.clone(),
         mirror: mirror.clone(),
@@ -92,7 +94,7 @@
     journal::start();
     journal::process("start", &config.id, &listen.to_string());
     let failure_signal = reachability::FailureSignal::default();
-    let recovery = recovery::Context::new(&line, records.clone(), metrics.clone());
+    let recovery = recovery::Context::new(&line, records.clone(), metrics.clone(), publish_outages);
     let shared = Rc::new(Shared {
         id: config.id.clone(),
         dc: config.dc.clone(),
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -1,6 +1,6 @@
 //! The HTTP endpoint for operators: readiness, status and metrics.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
     account::Directory, isolation::Isolation, ownership::Plan, planner::Planner, registry::Entry,
@@ -11,7 +11,11 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    line::{clock, journal, mirror, view::View},
+    line::{
+        clock, journal, mirror,
+        recovery::{Outage, Outages},
+        view::View,
+    },
     metrics::Metrics,
     operator,
 };
@@ -28,6 +32,8 @@
     /// The groups whose statements this proxy runs on connections of its own.
     pub owns: Vec<String>,
     pub servers: Vec<ServerReport>,
+    /// The groups that have no primary as far as this proxy knows, if its statements wait for one.
+    pub without_primary: Vec<OutageReport>,
     /// The client accounts and their limits, without their keys.
     pub accounts: Vec<AccountReport>,
     /// Where this proxy gets changes of the store, and how stale its copy is.
@@ -36,6 +42,17 @@
     pub log_lines_dropped: u64,
 }
 
+/// One group without a primary in the status report.
+#[derive(Debug, Serialize)]
+pub struct OutageReport {
+    pub service: String,
+    pub lasted_ms: u64,
+    /// When a primary is expected; `None` if that cannot be told.
+    pub expected_in_ms: Option<u64>,
+    /// The statements that wait for it, as of the last search for it.
+    pub waiting: usize,
+}
+
 /// One client account in the status report; its limit is for all proxies together.
 #[derive(Debug, Serialize)]
 pub struct AccountReport {
@@ -62,6 +79,7 @@
     pub dc: String,
     pub view: watch::Receiver<Arc<View>>,
     pub isolation: watch::Receiver<Isolation>,
+    pub outages: watch::Receiver<Outages>,
     pub stopping: CancellationToken,
     pub metrics: Metrics,
     pub mirror: mirror::Handle,
@@ -99,12 +117,25 @@
         members: view.proxy_count,
         owns: owned_groups(&view, context),
         servers: servers.collect(),
+        without_primary: outages(&context.outages.borrow()),
         accounts: accounts(&view),
         changes: context.mirror.report(),
         log_lines_dropped: journal::dropped(),
     })
 }
 
+fn outages(outages: &Outages) -> Vec<OutageReport> {
+    let now = clock::now();
+    let millis = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+    let report = |(service, outage): (&String, &Outage)| OutageReport {
+        service: service.clone(),
+        lasted_ms: millis(now.since(outage.started)),
+        expected_in_ms: outage.expected_end.map(|end| millis(now.until(end))),
+        waiting: outage.waiting,
+    };
+    outages.iter().map(report).collect()
+}
+
 fn accounts(view: &View) -> Vec<AccountReport> {
     let catalog = view.catalog.iter();
     let accounts = catalog.flat_map(|catalog| &catalog.accounts);
--- a/crates/proxy/src/line/recovery.rs
+++ b/crates/proxy/src/line/recovery.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
@@ -16,7 +17,7 @@
     time::Moment,
 };
 use serde_json::json;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch as channel};
 
 use crate::{
     config,
@@ -30,6 +31,19 @@
     metrics::{Metrics, Wait},
 };
 
+/// A group without a primary, for operators.
+#[derive(Clone, Debug)]
+pub struct Outage {
+    pub started: Moment,
+    /// When it is expected to end, if that can be told.
+    pub expected_end: Option<Moment>,
+    /// How many statements wait for its end.
+    pub waiting: usize,
+}
+
+/// The groups without a primary, by name.
+pub type Outages = BTreeMap<String, Outage>;
+
 /// What the groups of a proxy have in common.
 pub struct Context {
     setting: config::Recovery,
@@ -37,20 +51,32 @@
     max_age: Duration,
     records: Reader,
     metrics: Metrics,
+    outages: channel::Sender<Outages>,
     history: RefCell<History>,
 }
 
 impl Context {
-    pub fn new(line: &config::Line, records: Reader, metrics: Metrics) -> Rc<Self> {
+    pub fn new(
+        line: &config::Line,
+        records: Reader,
+        metrics: Metrics,
+        outages: channel::Sender<Outages>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             setting: line.recovery,
             max_age: line.config_within,
             records,
             metrics,
+            outages,
             history: RefCell::default(),
         })
     }
 
+    /// Whether this proxy's copy of the store is current.
+    fn has_store(&self, now: Moment) -> bool {
+        self.records.age(now) <= self.max_age
+    }
+
     /// Whether statements wait for a primary.
     pub fn is_enabled(&self) -> bool {
         self.setting == config::Recovery::Wait
@@ -111,7 +137,7 @@
     fn situation(&self, group: &Group, now: Moment) -> Situation {
         Situation {
             capacity: capacity(group),
-            has_store: self.context.records.age(now) <= self.context.max_age,
+            has_store: self.context.has_store(now),
         }
     }
 
@@ -125,6 +151,7 @@
         if begun {
             let estimated = self.context.history.borrow().estimate();
             self.log("start", json!({ "estimated_ms": millis(estimated) }));
+            self.publish();
         }
         if self.state.borrow().is_watched(now) && !self.is_watched.replace(true) {
             tokio::task::spawn_local(watch(group.clone()));
@@ -145,6 +172,7 @@
                 json!({ "estimated_ms": millis(estimated), "actual_ms": millis(actual),
                     "waiting": waiting }),
             );
+            self.publish();
         }
     }
 
@@ -156,6 +184,24 @@
         late.into_iter().for_each(|place| self.dismiss(place));
     }
 
+    /// Publishes the state of the outage, or that there is none.
+    fn publish(&self) {
+        let (now, state) = (clock::now(), self.state.borrow());
+        let outage = state.lasted(now).map(|lasted| Outage {
+            started: now - lasted,
+            expected_end: state.expected_end(self.context.has_store(now), now),
+            waiting: state.waiting(),
+        });
+        self.context.outages.send_modify(|outages| match outage {
+            Some(outage) => {
+                outages.insert(self.service.clone(), outage);
+            }
+            None => {
+                outages.remove(&self.service);
+            }
+        });
+    }
+
     fn dismiss(&self, place: Place) {
         self.waiting.borrow_mut().remove(&place);
     }
@@ -200,9 +246,11 @@
         group.find_leader().await;
         if !has_primary(&group) {
             queue.confirm(&group);
+            queue.publish();
         }
     }
     queue.is_watched.set(false);
+    queue.publish();
 }
 
 /// Starts the statements that wait, one after the other.
