dpctl trace prints outages as context of a request

Cause: the new kind `recovery` was not among the kinds that tell the state of a proxy, so a trace of a request refused in a failover did not show the outage.

--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -12,7 +12,7 @@
 
 /// Kinds of log lines that are printed as context: changes in the state of the proxy and its
 /// dependencies.
-const CONTEXT_KINDS: [&str; 16] = [
+const CONTEXT_KINDS: [&str; 17] = [
     "process",
     "stopping",
     "dependency",
@@ -28,6 +28,7 @@
     "promoted",
     "not promoted",
     "ordered",
+    "recovery",
     "connect",
 ];
 
--- a/crates/e2e/tests/trace.rs
+++ b/crates/e2e/tests/trace.rs
@@ -150,3 +150,18 @@
 
     assert!(text.contains("i-1@0"), "{text}");
 }
+
+/// Guards against an outage of the group that a trace of a refused request does not show.
+#[test]
+fn outages_are_context() {
+    let log = std::env::temp_dir().join(format!("dp-log-outage-{}", std::process::id()));
+    let lines = [
+        r#"{"at_ms":1000,"kind":"recovery","service":"ledger","what":"start","estimated_ms":2000}"#,
+        r#"{"at_ms":1200,"kind":"refused","id":"q1","code":"Busy"}"#,
+    ];
+    std::fs::write(&log, lines.join("\n")).expect("the log file is written");
+
+    let text = trace("q1", &log);
+
+    assert!(text.contains("estimated_ms"), "{text}");
+}
