--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod account;
 pub mod admission;
+pub mod breaker;
 pub mod catalog;
 pub mod commit;
 pub mod delta;
@@ -21,14 +22,19 @@
 pub mod pace;
 pub mod placement;
 pub mod planner;
+pub mod quorum;
 pub mod quota;
 pub mod recovery;
 pub mod refusal;
 pub mod registry;
+pub mod replication;
 pub mod restart;
 pub mod roster;
+pub mod seed;
 pub mod session;
 pub mod share;
+pub mod slots;
+pub mod startup;
 pub mod statement;
 pub mod takeover;
 pub mod time;
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -210,6 +210,11 @@
         balance.retry_after()
     }
 
+    /// Whether this proxy issues no permits yet, as it has just started or is not registered.
+    pub fn is_starting(&self) -> bool {
+        self.issuers.is_none()
+    }
+
     /// Takes up to `amount` permits of `account` for another proxy; the newest, as others could expire
     /// before they are used.
     pub fn grant(&mut self, account: &str, amount: f64, now: Moment) -> Vec<Batch> {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -2,17 +2,21 @@
 //!
 //! Unknown keys are rejected, so that a misspelt key cannot silently fall back to a default.
 
+mod policy;
+
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
     time::Duration,
 };
 
-use dandelionpitch_engine::quota::Tolerance;
+use dandelionpitch_engine::{quota::Tolerance, slots::Mode};
 use serde::Deserialize;
 
 use crate::error::Error;
 
+pub use policy::{Recovery, ReplicaLag};
+
 /// The settings used if no file is given: a proxy on loopback with a local key-value store (KV).
 pub const DEFAULT_SETTINGS: &str = r#"
 id = "proxy-1"
@@ -76,9 +80,19 @@
     /// forwards statements but accepts no forwarded ones.
     #[serde(default)]
     pub peer: Option<SocketAddr>,
+    /// The addresses at which other proxies accept forwarded statements, from which a starting process
+    /// copies the store's content if the store does not answer. They may be out of date.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// The time within which a new configuration must be applied on every proxy.
     #[serde(default = "default_config_within", with = "humantime_serde")]
     pub config_within: Duration,
+    /// Whether an owner that cannot reach the servers of a group leaves statements to the other owners.
+    #[serde(default)]
+    pub try_other_owners: bool,
+    /// How long a session that begins just after the start of the process waits for a configuration.
+    #[serde(default, with = "humantime_serde")]
+    pub start_wait: Duration,
     /// The VM's CPU share, in cores. Proxies with more CPU and bandwidth run more forwarded
     /// statements.
     #[serde(default = "default_cores")]
@@ -98,21 +112,36 @@
     /// What is done with a statement that finds no primary.
     #[serde(default)]
     pub recovery: Recovery,
+    /// How replicas that lack the log position of a read are avoided.
+    #[serde(default)]
+    pub replica_lag: ReplicaLag,
+    /// Whether the connections of transactions count like those of running statements while their
+    /// callers pause, or separately.
+    #[serde(default)]
+    pub idle_transactions: Mode,
 }
 
-/// What is done with a statement that finds no primary.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Recovery {
-    /// It is refused with a fixed retry-after.
-    #[default]
-    Refuse,
-    /// It waits for a primary if it can still be answered in time, and is otherwise refused with the time
-    /// at which there will probably be one.
-    Wait,
-}
+/// Each seed that does not answer delays the next one, and a proxy of a large deployment needs no more than
+/// a few.
+const MAX_SEEDS: usize = 3;
 
 impl Line {
+    /// Rejects seeds that nothing can listen on, and too many of them.
+    fn validate_seeds(&self) -> Result<(), Error> {
+        let invalid = |why: String| Err(Error::OutOfRange(format!("line.seeds: {why}")));
+        if self.seeds.len() > MAX_SEEDS {
+            let count = self.seeds.len();
+            return invalid(format!(
+                "{count} addresses, at most {MAX_SEEDS} are allowed"
+            ));
+        }
+        let cannot_listen = |seed: &&SocketAddr| seed.port() == 0 || seed.ip().is_unspecified();
+        match self.seeds.iter().find(cannot_listen) {
+            Some(seed) => invalid(format!("{seed} is not the address of a proxy")),
+            None => Ok(()),
+        }
+    }
+
     /// Whether the settings are those of a deployment with client accounts.
     pub fn has_quotas(&self) -> bool {
         self.quota_margin > 0.0 || self.quota_excess > 0.0
@@ -256,8 +285,13 @@
         line.map_or(Duration::MAX, |line| line.quota_window)
     }
 
-    /// Rejects zero durations: a loop with a zero polling interval would spin.
     fn validate(&self) -> Result<(), Error> {
+        self.validate_positive()?;
+        self.line.as_ref().map_or(Ok(()), Line::validate_seeds)
+    }
+
+    /// Rejects zero durations: a loop with a zero polling interval would spin.
+    fn validate_positive(&self) -> Result<(), Error> {
         let positive = [
             ("backend.connect_timeout", self.backend.connect_timeout),
             ("backend.pool_wait", self.backend.pool_wait),
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -6,11 +6,13 @@
 //! the configuration, the servers and the other proxies, and publishes them as a [`view`].
 
 pub mod backend;
+pub mod breakers;
 pub mod clock;
 pub mod control;
 pub mod group;
 pub mod isolation;
 pub mod journal;
+pub mod load;
 pub mod mirror;
 pub mod operator;
 pub mod peers;
@@ -51,6 +53,7 @@
 }
 
 async fn serve(config: Config, line: Line) -> Result<(), Error> {
+    let started_at = clock::now();
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(Error::Listen)?;
@@ -68,6 +71,7 @@
     let stop = stop::Stop::new(line.grace);
     let (publish_isolation, isolation) = watch::channel(Isolation::default());
     let (records, responder) = records::channel();
+    let (publish_loads, loads) = watch::channel(Vec::new());
     let budget = Budget::new(line.config_within);
     let mirror = mirror::Handle::new(budget.max_relay_age);
     let (publish_outages, outages) = watch::channel(recovery::Outages::default());
@@ -80,6 +84,7 @@
         stopping: stop.shutdown_token(),
         metrics: metrics.clone(),
         mirror: mirror.clone(),
+        loads,
     };
     let channels = thread::Channels {
         publish,
@@ -98,6 +103,9 @@
     let shared = Rc::new(Shared {
         id: config.id.clone(),
         dc: config.dc.clone(),
+        started_at,
+        start_wait: line.start_wait,
+        breakers: breakers::Breakers::new(line.try_other_owners),
         view: view.clone(),
         groups: RefCell::default(),
         peers: peers::Peers::default(),
@@ -108,7 +116,9 @@
         failure_signal: failure_signal.clone(),
         records,
         recovery,
+        replica_lag: line.replica_lag,
         quota: quota::Quota::new(&config.id, line.tolerance()),
+        idle_transactions: line.idle_transactions,
         mirror,
         open_count: Rc::default(),
     });
@@ -116,6 +126,7 @@
     tokio::task::spawn_local(isolation_check);
     tokio::task::spawn_local(shared.clone().apply_views(view));
     tokio::task::spawn_local(quota::run(shared.clone()));
+    tokio::task::spawn_local(load::run(shared.clone(), publish_loads));
     tokio::task::spawn_local(stop::watch_settings(config.clone()));
     if let Some(listener) = peers {
         tokio::task::spawn_local(accept_peers(listener, shared.clone()));
--- a/crates/proxy/src/line/backend.rs
+++ b/crates/proxy/src/line/backend.rs
@@ -3,6 +3,7 @@
 
 pub mod connection;
 pub mod pool;
+pub mod request;
 
 use std::{
     cell::{Cell, RefCell},
@@ -18,8 +19,10 @@
     ownership::Share,
     placement::Candidate,
     registry::{Entry, Server},
+    replication::Replica,
     restart::Detector,
     session::Variables,
+    slots::{Mode, Purpose},
     takeover::Status,
     time::Moment,
 };
@@ -27,10 +30,14 @@
     backend::{Command, CONNECT_TIMEOUT},
     Error,
 };
+use tokio::sync::Notify;
 
 use crate::{
     line::{
-        backend::pool::{Client, Pool, Rank, Request},
+        backend::{
+            pool::Pool,
+            request::{Client, Rank, Request},
+        },
         clock,
         reachability::{self, FailureSignal},
         restart,
@@ -81,6 +88,10 @@
     restart_detector: Cell<Detector>,
     latency: Cell<Mean>,
     lag: Cell<Lag>,
+    /// How far it has applied the log, if lag is predicted.
+    pub replication: Cell<Replica>,
+    /// Notifies the reads that wait for a probe of its progress.
+    pub probe_ended: Notify,
     avoid_until: Cell<Moment>,
     max_probe_delay: Duration,
     /// Timeout for its VM to accept a connection.
@@ -97,10 +108,12 @@
     pub fn new(
         entry: &Entry,
         limit: Share,
+        idle_transactions: Mode,
         failure_signal: FailureSignal,
         metrics: Metrics,
     ) -> Rc<Self> {
-        let pool = Pool::new(entry.server.clone(), limit, CONNECT_TIMEOUT, metrics);
+        let server = entry.server.clone();
+        let pool = Pool::new(server, limit, idle_transactions, CONNECT_TIMEOUT, metrics);
         Self::with_pool(
             entry,
             pool,
@@ -111,10 +124,13 @@
 
     /// Creates another proxy, to which statements are forwarded over a pool of at most `limit`
     /// connections. The kernel of its VM accepts connections even when the process is busy, so the
-    /// short connect timeout detects only an unreachable VM.
+    /// short connect timeout detects only an unreachable VM. Idle transactions count there: they are
+    /// held back by the owner's limits, and the other proxy runs all connections concurrently.
     pub fn peer(entry: &Entry, limit: usize, metrics: Metrics) -> Rc<Self> {
         let limit = Share::from(limit);
-        let pool = Pool::new(entry.server.clone(), limit, PEER_CONNECT_TIMEOUT, metrics);
+        let server = entry.server.clone();
+        let counted = Mode::Counted;
+        let pool = Pool::new(server, limit, counted, PEER_CONNECT_TIMEOUT, metrics);
         Self::with_pool(
             entry,
             pool,
@@ -140,6 +156,8 @@
             restart_detector: Cell::default(),
             latency: Cell::new(Mean::new(INITIAL_LATENCY)),
             lag: Cell::default(),
+            replication: Cell::default(),
+            probe_ended: Notify::default(),
             avoid_until: Cell::default(),
             last_reached: Cell::default(),
             failure_signal,
@@ -198,6 +216,23 @@
         self.lag.get().lacks(position, now)
     }
 
+    /// Marks that a read probes whether it has caught up.
+    pub fn start_probe(&self) {
+        self.update_replication(|replica| replica.set_probed(true));
+    }
+
+    /// Ends the probe and wakes the reads that wait for it.
+    pub fn end_probe(&self) {
+        self.update_replication(|replica| replica.set_probed(false));
+        self.probe_ended.notify_waiters();
+    }
+
+    fn update_replication(&self, update: impl FnOnce(&mut Replica)) {
+        let mut replica = self.replication.get();
+        update(&mut replica);
+        self.replication.set(replica);
+    }
+
     /// The mean latency of recent statements.
     pub fn latency(&self) -> Duration {
         self.latency.get().value()
@@ -301,6 +336,12 @@
         }
     }
 
+    /// Whether its first status was certainly from the registered incarnation
+    /// ([`Detector::is_established`]).
+    pub fn is_established(&self, synced_until: Moment) -> bool {
+        self.restart_detector.get().is_established(synced_until)
+    }
+
     /// Requests the server's status. Returns an error if it does not answer within the status timeout,
     /// or if the status is from another incarnation than the registered one.
     pub async fn status(&self) -> Result<Status, Error> {
@@ -314,6 +355,7 @@
             };
             let request = Request {
                 client: Client::Proxy,
+                purpose: Purpose::Statement,
                 rank,
                 deadline,
             };
@@ -337,11 +379,16 @@
             // Called for its side effects. A reachable server may just be busy and is not avoided.
             self.is_reachable().await;
         }
-        restart::check_status(
+        let status = restart::check_status(
             &self.restart_detector,
             &self.server.incarnation,
             status?,
             asked,
-        )
+        );
+        self.update_replication(|replica| match &status {
+            Ok(status) => replica.note_term(status.term, asked),
+            Err(_) => replica.forget(),
+        });
+        status
     }
 }
--- a/crates/proxy/src/line/group.rs
+++ b/crates/proxy/src/line/group.rs
@@ -6,6 +6,8 @@
 
 mod durability;
 mod freshness;
+mod quorum;
+mod replication;
 mod search;
 mod single_flight;
 
@@ -22,15 +24,17 @@
     ownership::{self, Allocation, Limits, Share},
     placement,
     registry::{Entry, Incarnation, Role},
+    slots::{Load, Mode},
     time::Moment,
 };
 use serde_json::json;
 
-use self::single_flight::SingleFlight;
+use self::{quorum::Quorum, single_flight::SingleFlight};
 
 use crate::{
+    config::ReplicaLag,
     line::{
-        backend::{pool::Client, Backend},
+        backend::{request::Client, Backend},
         journal,
         reachability::FailureSignal,
         records::Reader,
@@ -57,6 +61,8 @@
     pub allocation: Allocation,
     /// Whether callers have client accounts.
     pub has_accounts: bool,
+    /// How the connections of idle transactions count.
+    pub idle_transactions: Mode,
     /// Whether this proxy runs the group's statements on its own connections.
     pub is_owned: bool,
     /// Whether this proxy has read its own entry from the store, so that others know of it.
@@ -71,7 +77,10 @@
             slots: entry.server.slots,
         };
         match self.is_owned {
-            true => self.allocation.share(limits, self.has_accounts),
+            true => {
+                let idle = self.idle_transactions;
+                self.allocation.share(limits, self.has_accounts, idle)
+            }
             false => Share::from(ownership::NON_OWNER_CONNECTIONS),
         }
     }
@@ -85,6 +94,7 @@
     pub metrics: Metrics,
     /// The statements that wait for a primary.
     pub recovery: recovery::Queue,
+    replica_lag: ReplicaLag,
     servers: RefCell<Vec<Rc<Backend>>>,
     leader: RefCell<Option<Leader>>,
     watermarks: RefCell<Watermarks>,
@@ -108,6 +118,7 @@
     pending_watermark: Cell<Option<Watermark>>,
     last_search: Cell<Moment>,
     search: SingleFlight,
+    quorum: Quorum,
     confirmation: SingleFlight,
     refresh: SingleFlight,
     rotation: Cell<usize>,
@@ -122,6 +133,7 @@
         records: Reader,
         recovery: recovery::Queue,
         metrics: Metrics,
+        replica_lag: ReplicaLag,
     ) -> Rc<Self> {
         Rc::new(Self {
             name: name.to_owned(),
@@ -129,6 +141,7 @@
             failure_signal,
             metrics,
             recovery,
+            replica_lag,
             servers: RefCell::default(),
             leader: RefCell::default(),
             watermarks: RefCell::default(),
@@ -145,6 +158,7 @@
             pending_watermark: Cell::default(),
             last_search: Cell::default(),
             search: SingleFlight::default(),
+            quorum: Quorum::default(),
             confirmation: SingleFlight::default(),
             refresh: SingleFlight::default(),
             rotation: Cell::default(),
@@ -201,7 +215,7 @@
                 }
                 None => {
                     changed = true;
-                    servers.push(self.new_backend(entry, limit));
+                    servers.push(self.new_backend(entry, limit, inputs.idle_transactions));
                 }
             }
         }
@@ -228,23 +242,37 @@
         })
     }
 
-    /// Closes idle connections if other proxies own the group.
-    pub fn close_idle_if_not_owned(&self) {
-        if !self.owned.get() {
-            let servers = self.servers.borrow();
-            servers.iter().for_each(|backend| backend.pool.close_idle());
+    /// Closes idle connections if other proxies own the group, and otherwise those that are no longer
+    /// needed beside idle transactions, as a server refuses connections of new owners above its limit.
+    /// Those of different client accounts stay open.
+    pub fn close_spare_connections(&self) {
+        let has_accounts =
+            (self.applied.borrow().as_ref()).is_some_and(|inputs| inputs.has_accounts);
+        for backend in self.servers.borrow().iter() {
+            match (self.owned.get(), has_accounts) {
+                (false, _) => backend.pool.close_idle(),
+                (true, false) => backend.pool.shrink(backend.pool.limit()),
+                (true, true) => {}
+            }
         }
     }
 
-    fn new_backend(&self, entry: &Entry, limit: Share) -> Rc<Backend> {
+    fn new_backend(&self, entry: &Entry, limit: Share, idle: Mode) -> Rc<Backend> {
         Backend::new(
             entry,
             limit,
+            idle,
             self.failure_signal.clone(),
             self.metrics.clone(),
         )
     }
 
+    /// What the connections to all servers are used for now.
+    pub fn load(&self) -> Load {
+        let servers = self.servers.borrow();
+        servers.iter().map(|backend| backend.pool.load()).sum()
+    }
+
     /// All servers.
     pub fn servers(&self) -> Vec<Rc<Backend>> {
         self.servers.borrow().clone()
@@ -324,7 +352,8 @@
 
     /// The servers that may run a read of `account`, in order of preference. Among equal servers, each
     /// account prefers another one, on which its connections are then reused. Servers that are leaving, missing
-    /// or failed to answer recently come last, and servers that no longer accept work are excluded.
+    /// or failed to answer recently come last, and servers that no longer accept work are excluded. With
+    /// predicted lag, replicas that are not expected to have `required` yet come after all others.
     pub fn read_candidates(
         &self,
         account: Option<&Arc<str>>,
@@ -346,10 +375,17 @@
             .into_iter()
             .map(|index| servers[index].clone())
             .collect();
-        order.sort_by_key(|backend| {
+        let delays = |backend: &Rc<Backend>| self.read_delay(backend, required, now);
+        if order.iter().any(|backend| !delays(backend).is_zero()) {
+            self.metrics.read_moved();
+        }
+        order.sort_by_cached_key(|backend| {
             let leaving = backend.is_leaving() || backend.is_missing();
-            let lacks = required.is_some_and(|position| backend.lacks(position, now));
-            (backend.is_avoided(now), leaving || lacks)
+            let lacks = !self.predicts_lag()
+                && required.is_some_and(|position| backend.lacks(position, now));
+            let delay = delays(backend);
+            let is_delayed = !delay.is_zero();
+            (backend.is_avoided(now), is_delayed, leaving || lacks, delay)
         });
         order
     }
--- a/crates/proxy/src/line/operator.rs
+++ b/crates/proxy/src/line/operator.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dandelionpitch_engine::{
-    account::Directory, isolation::Isolation, ownership::Plan, planner::Planner, registry::Entry,
+    account::Directory, isolation::Isolation, planner::Planner, registry::Entry,
 };
 use rocket::{get, http::Status, routes, serde::json::Json, State};
 use serde::Serialize;
@@ -12,7 +12,7 @@
 
 use crate::{
     line::{
-        clock, journal, mirror,
+        clock, journal, load, mirror,
         recovery::{Outage, Outages},
         view::View,
     },
@@ -34,6 +34,8 @@
     pub servers: Vec<ServerReport>,
     /// The groups that have no primary as far as this proxy knows, if its statements wait for one.
     pub without_primary: Vec<OutageReport>,
+    /// What this proxy's own connections are used for, of the groups that have any load.
+    pub loads: Vec<load::Report>,
     /// The client accounts and their limits, without their keys.
     pub accounts: Vec<AccountReport>,
     /// Where this proxy gets changes of the store, and how stale its copy is.
@@ -83,6 +85,7 @@
     pub stopping: CancellationToken,
     pub metrics: Metrics,
     pub mirror: mirror::Handle,
+    pub loads: watch::Receiver<Vec<load::Report>>,
 }
 
 /// Whether the load balancer should send new callers: a configuration is in force, the process is not
@@ -118,6 +121,7 @@
         owns: owned_groups(&view, context),
         servers: servers.collect(),
         without_primary: outages(&context.outages.borrow()),
+        loads: context.loads.borrow().clone(),
         accounts: accounts(&view),
         changes: context.mirror.report(),
         log_lines_dropped: journal::dropped(),
@@ -158,7 +162,7 @@
     let mut names: Vec<String> = services.cloned().collect();
     names.retain(|name| {
         let limits = view.limits(name);
-        limits.is_some_and(|limits| planner.ownership(name, limits).plan == Plan::Run)
+        limits.is_some_and(|limits| planner.ownership(name, limits).plan.runs())
     });
     names.sort_unstable();
     names
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -17,6 +17,7 @@
     ownership::Peer,
     quota::{loan_term, Decision, Ledger, Tolerance},
     session::Variables,
+    slots::Purpose,
     time::Moment,
 };
 use dandelionpitch_platform::{
@@ -29,7 +30,7 @@
 
 use crate::line::{
     backend::{
-        pool::{self, Client, Rank},
+        request::{self, Client, Rank},
         Backend,
     },
     clock, journal,
@@ -61,8 +62,8 @@
 /// have received its registration, and issue fewer.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Accounts whose refusals are logged one by one within [`LOG_INTERVAL`], so that a caller far above its
-/// limit does not fill the log.
+/// The number of refusals, of all accounts, that are logged within [`LOG_INTERVAL`], so that a caller far above
+/// its limit does not fill the log.
 const MAX_LOGGED_REFUSALS: u32 = 5;
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -79,8 +80,10 @@
     logged: Cell<(Moment, u32)>,
 }
 
-/// An operation above its account's limit.
+/// An operation for which there is no permit.
 pub struct Exceeded {
+    /// Whether this proxy does not issue permits yet, so that the account may be within its limit.
+    pub is_starting: bool,
     pub retry_after: Duration,
 }
 
@@ -99,7 +102,7 @@
     /// Applies a new view; `own` is the id of this proxy.
     pub fn update(&self, view: &View, own: &str) {
         let now = clock::now();
-        let is_registered = view.peer(own).is_some();
+        let is_registered = !view.is_unconfirmed && view.peer(own).is_some();
         if is_registered && self.registered_at.get().is_none() {
             let settled = match view.has_predecessor {
                 true => now,
@@ -133,9 +136,24 @@
     /// Takes a permit for an operation of `account`; returns when the permit was issued.
     pub async fn admit(&self, shared: &Shared, account: &Account) -> Result<Moment, Exceeded> {
         let decision = self.ledger.borrow_mut().admit(account, clock::now());
+        let taken = self.take(shared, account, decision).await;
+        taken.map_err(|retry_after| Exceeded {
+            is_starting: self.ledger.borrow().is_starting(),
+            retry_after,
+        })
+    }
+
+    /// Takes a permit after `decision`, drawing permits if that is needed. An error is the time until the
+    /// next permit may be issued.
+    async fn take(
+        &self,
+        shared: &Shared,
+        account: &Account,
+        decision: Decision,
+    ) -> Result<Moment, Duration> {
         match decision {
             Decision::Admitted { issued } => return Ok(issued),
-            Decision::Refused { retry_after } => return Err(Exceeded { retry_after }),
+            Decision::Refused { retry_after } => return Err(retry_after),
             Decision::Draw { .. } => {}
         }
         let draw = self.draw_lock(&account.name);
@@ -144,7 +162,7 @@
             let decision = self.ledger.borrow_mut().retry(account, clock::now());
             match decision {
                 Decision::Admitted { issued } => return Ok(issued),
-                Decision::Refused { retry_after } => return Err(Exceeded { retry_after }),
+                Decision::Refused { retry_after } => return Err(retry_after),
                 Decision::Draw { amount } => self.draw(shared, &source, account, amount).await,
             }
         }
@@ -152,9 +170,7 @@
         let mut ledger = self.ledger.borrow_mut();
         match ledger.retry(account, now) {
             Decision::Admitted { issued } => Ok(issued),
-            _ => Err(Exceeded {
-                retry_after: ledger.deny(&account.name, now),
-            }),
+            _ => Err(ledger.deny(&account.name, now)),
         }
     }
 
@@ -164,7 +180,7 @@
     }
 
     /// Logs a refusal, up to a number in each interval.
-    pub fn log_refusal(&self, id: &str, account: &Account, retry_after: Duration) {
+    pub fn log_refusal(&self, id: &str, account: &Account, exceeded: &Exceeded) {
         let now = clock::now();
         let (since, count) = match self.logged.get() {
             (since, count) if now.since(since) < LOG_INTERVAL => (since, count + 1),
@@ -172,10 +188,14 @@
         };
         self.logged.set((since, count));
         if count <= MAX_LOGGED_REFUSALS {
+            let kind = match exceeded.is_starting {
+                true => "quota not known",
+                false => "quota used up",
+            };
             journal::write(
-                "quota used up",
+                kind,
                 json!({ "id": id, "account": account.name, "rate": account.limit.rate,
-                    "retry_after_ms": retry_after.as_millis() as u64 }),
+                    "retry_after_ms": exceeded.retry_after.as_millis() as u64 }),
             );
         }
     }
@@ -306,8 +326,9 @@
             priority: 0,
             due: deadline,
         };
-        let wanted = pool::Request {
+        let wanted = request::Request {
             client: Client::Proxy,
+            purpose: Purpose::Statement,
             rank,
             deadline,
         };
--- a/crates/proxy/src/line/records.rs
+++ b/crates/proxy/src/line/records.rs
@@ -63,8 +63,14 @@
 
     /// How far the view may be behind the store.
     pub fn age(&self, now: Moment) -> Duration {
-        let synced_until = Duration::from_millis(self.synced_until_ms.load(Ordering::Relaxed));
-        now.since(Moment::from_boot(synced_until))
+        now.since(self.synced_until())
+    }
+
+    /// The moment up to which every change of the store is in the view, or will be within moments.
+    pub fn synced_until(&self) -> Moment {
+        Moment::from_boot(Duration::from_millis(
+            self.synced_until_ms.load(Ordering::Relaxed),
+        ))
     }
 
     /// Requests a snapshot of a group's record from the store; `None` as in [`Request::answer`].
--- a/crates/proxy/src/line/recovery.rs
+++ b/crates/proxy/src/line/recovery.rs
@@ -103,7 +103,7 @@
             true => "no primary was found while it waited",
             false => "no primary is known",
         };
-        call.busy(why, self.retry_after.unwrap_or(default))
+        call.unavailable(why, self.retry_after.unwrap_or(default))
     }
 }
 
--- a/crates/proxy/src/line/shared.rs
+++ b/crates/proxy/src/line/shared.rs
@@ -8,12 +8,16 @@
     time::Duration,
 };
 
-use dandelionpitch_engine::{catalog::Catalog, isolation::Isolation, planner::Planner};
+use dandelionpitch_engine::{
+    catalog::Catalog, isolation::Isolation, planner::Planner, slots::Mode, startup, time::Moment,
+};
 use tokio::sync::watch;
 
 use crate::{
+    config::ReplicaLag,
     line::{
         backend::Backend,
+        breakers::Breakers,
         clock,
         group::{Group, Groups, Inputs},
         mirror::Handle,
@@ -29,13 +33,17 @@
 };
 
 /// How often idle connections are closed: those to servers of groups that this proxy does not own, opened
-/// while the owners were unreachable, and surplus ones to other proxies.
+/// while the owners were unreachable, those opened beside idle transactions, and surplus ones to other
+/// proxies.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_secs(3);
 
 /// The state shared by all sessions on the traffic thread.
 pub struct Shared {
     pub id: String,
     pub dc: String,
+    pub started_at: Moment,
+    /// How long a session that begins just after the start waits for a configuration.
+    pub start_wait: Duration,
     pub view: watch::Receiver<Arc<View>>,
     pub groups: RefCell<Groups>,
     /// The other proxies, and the plans by which statements are forwarded to them.
@@ -49,7 +57,12 @@
     pub records: Reader,
     /// What the groups' statements that wait for a primary have in common.
     pub recovery: Rc<recovery::Context>,
+    /// How replicas that lag are chosen for reads.
+    pub replica_lag: ReplicaLag,
     pub quota: Quota,
+    pub breakers: Breakers,
+    /// How the connections of idle transactions count.
+    pub idle_transactions: Mode,
     /// The copy of the store's content, from which other proxies are served.
     pub mirror: Handle,
     /// How many callers are connected, plus the statements of other proxies in flight. A graceful
@@ -78,6 +91,7 @@
             records,
             recovery::Queue::new(self.recovery.clone(), name),
             self.metrics.clone(),
+            self.replica_lag,
         )
     }
 
@@ -111,7 +125,7 @@
                     Err(_) => return,
                 },
                 _ = close_idle.tick() => {
-                    self.groups.borrow().values().for_each(|group| group.close_idle_if_not_owned());
+                    self.groups.borrow().values().for_each(|group| group.close_spare_connections());
                     self.peers.close_spare_connections();
                     self.peers.close_departed();
                 }
@@ -149,11 +163,24 @@
             service: service.clone(),
             allocation: ownership.allocation,
             has_accounts: view.has_accounts(),
+            idle_transactions: self.idle_transactions,
             is_owned: self.peers.owns(name),
             is_announced: view.peer(&self.id).is_some(),
         });
     }
 
+    /// Waits until there is a configuration, for as long as [`startup`] allows.
+    pub async fn wait_for_configuration(&self) {
+        let limit = startup::session_wait(clock::now().since(self.started_at), self.start_wait);
+        if limit.is_zero() || self.catalog().is_some() {
+            return;
+        }
+        let mut view = self.view.clone();
+        let configured = view.wait_for(|view| view.catalog.is_some());
+        // Whether it arrived in time is seen from the view.
+        let _ = tokio::time::timeout(limit, configured).await;
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
         self.view.borrow().catalog.clone()
--- a/crates/proxy/src/line/traffic.rs
+++ b/crates/proxy/src/line/traffic.rs
@@ -7,6 +7,8 @@
 pub mod exchange;
 pub mod feed;
 pub mod forwarding;
+pub mod lag;
+mod latest;
 pub mod origin;
 pub mod session;
 pub mod transaction;
--- a/crates/proxy/src/line/traffic/autocommit.rs
+++ b/crates/proxy/src/line/traffic/autocommit.rs
@@ -12,7 +12,7 @@
     session::{Effect, Session},
     time::Moment,
 };
-use dandelionpitch_platform::backend::{Answer, Condition, Success};
+use dandelionpitch_platform::backend::{Condition, Success};
 
 use crate::{
     line::{
@@ -23,6 +23,8 @@
         traffic::{
             call::{note_failure, Call, Failure, RETRY_AFTER, RETRY_DELAY},
             exchange::{checkout, exchange, release_if_idle},
+            lag::{lagging, note_lag, queue_full},
+            latest,
         },
     },
     metrics::Target,
@@ -46,28 +48,31 @@
 
 async fn read(group: &Rc<Group>, session: &Session, call: &Call<'_>) -> Result<Success, Refusal> {
     let mut attempts = Attempts::new();
+    let mut required = None;
     while !call.is_expired() {
         let (servers, after) = match call.route.consistency {
-            Consistency::Latest => {
-                let leader = confirmed_leader(group, call).await?;
-                (leader, group.newest_position())
-            }
+            Consistency::Latest => latest::find(group, call, session.floor()).await?,
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let own = session.floor();
                 let Some(floor) = group
                     .required_position(call.freshness_bound(call.arrived), own)
                     .await
                 else {
-                    return Err(call.busy("required log position is unknown", RETRY_AFTER));
+                    return Err(call.unavailable("required log position is unknown", RETRY_AFTER));
                 };
                 let servers = group.read_candidates(call.account, Some(floor), clock::now());
                 (servers, Some(floor))
             }
         };
+        required = after;
         for backend in servers {
             if attempts.is_exhausted(&backend) || call.is_expired() {
                 continue;
             }
+            let Some(_permit) = group.read_permit(&backend, after, call.due()).await else {
+                attempts.passed_over = true;
+                continue;
+            };
             match read_on(group, &backend, session, call, after).await {
                 Ok(success) => return Ok(success),
                 Err(failure) => attempts.record(&backend, failure),
@@ -78,7 +83,7 @@
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
-    Err(attempts.refusal(call))
+    Err(attempts.refusal(group, call, required))
 }
 
 /// The attempts to run a read so far.
@@ -88,6 +93,8 @@
     /// How often the read failed on each server.
     failed: Vec<(Incarnation, u32)>,
     last: Option<Failure>,
+    /// Whether a replica was passed over because it is not expected to have the position in time.
+    passed_over: bool,
 }
 
 impl Attempts {
@@ -102,6 +109,7 @@
             obstacle: Obstacle::NoServer,
             failed: Vec::new(),
             last: None,
+            passed_over: false,
         }
     }
 
@@ -133,11 +141,15 @@
         self.rounds >= Self::MAX_ROUNDS
     }
 
-    fn refusal(self, call: &Call<'_>) -> Refusal {
+    fn refusal(self, group: &Group, call: &Call<'_>, required: Option<Position>) -> Refusal {
+        let lacks = |failure: &Failure| matches!(failure, Failure::NotRun(refusal) if refusal.code == Code::Lagging);
         match self.last {
-            Some(
-                Failure::NotRun(refusal) | Failure::QueueFull(refusal) | Failure::Failed(refusal),
-            ) => refusal,
+            Some(failure) if group.predicts_lag() && lacks(&failure) => {
+                lagging(group, call, required)
+            }
+            None if self.passed_over => lagging(group, call, required),
+            Some(Failure::QueueFull(refusal)) => queue_full(group, call, required, refusal),
+            Some(Failure::NotRun(refusal) | Failure::Failed(refusal)) => refusal,
             Some(Failure::NoAnswer(why)) => Refusal::new(Code::Unknown, why),
             None => call.busy("timed out before a server was tried", RETRY_AFTER),
         }
@@ -150,16 +162,29 @@
     call: &Call<'_>,
 ) -> Result<Vec<Rc<Backend>>, Refusal> {
     loop {
-        let leader = match wait_for_leader(group, call).await {
-            Ok(leader) => leader,
-            Err(absence) => return Err(absence.refusal(call, RETRY_AFTER)),
+        if let Some(leader) = find_confirmed_leader(group, call).await? {
+            return Ok(leader);
+        }
+        let waited = recovery::wait(group, call).await;
+        waited.map_err(|absence| absence.refusal(call, RETRY_AFTER))?;
+    }
+}
+
+/// As [`confirmed_leader`], but returns `None` if no primary is known, and does not wait for a recovery.
+pub async fn find_confirmed_leader(
+    group: &Rc<Group>,
+    call: &Call<'_>,
+) -> Result<Option<Vec<Rc<Backend>>>, Refusal> {
+    loop {
+        let Some(leader) = search_for_leader(group, call).await else {
+            return Ok(None);
         };
         if group.confirm_leader(call.arrived).await && group.is_leader(&leader.backend) {
-            return Ok(vec![leader.backend]);
+            return Ok(Some(vec![leader.backend]));
         }
         // Replicas may be held for a promotion, which usually completes within the remaining time.
         if call.isolated || call.remaining() < call.route.timeout / 2 {
-            return Err(call.busy("the primary is not proved to lead", RETRY_AFTER));
+            return Err(call.unavailable("the primary is not proved to lead", RETRY_AFTER));
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
@@ -170,7 +195,6 @@
 pub async fn wait_for_leader(group: &Rc<Group>, call: &Call<'_>) -> Result<Leader, Absence> {
     loop {
         if let Some(leader) = search_for_leader(group, call).await {
-            group.recovery.end();
             return Ok(leader);
         }
         recovery::wait(group, call).await?;
@@ -228,6 +252,7 @@
         // The search continues for other statements if this one stops waiting.
         if let Ok(Some(leader)) = tokio::time::timeout(timeout, group.leader()).await {
             if leader.backend.takes_work(clock::now()) {
+                group.recovery.end();
                 return Some(leader);
             }
         }
@@ -258,7 +283,7 @@
     };
     release_if_idle(checkout, &answer);
     let trusted = group.note_position(backend, asked, answer.position);
-    note_lag(backend, after, asked, &answer);
+    note_lag(group, backend, after, asked, &answer);
     let refused = answer.result.as_ref().err();
     // A refusal is fast, and would make the server look like the fastest one.
     if !refused.is_some_and(|refusal| refusal.code.guarantees_not_run()) {
@@ -291,18 +316,6 @@
     })
 }
 
-/// Records whether the server lacked the position that a read sent at `asked` requires.
-pub fn note_lag(backend: &Backend, required: Option<Position>, asked: Moment, answer: &Answer) {
-    let Some(position) = required else {
-        return;
-    };
-    match &answer.result {
-        Ok(_) => backend.note_read(position, asked, false),
-        Err(refusal) if refusal.code == Code::Lagging => backend.note_read(position, asked, true),
-        Err(_) => {}
-    }
-}
-
 /// Waits for the answer to a write. If it is overdue, the primary is suspected of being partitioned:
 /// later writes are sent only after replicas have confirmed it.
 pub async fn suspect_if_overdue<T>(
--- a/crates/proxy/src/line/traffic/call.rs
+++ b/crates/proxy/src/line/traffic/call.rs
@@ -9,6 +9,7 @@
     forwarding::Requirements,
     refusal::{Code, Refusal},
     session::{Effect, Execution},
+    slots::Purpose,
     time::Moment,
 };
 use dandelionpitch_platform::line;
@@ -19,7 +20,8 @@
     line::{
         backend::{
             connection::Statement,
-            pool::{Client, Error, Rank, Request},
+            pool::Error,
+            request::{Client, Rank, Request},
             Backend,
         },
         clock,
@@ -135,7 +137,7 @@
 
     /// When it should be answered. If it has missed its target while it waited for a primary, any time
     /// before its deadline is as good, and statements that can still meet theirs go first.
-    fn due(&self) -> Moment {
+    pub fn due(&self) -> Moment {
         let due = self.arrived + self.route.target;
         match self.has_waited.get() && due <= clock::now() {
             true => self.deadline(),
@@ -144,13 +146,14 @@
     }
 
     /// Its request for a connection. The priority is lower than that of status requests.
-    pub fn pool_request(&self) -> Request {
+    pub fn pool_request(&self, purpose: Purpose) -> Request {
         let rank = Rank {
             priority: self.route.priority + 1,
             due: self.due(),
         };
         Request {
             client: Client::Account(self.account.cloned()),
+            purpose,
             rank,
             deadline: self.deadline(),
         }
@@ -173,11 +176,11 @@
     /// The refusal of a write because no replica confirms that the primary still leads.
     pub fn primary_unconfirmed(&self) -> Refusal {
         match self.isolated {
-            true => self.busy(
+            true => self.unavailable(
                 "this data centre is partitioned from the others",
                 ISOLATED_RETRY_AFTER,
             ),
-            false => self.busy("no replica confirms the primary", RETRY_AFTER),
+            false => self.unavailable("no replica confirms the primary", RETRY_AFTER),
         }
     }
 
@@ -190,6 +193,12 @@
         Refusal::new(Code::Unknown, format!("outcome unknown: {why}"))
     }
 
+    /// The refusal of a statement for which this proxy found no server.
+    pub fn unavailable(&self, why: &str, retry_after: Duration) -> Refusal {
+        let Refusal { reason, .. } = self.busy(why, retry_after);
+        Refusal::new(Code::Unavailable, reason)
+    }
+
     /// A refusal of a statement that was not run, with the time after which the caller may retry.
     pub fn busy(&self, why: &str, retry_after: Duration) -> Refusal {
         let millis = retry_after.as_millis();
--- a/crates/proxy/src/line/traffic/forwarding.rs
+++ b/crates/proxy/src/line/traffic/forwarding.rs
@@ -5,16 +5,15 @@
 use std::rc::Rc;
 
 use dandelionpitch_engine::{
-    forwarding::{self, Requirements},
+    forwarding::{self, Inability, Requirements},
     refusal::{Code, Refusal},
     session::{Effect, Phase, Session, Transaction},
 };
 use dandelionpitch_platform::backend::{Answer, Condition, Query, State, Success};
-use serde_json::json;
 
 use crate::line::{
     backend::{pool::checkout::Checkout, Backend},
-    clock, journal,
+    clock,
     shared::Shared,
     traffic::{
         call::{note_failed_attempt, Call, Failure, RETRY_AFTER},
@@ -32,15 +31,6 @@
     NoOwner,
 }
 
-/// Logs that no owner of the statement's group could be reached.
-pub fn log_no_owner(call: &Call<'_>) {
-    journal::write(
-        "no owner reached",
-        json!({ "id": call.id, "service": call.route.service,
-            "after_ms": call.waited().as_millis() as u64 }),
-    );
-}
-
 /// Runs a statement on the first of `peers` that accepts it, or on the proxy that runs its transaction.
 pub async fn run(
     shared: &Shared,
@@ -64,8 +54,9 @@
 ) -> Outcome {
     let mut last = None;
     let mut attempts = 0;
+    let mut inabilities = 0;
     for peer in peers {
-        if call.is_expired() {
+        if call.is_expired() || inabilities >= forwarding::MAX_INABILITIES {
             break;
         }
         match forward(shared, peer, session, call).await {
@@ -79,8 +70,16 @@
                 let why = format!("outcome unknown: {why}");
                 return Outcome::Answered(Err(Refusal::new(Code::Unknown, why)));
             }
-            Err(Failure::Failed(refusal)) if forwarding::is_starting(&refusal) => peer.avoid(),
             Err(Failure::Failed(refusal)) => {
+                let inability = note_inability(shared, peer, &refusal, call);
+                if inability == Some(Inability::NoServer) {
+                    inabilities += 1;
+                    last = Some(Refusal::new(Code::Unavailable, refusal.reason));
+                    continue;
+                }
+                if inability == Some(Inability::Starting) {
+                    continue;
+                }
                 attempts += 1;
                 // The owner may be partitioned together with this data centre. This proxy has no
                 // connections to servers that would show it, so it requests a check, or else the
@@ -253,6 +252,22 @@
     }
 }
 
+/// Records that `peer` left a statement to other proxies, if its refusal says so.
+fn note_inability(
+    shared: &Shared,
+    peer: &Rc<Backend>,
+    refusal: &Refusal,
+    call: &Call<'_>,
+) -> Option<Inability> {
+    let inability = Inability::new(refusal);
+    match inability {
+        Some(Inability::Starting) => peer.avoid(),
+        Some(Inability::NoServer) => shared.peers.note_unable(&call.route.service, peer),
+        None => {}
+    }
+    inability
+}
+
 /// Opens the transaction on the first of `peers` that can be reached; `None` if none can be. The peer
 /// assigns a backend connection only with the first statement, so `BEGIN` itself is not refused.
 async fn begin(
@@ -278,7 +293,18 @@
         };
         let request = checkout.connection().link.query(begin);
         // The reasons are also metric labels, up to the first colon, and must not change.
-        let why = match tokio::time::timeout(BEGIN_TIMEOUT.min(call.remaining()), request).await {
+        let answer = tokio::time::timeout(BEGIN_TIMEOUT.min(call.remaining()), request).await;
+        if let Ok(Ok(Answer {
+            result: Err(refusal),
+            ..
+        })) = &answer
+        {
+            if note_inability(shared, peer, refusal, call).is_some() {
+                checkout.release();
+                continue;
+            }
+        }
+        let why = match answer {
             Ok(Ok(answer)) if answer.result.is_ok() && answer.state == State::Open => {
                 return Some(Pinned {
                     checkout,
--- a/crates/proxy/src/line/traffic/session/access.rs
+++ b/crates/proxy/src/line/traffic/session/access.rs
@@ -2,18 +2,20 @@
 
 use std::sync::Arc;
 
+use dandelionpitch_core::hash;
 use dandelionpitch_engine::{
     account::Account,
     catalog::Route,
     refusal::{Code, Refusal},
     session::Phase,
+    startup,
     statement::Statement,
     time::Moment,
 };
 use dandelionpitch_platform::{backend::Success, feed, peer};
 
 use super::{Origin, Session};
-use crate::line::quota::Exceeded;
+use crate::line::clock;
 
 /// The permit that an operation uses.
 pub(super) struct Permit {
@@ -34,7 +36,11 @@
             };
         }
         let Some(catalog) = self.shared.catalog() else {
-            return Err(Refusal::new(Code::Busy, "starting; come back in 1000 ms"));
+            let open = self.shared.open_count.get();
+            let seed = (&self.shared.id, open, clock::now().millis());
+            let millis = startup::return_after(hash::stable_fraction(&seed)).as_millis();
+            let why = format!("starting; come back in {millis} ms");
+            return Err(Refusal::new(Code::Busy, why));
         };
         match catalog.routes.get(&self.database) {
             Some(route) => catalog.authorize(route, &self.key).map(drop),
@@ -120,11 +126,14 @@
                 account: account.clone(),
                 issued,
             })),
-            Err(Exceeded { retry_after }) => {
-                quota.log_refusal(id, account, retry_after);
-                let millis = retry_after.as_millis();
-                let why =
-                    format!("not run: the account's quota is used up; come back in {millis} ms");
+            Err(exceeded) => {
+                quota.log_refusal(id, account, &exceeded);
+                let millis = exceeded.retry_after.as_millis();
+                let why = match exceeded.is_starting {
+                    true => "this proxy has just started and knows of no quota yet",
+                    false => "the account's quota is used up",
+                };
+                let why = format!("not run: {why}; come back in {millis} ms");
                 Err(Refusal::new(Code::Busy, why))
             }
         }
--- a/crates/proxy/src/line/traffic/transaction.rs
+++ b/crates/proxy/src/line/traffic/transaction.rs
@@ -15,9 +15,11 @@
     clock,
     group::Group,
     traffic::{
-        autocommit::{self, note_lag},
+        autocommit,
         call::{note_failure, Call, Failure},
         exchange::{checkout, exchange},
+        lag::{lagging, note_lag, queue_full},
+        latest,
     },
 };
 
@@ -57,6 +59,7 @@
 
     /// Rolls back in the background and returns the connection to the pool.
     pub fn roll_back(mut self) {
+        self.checkout.resume();
         tokio::task::spawn_local(async move {
             let request = self.checkout.connection().link.query(Query::Rollback);
             if let Ok(Ok(answer)) = tokio::time::timeout(ROLLBACK_TIMEOUT, request).await {
@@ -82,7 +85,10 @@
         return Err(Refusal::new(Code::Aborted, "no transaction is open"));
     };
     let mut current = match pinned.take() {
-        Some(current) => current,
+        Some(mut current) => {
+            current.checkout.resume();
+            current
+        }
         None => match begin(group, session, transaction, call).await {
             Ok(current) => current,
             Err(refusal) => {
@@ -153,7 +159,10 @@
                             session.committed(answer.position);
                         }
                     }
-                    Effect::Read | Effect::Write => *pinned = Some(current),
+                    Effect::Read | Effect::Write => {
+                        current.checkout.pause();
+                        *pinned = Some(current);
+                    }
                 }
                 return Ok(success);
             }
@@ -218,34 +227,46 @@
         autocommit::ensure_leader(group, call, transaction.started_at).await?;
     }
     loop {
-        let after = match call.route.consistency {
-            Consistency::Latest => group.newest_position(),
+        let latest = call.route.consistency == Consistency::Latest;
+        let (servers, after) = match call.route.consistency {
+            Consistency::Latest if transaction.read_only => {
+                latest::find(group, call, session.floor()).await?
+            }
+            Consistency::Latest => {
+                let leader = autocommit::confirmed_leader(group, call).await?;
+                (leader, group.newest_position())
+            }
             Consistency::Bounded(_) | Consistency::Session(_) => {
                 let since = call.freshness_bound(transaction.started_at);
-                match group.required_position(since, session.floor()).await {
-                    Some(floor) => Some(floor),
-                    None => return Err(call.busy("required log position is unknown", RETRY_DELAY)),
+                let floor = group.required_position(since, session.floor()).await;
+                if floor.is_none() {
+                    return Err(call.unavailable("required log position is unknown", RETRY_DELAY));
                 }
+                let servers = match transaction.read_only {
+                    true => group.read_candidates(call.account, floor, clock::now()),
+                    false => match autocommit::wait_for_leader(group, call).await {
+                        Ok(leader) => vec![leader.backend],
+                        Err(absence) => return Err(absence.refusal(call, RETRY_DELAY)),
+                    },
+                };
+                (servers, floor)
             }
         };
-        let latest = call.route.consistency == Consistency::Latest;
-        let servers = match (latest, transaction.read_only) {
-            (true, _) => autocommit::confirmed_leader(group, call).await?,
-            (false, true) => group.read_candidates(call.account, after, clock::now()),
-            (false, false) => match autocommit::wait_for_leader(group, call).await {
-                Ok(leader) => vec![leader.backend],
-                Err(absence) => return Err(absence.refusal(call, RETRY_DELAY)),
-            },
-        };
         for backend in servers {
             if call.is_expired() {
                 break;
             }
+            let Some(_permit) = group.read_permit(&backend, after, call.due()).await else {
+                if obstacle == Obstacle::NoServer {
+                    last = lagging(group, call, after);
+                }
+                continue;
+            };
             let mut checkout = match checkout(group, &backend, session, call).await {
                 Ok(checkout) => checkout,
                 Err(Failure::QueueFull(refusal)) => {
                     obstacle = Obstacle::QueueFull;
-                    last = refusal;
+                    last = queue_full(group, call, after, refusal);
                     continue;
                 }
                 Err(Failure::NotRun(refusal) | Failure::Failed(refusal)) => {
@@ -266,7 +287,7 @@
             match tokio::time::timeout(call.remaining(), request).await {
                 Ok(Ok(answer)) => {
                     let trusted = group.note_position(&backend, asked, answer.position);
-                    note_lag(&backend, after, asked, &answer);
+                    note_lag(group, &backend, after, asked, &answer);
                     match answer.result {
                         Ok(_) if latest && !trusted => {
                             last = call.busy("the server is no longer the primary", RETRY_DELAY);
@@ -290,7 +311,10 @@
                             if answer.state == State::Idle {
                                 checkout.release();
                             }
-                            last = call.busy(&refusal.to_string(), RETRY_DELAY);
+                            last = match refusal.code == Code::Lagging && group.predicts_lag() {
+                                true => lagging(group, call, after),
+                                false => call.busy(&refusal.to_string(), RETRY_DELAY),
+                            };
                         }
                     }
                 }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -7,6 +7,7 @@
     sync::{Arc, Weak},
 };
 
+use dandelionpitch_engine::slots::Load;
 use opentelemetry::{
     metrics::{Counter, Gauge, Histogram, MeterProvider},
     KeyValue,
@@ -25,6 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     reads: Counter<u64>,
+    reads_moved: Counter<u64>,
     writes: Counter<u64>,
     refusals: Counter<u64>,
     statements: Counter<u64>,
@@ -35,11 +37,15 @@
     attempts: Counter<u64>,
     connections: Counter<u64>,
     store_errors: Counter<u64>,
+    seed_copies: Counter<u64>,
     invalid_entries: Counter<u64>,
     forwarded: Counter<u64>,
     account_operations: Counter<u64>,
     quota_draws: Counter<u64>,
     recovery_waits: Counter<u64>,
+    running: Gauge<u64>,
+    idle_in_transaction: Gauge<u64>,
+    waiting: Gauge<u64>,
     log_lines_dropped: Gauge<u64>,
     version: Gauge<u64>,
     changes_age: Gauge<u64>,
@@ -112,6 +118,7 @@
         let meter = provider.meter("dandelionpitch");
         Self {
             reads: meter.u64_counter("reads").build(),
+            reads_moved: meter.u64_counter("reads_moved_for_lag").build(),
             writes: meter.u64_counter("writes").build(),
             refusals: meter.u64_counter("refusals").build(),
             statements: meter.u64_counter("statements").build(),
@@ -125,11 +132,15 @@
             attempts: meter.u64_counter("attempts").build(),
             connections: meter.u64_counter("connections_opened").build(),
             store_errors: meter.u64_counter("store_errors").build(),
+            seed_copies: meter.u64_counter("seed_copies").build(),
             invalid_entries: meter.u64_counter("entries_passed_over").build(),
             forwarded: meter.u64_counter("statements_handed_over").build(),
             account_operations: meter.u64_counter("account_operations").build(),
             quota_draws: meter.u64_counter("quota_draws").build(),
             recovery_waits: meter.u64_counter("recovery_waits").build(),
+            running: meter.u64_gauge("connections_running").build(),
+            idle_in_transaction: meter.u64_gauge("connections_idle_in_transaction").build(),
+            waiting: meter.u64_gauge("statements_waiting").build(),
             log_lines_dropped: meter.u64_gauge("log_lines_dropped").build(),
             changes_age: meter.u64_gauge("store_changes_age_ms").build(),
             store_era: meter.u64_gauge("store_era").build(),
@@ -150,6 +161,11 @@
         self.reads.add(1, &[KeyValue::new("target", name)]);
     }
 
+    /// Counts a read for which a replica is passed over because it lags.
+    pub fn read_moved(&self) {
+        self.reads_moved.add(1, &[]);
+    }
+
     /// Counts a write or transaction statement sent to the primary.
     pub fn write(&self) {
         self.writes.add(1, &[]);
@@ -201,6 +217,11 @@
         self.store_errors.add(1, &[]);
     }
 
+    /// Counts a copy of the store's content that this process took from a seed when it started.
+    pub fn seed_copy(&self) {
+        self.seed_copies.add(1, &[]);
+    }
+
     /// Counts an entry of the store that cannot be parsed as a server or proxy.
     pub fn invalid_entry(&self) {
         self.invalid_entries.add(1, &[]);
@@ -239,6 +260,16 @@
             .add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records what the connections to the servers of `service` are used for. The SDK limits the number
+    /// of series.
+    pub fn load(&self, service: &str, load: Load) {
+        let service = [KeyValue::new("service", service.to_owned())];
+        self.running.record(load.running as u64, &service);
+        self.idle_in_transaction
+            .record(load.idle_in_transaction as u64, &service);
+        self.waiting.record(load.waiting as u64, &service);
+    }
+
     /// Records the total number of log lines dropped because standard output was not read.
     pub fn log_lines_dropped(&self, lines: u64) {
         self.log_lines_dropped.record(lines, &[]);
--- a/crates/proxy/tests/call.rs
+++ b/crates/proxy/tests/call.rs
@@ -5,6 +5,7 @@
 use dandelionpitch_engine::{
     catalog::{Consistency, Route},
     session::Effect,
+    slots::Purpose,
     time::Moment,
 };
 use dandelionpitch_proxy::line::{clock, traffic::call::Call};
@@ -49,7 +50,7 @@
         has_waited: Cell::new(waited),
     };
 
-    let due = call.pool_request().rank.due;
+    let due = call.pool_request(Purpose::Statement).rank.due;
 
     assert_eq!(due.since(arrived), Duration::from_millis(expected));
 }
