Linearizable reads prefer a primary that is being found to the position of a quorum

Cause, by reading: the answers that prove a quorum's position often arrive just before the primary's own, and the replicas have not applied it yet. After a start of all proxies reads of primary routes went to replicas, which refused them as lagging.

Change: while no primary is known, the position of a quorum is used 40 ms after the read began, and another 40 ms later if a primary was found but is not confirmed yet.

--- a/crates/proxy/src/line/traffic/latest.rs
+++ b/crates/proxy/src/line/traffic/latest.rs
@@ -18,6 +18,11 @@
 /// status request queued behind a typical statement.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// How long a read prefers a primary that is searched to the position of a quorum. The answers that prove the
+/// position often come just before the primary's own, and the replicas have not applied it yet: after a start
+/// of all proxies such reads would be refused as lagging.
+const PRIMARY_PREFERENCE: Duration = Duration::from_millis(40);
+
 /// How long a read may wait for a quorum: until the next search starts, and for its answers.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -49,7 +54,17 @@
         true => CONFIRMATION_TIMEOUT,
         false => Duration::ZERO,
     };
-    let by_quorum = pin!(find_by_quorum(group, call, own, confirmation_timeout));
+    let prefers_primary_until = clock::now() + PRIMARY_PREFERENCE;
+    let by_quorum = pin!(async {
+        let targets = find_by_quorum(group, call, own, confirmation_timeout).await;
+        if leader.is_none() {
+            tokio::time::sleep(clock::now().until(prefers_primary_until)).await;
+            if group.known_leader().is_some() {
+                tokio::time::sleep(CONFIRMATION_TIMEOUT).await;
+            }
+        }
+        targets
+    });
     if is_avoided {
         return match by_quorum.await {
             Some(targets) => Ok(targets),
