--- a/crates/proxy/src/line/breakers.rs
+++ b/crates/proxy/src/line/breakers.rs
@@ -30,11 +30,8 @@
 
     /// Whether a statement of the group is tried on the servers from here; see [`Breaker::admit`].
     pub fn admit(&self, service: &str, need: Need) -> bool {
-        let mut by_group = self.by_group.borrow_mut();
-        let breaker = by_group
-            .get_mut(service)
-            .and_then(|needs| needs.get_mut(&need));
-        breaker.is_none_or(|breaker| breaker.admit(clock::now()))
+        let admitted = self.update(service, need, |breaker| breaker.admit(clock::now()));
+        admitted.unwrap_or(true)
     }
 
     /// Records the result of a statement for which a server was searched.
@@ -49,15 +46,22 @@
     }
 
     fn note_found(&self, service: &str, need: Need) {
-        let mut by_group = self.by_group.borrow_mut();
-        let breaker = by_group
-            .get_mut(service)
-            .and_then(|needs| needs.get_mut(&need));
-        if breaker.is_some_and(Breaker::note_found) {
+        if self.update(service, need, Breaker::note_found) == Some(true) {
             log(service, need, false, "");
         }
     }
 
+    /// Applies `change` to a breaker; `None` if no statement has failed to find a server yet.
+    fn update<T>(
+        &self,
+        service: &str,
+        need: Need,
+        change: impl FnOnce(&mut Breaker) -> T,
+    ) -> Option<T> {
+        let mut by_group = self.by_group.borrow_mut();
+        by_group.get_mut(service)?.get_mut(&need).map(change)
+    }
+
     fn note_none_found(&self, service: &str, need: Need, why: &str) {
         if !self.is_enabled {
             return;
--- a/crates/proxy/src/line/quota.rs
+++ b/crates/proxy/src/line/quota.rs
@@ -135,22 +135,17 @@
 
     /// Takes a permit for an operation of `account`; returns when the permit was issued.
     pub async fn admit(&self, shared: &Shared, account: &Account) -> Result<Moment, Exceeded> {
-        let decision = self.ledger.borrow_mut().admit(account, clock::now());
-        let taken = self.take(shared, account, decision).await;
+        let taken = self.take(shared, account).await;
         taken.map_err(|retry_after| Exceeded {
             is_starting: self.ledger.borrow().is_starting(),
             retry_after,
         })
     }
 
-    /// Takes a permit after `decision`, drawing permits if that is needed. An error is the time until the
-    /// next permit may be issued.
-    async fn take(
-        &self,
-        shared: &Shared,
-        account: &Account,
-        decision: Decision,
-    ) -> Result<Moment, Duration> {
+    /// Takes a permit, drawing permits if that is needed. An error is the time until the next permit may be
+    /// issued.
+    async fn take(&self, shared: &Shared, account: &Account) -> Result<Moment, Duration> {
+        let decision = self.ledger.borrow_mut().admit(account, clock::now());
         match decision {
             Decision::Admitted { issued } => return Ok(issued),
             Decision::Refused { retry_after } => return Err(retry_after),
--- a/crates/proxy/src/line/traffic/session/reply.rs
+++ b/crates/proxy/src/line/traffic/session/reply.rs
@@ -39,11 +39,13 @@
             Ok(Some(success)) => caller::write_success(&mut self.out, success, ready),
             Ok(None) => caller::write_done(&mut self.out, ready),
             Err(refusal) => {
-                let told = match self.origin {
-                    Origin::Caller => refusal.clone(),
-                    Origin::Peer => self.shared.breakers.for_forwarding_proxy(refusal.clone()),
-                };
-                caller::write_refusal(&mut self.out, &told, ready);
+                match self.origin {
+                    Origin::Caller => caller::write_refusal(&mut self.out, refusal, ready),
+                    Origin::Peer => {
+                        let told = self.shared.breakers.for_forwarding_proxy(refusal.clone());
+                        caller::write_refusal(&mut self.out, &told, ready);
+                    }
+                }
                 journal::write(
                     "refused",
                     json!({ "id": id, "database": self.database, "code": refusal.code.to_string(),
