--- a/crates/proxy/src/line/control/heartbeat.rs
+++ b/crates/proxy/src/line/control/heartbeat.rs
@@ -159,6 +159,7 @@
 async fn find_predecessor(control: &Control) -> Result<(), Error> {
     let found = control.store().get(&keys::member_key(&control.id)).await?;
     let is_predecessor = found.is_some_and(|item| control.is_predecessor(&item.value));
+    journal::write("predecessor", json!({ "registered": is_predecessor }));
     if control.predecessor.get().is_none() {
         control.predecessor.set(Some(is_predecessor));
     }
