Review, case 1: a group has no primary for good after a replacement and a loss (RECOVER)

Cause: a server that left counts for promotions until a primary is in sight and has been for six seconds. If the primary is lost before, nobody can be promoted, and the list of servers that count never changes again.

Stand-ins: a server has applied what it wrote itself. Nothing of the product is changed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -173,6 +173,9 @@
 # ---------------------------------------------------------------- servers
 
 
+APPLIED = 0.0    # instead of the time at which an entry was received: it was written here, or led with
+
+
 class Server:
     """One server of the group."""
 
@@ -365,7 +368,7 @@
 
     async def commit(self, writes):
         for item, data in writes:
-            self.log.append((self.term, self.end()[1] + 1, item, data, now()))
+            self.log.append((self.term, self.end()[1] + 1, item, data, APPLIED))
         at, term = self.end(), self.term
         asyncio.ensure_future(self.replicate())
         while True:
@@ -393,7 +396,7 @@
             keep = 0
             while keep < len(other.log) and keep < len(self.log) and other.log[keep][:2] == self.log[keep][:2]:
                 keep += 1
-            other.log[keep:] = [e[:4] + (now(),) for e in self.log[keep:]]
+            other.log[keep:] = [entry[:4] + (now(),) for entry in self.log[keep:]]
 
 
 class Group:
@@ -452,6 +455,7 @@
             return
         server.term = max(s.term for s in self.servers) + 1
         server.role, server.held = "primary", 0
+        server.log = [entry[:4] + (APPLIED,) for entry in server.log]
         for other in self.servers:
             other.held = 0
         self.record("server %s: leads term %d with %s" % (server.id, server.term, server.end()))
