--- a/review/platform2.py
+++ b/review/platform2.py
@@ -359,6 +359,8 @@
         self.lag_s, self.promote_s, self.work_s, self.open_s, self.net_s = lag_s, promote_s, work_s, open_s, net_s
         self.servers = [Server(self, f"i-{service}-{i}", zone) for i, zone in enumerate(zones)]
         self.servers[0].primary = True
+        # How many servers there have been, as an id is never used again.
+        self.started = len(self.servers)
 
     async def start(self):
         for server in self.servers:
@@ -367,7 +369,8 @@
 
     async def add(self, zone):
         """Starts a new replica, which gets the primary's log."""
-        server = Server(self, f"i-{self.service}-{len(self.servers)}", zone)
+        self.started += 1
+        server = Server(self, f"i-{self.service}-{self.started - 1}", zone)
         self.servers.append(server)
         server.cold_left_ms = 4000
         await server.listen()
